Bound what slow readers hold, take options strictly, add the network tests

Found by the new tests, each kept as one: - routes.read_route: a member that is no object raised AttributeError and ended the watch; it is passed over now. - log.flush: with the reader gone and the pipe full, poll says POLLERR alone and the lines were kept for ever. Found by reading: - caller: 4 MiB a leg could be held for a slow reader, times 545 legs; now 1 MiB, 32 MiB over all legs, and a reader that takes nothing for 25 s ends. - resp: int() and float() took signs, spaces and underscores, which would have been passed on to a next hop. - exchange: refusals of its own said nothing of when to come back. - routes: a bad line reset the back-off before it was read.

--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -22,7 +22,9 @@
 
 READY_AT_LATEST = 0.25  # seconds that a restarted ingress waits for discovery, its saved list being stale
 ACCEPT_ON = 0.5  # seconds of accepting after SIGTERM: new connections keep coming so long
-LAST_MOMENT = 0.6  # seconds past the longest deadline at which the end is not put off any more
+LONGEST_WAIT = 3.0  # seconds that the longest deadline counts as at least
+LAST_MOMENT = 0.6  # seconds past it at which the end is not put off any more
+COME_BACK = 0.1  # seconds after which a caller turned away by no decision may come again
 
 
 class Ingress:
@@ -33,7 +35,8 @@
         settings = config.settings
         classes = {kind.name: kind.effect is i.Effect.SAFE for kind in settings.classes}
         plans = frozenset(plan.name for plan in settings.plans)
-        self.exchange = Exchange(loop, log, classes, plans, settings.max_attempts, config.max_open)
+        come_back = min(COME_BACK, settings.max_retry_after) if settings.retry_after else None
+        self.exchange = Exchange(loop, log, classes, plans, settings.max_attempts, config.max_open, come_back)
         self.next_hops = NextHops(
             loop,
             log,
@@ -107,7 +110,8 @@
             self.stopping = True
             self.log("stopping")
             self.loop.call_later(ACCEPT_ON, self.callers.drain)
-            self.loop.call_later(self.config.longest_deadline + LAST_MOMENT, self.loop.stop)
+            longest = max(LONGEST_WAIT, self.config.longest_deadline)
+            self.loop.call_later(longest + LAST_MOMENT, self.loop.stop)
             self._stop_when_done()
 
     def _stop_when_done(self) -> None:
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -190,10 +190,12 @@
         plans: frozenset[str],
         max_branches: int,
         max_open: int,
+        come_back: float | None,
     ) -> None:
         self.loop, self.log = loop, log
         self.classes, self.plans = classes, plans  # classes: by name, true where safe to repeat
         self.max_branches, self.max_open = max_branches, max_open
+        self.come_back = come_back  # what a refusal of the exchange's own advises
         self.decisions: Decisions
         self.next_hops: NextHopSide
         self.transactions: dict[str, Transaction] = {}
@@ -214,7 +216,7 @@
         transaction = Transaction(name, request, self.classes[request.class_name], deadline, reply)
         self.open_count += 1
         if self.open_count > self.max_open:
-            self._conclude(transaction, Refused(None))
+            self._conclude(transaction, Refused(self.come_back))
             return transaction
         self.transactions[name] = transaction
         # The module sets a timer of its own, a little earlier: this one guards against its silence.
@@ -279,7 +281,8 @@
     def abandon(self, transaction: Transaction) -> None:
         """Final answer where the module gave none: the mildest that is true."""
         if transaction.open:
-            self._conclude(transaction, Refused(None) if transaction.may_refuse else Failed("failed"))
+            harmless = transaction.may_refuse
+            self._conclude(transaction, Refused(self.come_back) if harmless else Failed("failed"))
 
     # The next-hop side.
 
--- a/standflow/log.py
+++ b/standflow/log.py
@@ -47,7 +47,7 @@
             while len(self.rest) < CHUNK and self.lines:
                 self.rest += self.lines.popleft()
             try:
-                if not any(mask & select.POLLOUT for _, mask in self.poll.poll(0)):
+                if not any(mask & (select.POLLOUT | select.POLLERR) for _, mask in self.poll.poll(0)):
                     return
                 self.rest = self.rest[os.write(self.fd, self.rest[:CHUNK]) :]
             except OSError:  # nobody reads it any more
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -24,7 +24,10 @@
 READ_SIZE = 65536
 MAX_PIPELINED = 64  # commands of one leg that wait for their answers; more stay in the kernel
 PAUSE_OUT = 256 * 1024  # bytes that a slow reader may leave unread before no more is taken from it
-MAX_OUT = 4 * 1024 * 1024  # and before it is given up
+MAX_OUT = 1024 * 1024  # and before it is given up
+MAX_UNREAD = 32 * 1024 * 1024  # bytes that all legs together may leave unread
+MAX_STALLS = 4  # sweeps in a row without a byte taken after which a reader is given up
+SWEEP_EVERY = 5.0
 ACCEPT_PAUSE = 0.1  # seconds without accepting when descriptors run out
 
 
@@ -49,6 +52,7 @@
         self.reason = "shutdown"
         self.last_words = False  # after what is to be written the leg ends
         self.answered = 0
+        self.stalls = 0
         self.made = side.loop.now()
         self.task: Task | None = None
 
@@ -83,9 +87,14 @@
                 return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
             if self.last_words and not self.out and not self.slots:
                 return self.reason
-            if len(self.out) > MAX_OUT:
+            if self.too_slow():
                 return "slow_reader"
 
+    def too_slow(self) -> bool:
+        """What waits for slow readers must not outgrow the memory."""
+        size = len(self.out)
+        return size > MAX_OUT or (size > PAUSE_OUT and self.side.unread > MAX_UNREAD)
+
     def mask(self) -> int:
         """Reading pauses while too much of this leg is open or unread."""
         paused = self.last_words or len(self.slots) >= MAX_PIPELINED or len(self.out) > PAUSE_OUT
@@ -139,6 +148,9 @@
             return
         if self.last_words and not self.out and not self.slots:
             self.side.loop.end(self.task)
+        elif self.too_slow():
+            self.reason = "slow_reader"
+            self.side.loop.end(self.task)
         elif self.buffer.data:
             # what was held back for room goes on; what was flushed stays flushed
             self.side.loop.resume(self.task, 0)
@@ -152,6 +164,7 @@
             ready += slots.popleft().answer or b""
             self.answered += 1
         if ready:
+            self.side.unread += len(ready)
             if self.out:
                 self.out += ready
             else:
@@ -164,9 +177,12 @@
         """Writes at once; the poll is armed only for what was not taken."""
         if self.out:
             try:
-                del self.out[: self.sock.send(self.out)]
+                taken = self.sock.send(self.out)
             except BlockingIOError:
                 return
+            del self.out[:taken]
+            self.stalls = 0
+            self.side.unread -= taken
 
 
 class CallerSide:
@@ -185,6 +201,7 @@
         self.draining = False
         self.legs: set[Leg] = set()
         self.idle: OrderedDict[Leg, None] = OrderedDict()  # legs with nothing open, the longest idle first
+        self.unread = 0  # bytes written by no leg yet
         self.paused = False
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -192,6 +209,7 @@
         self.sock.listen(1024)
         self.address: tuple[str, int] = self.sock.getsockname()
         self.listener: Task | None = loop.spawn(self.sock.fileno(), self._listen())
+        loop.call_later(SWEEP_EVERY, self._sweep)
 
     def _listen(self) -> Coroutine:
         try:
@@ -259,6 +277,15 @@
         except OSError:
             return False
 
+    def _sweep(self) -> None:
+        """A leg whose caller takes no byte for long holds its place for nothing."""
+        self.loop.call_later(SWEEP_EVERY, self._sweep)
+        for leg in [leg for leg in self.legs if leg.out]:
+            leg.stalls += 1
+            if leg.stalls > MAX_STALLS and leg.task is not None:
+                leg.reason = "slow_reader"
+                self.loop.end(leg.task)
+
     def rest(self, leg: Leg) -> None:
         """A leg has nothing open any more."""
         if leg in self.legs:
@@ -270,6 +297,7 @@
         """The end of a leg: its one log line."""
         self.legs.discard(leg)
         self.idle.pop(leg, None)
+        self.unread -= len(leg.out)
         leg.sock.close()
         age = self.loop.now() - leg.made
         self.log(f"end caller {leg.reason} answered={leg.answered} open={len(leg.slots)} age={age:.2f}")
--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -223,14 +223,14 @@
     place = -1
     for number, piece in enumerate(pieces):
         key, equals, value = piece.partition(b"=")
-        if not equals or key in named:
+        if not equals or not key or key in named:
             raise CommandError("bad option")
         named[key] = value
         if key == b"d":
             place = number
     try:
-        patience, units = int(named[b"d"]), float(named.get(b"units", b"1"))
-        spread, first = int(named.get(b"spread", b"1")), int(named.get(b"first", b"0"))
+        patience, units = _whole(named[b"d"]), _decimal(named.get(b"units", b"1"))
+        spread, first = _whole(named.get(b"spread", b"1")), _whole(named.get(b"first", b"0"))
         class_name, plan = named[b"c"].decode("ascii"), named[b"t"].decode("ascii")
     except KeyError as error:
         raise CommandError(f"no option {error.args[0].decode()}") from None
@@ -255,6 +255,20 @@
     )
 
 
+def _whole(text: bytes) -> int:
+    """int() would also take signs, spaces and underscores, which a next hop may not."""
+    if not text.isdigit() or len(text) > 10:
+        raise ValueError(text)
+    return int(text)
+
+
+def _decimal(text: bytes) -> float:
+    """A number above nought, as digits with a point at most."""
+    if not text.replace(b".", b"", 1).isdigit() or len(text) > 20:
+        raise ValueError(text)
+    return float(text)
+
+
 def encode_ask(ask: Ask, left: float) -> bytes:
     """The command for a next hop: as it came, but for the time that is left."""
     options = b"%bd=%d%b" % (ask.before, max(1, int(left * 1000)), ask.after)
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -45,6 +45,8 @@
 
 def read_route(raw: Any, zones: tuple[str, ...]) -> Route:
     """One member."""
+    if not isinstance(raw, dict):  # a bad one must not cost the good ones beside it
+        raise RouteError("a member is no object")
     size, up_since = float(raw.get("size", 1.0)), float(raw.get("up_since_ms", 0))
     if not (math.isfinite(size) and size > 0 and math.isfinite(up_since)):
         raise RouteError("a figure is out of range")
@@ -103,7 +105,6 @@
         self.chance = chance
         self.back_off = FIRST_BACK_OFF
         self.task: Task | None = None
-        self.heard = loop.now()
 
     def connect(self) -> None:
         """Opens the watch."""
@@ -113,7 +114,6 @@
             self.log(f"routes: no socket: {error}")
             self._again()
             return
-        self.heard = self.loop.now()
         self.task = self.loop.spawn(sock.fileno(), self._live(sock))
 
     def fetch(self) -> None:
@@ -199,7 +199,6 @@
                 return "peer_closed"
 
     def _line(self, text: bytes) -> None:
-        self.back_off = FIRST_BACK_OFF
         if not text:
             return
         try:
@@ -208,4 +207,5 @@
             raise RouteError("a line is no JSON") from None
         routes = read_routes(raw, self.zones, self.log)
         self.revision = routes.revision
+        self.back_off = FIRST_BACK_OFF
         self.told(routes)
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,150 @@
+"""The driver, the peers, the route set and the log, each on its own."""
+
+from __future__ import annotations
+
+import os
+import socket
+
+import pytest
+
+from hoistfold import interface as i
+from standflow.config import read
+from standflow.driver import Driver
+from standflow.exchange import Failed, Outcome, Refused, Request, Result
+from standflow.log import MAX_LINES, Log
+from standflow.net.peers import Peers
+from standflow.net.routes import RouteError, read_routes, zone_of
+from tests.test_legs import Recorder
+from tests.wire import config, turn_until
+
+
+class Played:
+    """A driver whose module says what the test wants."""
+
+    def __init__(self) -> None:
+        self.at = Recorder()
+        self.told: list[object] = []
+        self.probes: list[str] = []
+        settings = read(config(), self.at.log.append).settings
+        self.driver = Driver(
+            self.at.loop,
+            self.at.log.append,
+            settings,
+            7,
+            self.at.exchange,
+            probe=lambda hop, ended: ended(Result(Outcome.OK)),
+            close_idle=self.probes.append,
+            tell=lambda peer, content: self.told.append((peer, content)),
+            fetch=lambda: self.told.append("fetch"),
+        )
+        self.at.exchange.decisions = self.driver
+        self.events: list[i.Event] = []
+        self.answers: dict[type, list[i.Action]] = {}
+        self.fault: type | None = None
+        self.driver.module.handle = self.handle  # type: ignore[method-assign]
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        self.events.append(event)
+        if type(event) is self.fault:
+            raise ZeroDivisionError
+        return self.answers.get(type(event), [])
+
+
+@pytest.mark.parametrize(("kind", "final"), [("look", Refused(0.25)), ("change", Refused(0.25))])
+def test_a_fault_of_the_module_is_logged_and_its_transaction_answered(kind: str, final: object) -> None:
+    played = Played()
+    played.fault = i.RequestArrived
+    finals: list[object] = []
+    request = Request(kind, "plain", "7", 5.0, 1.0, 1, 0, None)
+    played.at.exchange.open(request, played.at.loop.now(), finals.append)
+    assert finals == [final]
+    assert "ZeroDivisionError" in played.at.log[0]
+    played.fault = None
+    played.answers[i.RequestArrived] = [i.Fail("2")]
+    played.at.exchange.open(request, played.at.loop.now(), finals.append)
+    assert finals == [final, Failed("failed")]
+    played.at.close()
+
+
+def test_actions_are_carried_out_and_what_they_cause_waits_its_turn() -> None:
+    played = Played()
+    actions: list[i.Action] = [
+        i.Probe("s-1"), i.Count(5, 1.0, 1.0), i.CloseIdle("s-1"), i.TellPeer(None, b"x"), i.FetchList(),
+        i.Log("text"), i.SetTimer(0.001, 9), i.Send("unheard", "s-1", None), i.Subscribe(True),
+    ]  # fmt: skip
+    played.answers[i.Started] = actions
+    played.driver.start(None)
+    assert played.events[:2] == [
+        i.Started(),
+        i.ProbeEnded("s-1", i.Outcome.OK, played.events[1].latency, ()),  # type: ignore[union-attr]
+    ]
+    assert played.events[2] == i.CountAnswered(5, i.Outcome.CONNECT_FAILED, 0.0, 0.0)
+    assert played.probes == ["s-1"]
+    assert played.told == [(None, b"x"), "fetch"]
+    turn_until(played.at.loop, lambda: i.TimerFired(9) in played.events)
+    assert "module: text" in played.at.log
+    assert any("count 5 has no client" in line for line in played.at.log)
+    played.at.close()
+
+
+def test_strangers_and_oversize_datagrams_are_dropped() -> None:
+    at = Recorder()
+    got: list[tuple[int, bytes]] = []
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger,
+    ):
+        for sock in (peer, stranger):
+            sock.bind(("127.0.0.1", 0))
+            sock.settimeout(20)
+        known = (("127.0.0.1", 1), peer.getsockname())
+        peers = Peers(at.loop, at.log.append, ("127.0.0.1", 0), known, None, 0, lambda *m: got.append(m))
+        stranger.sendto(b"no", peers.address)
+        peer.sendto(b"x" * 257, peers.address)
+        peer.sendto(b"x" * 256, peers.address)
+        turn_until(at.loop, lambda: got)
+        assert got == [(1, b"x" * 256)]
+        assert sum(line.startswith("peers: dropped") for line in at.log) == 2
+        peers.tell(1, b"y" * 257)
+        peers.tell(9, b"lost")
+        peers.tell(None, b"all")
+        assert peer.recv(300) == b"all"
+    at.close()
+
+
+def test_route_sets_keep_what_can_be_read() -> None:
+    log: list[str] = []
+    good = {"id": "s", "host_port": "127.0.0.1:1", "locality": "a", "phase": "SERVING", "up_since_ms": 5000}
+    bad = [3, {}, good | {"phase": "ODD"}, good | {"host_port": "x"}, good | {"size": 0}, good | {"id": 3}]
+    routes = read_routes({"revision": 4, "complete": True, "members": [good, *bad]}, ("room-a",), log.append)
+    assert [(r.hop, r.zone, r.up_since) for r in routes.routes] == [("s", "room-a", 5.0)]
+    assert len(log) == len(bad)
+    raws: list[object] = [3, {}, {"members": []}, {"members": [], "revision": "4", "complete": True}]
+    for raw in raws:
+        with pytest.raises(RouteError):
+            read_routes(raw, (), log.append)
+
+
+def test_a_locality_is_one_of_the_settings_zones() -> None:
+    zones = ("room-a", "room-b", "hall-b")
+    assert [zone_of(text, zones) for text in ("room-b", "a", "b", "c")] == ["room-b", "room-a", "b", "c"]
+
+
+def test_a_log_that_nobody_reads_never_blocks() -> None:
+    reader, writer = os.pipe()
+    log = Log(writer)
+    for _ in range(2 * MAX_LINES):
+        log("x" * 100)
+        if len(log.lines) == MAX_LINES:
+            log.flush()
+    log.flush()
+    assert len(log.lines) > 0
+    before = len(log.lines)
+    os.read(reader, 65536)
+    log.flush()
+    assert len(log.lines) < before
+    os.close(reader)
+    log("last")
+    log.flush()
+    assert not log.lines
+    os.close(writer)
--- /dev/null
+++ b/tests/test_legs.py
@@ -0,0 +1,350 @@
+"""Connections against models of their states, by random steps on real sockets."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from standflow.exchange import (
+    Branch,
+    Exchange,
+    Failed,
+    Outcome,
+    Phase,
+    Refused,
+    Request,
+    Result,
+    Route,
+    RouteSet,
+    Transaction,
+)
+from standflow.net import resp
+from standflow.net.caller import CallerSide
+from standflow.net.loop import Loop
+from standflow.net.nexthop import NextHops
+from tests.wire import command, listener, read_until, turn_until
+
+STEPS = settings(derandomize=True, max_examples=60, stateful_step_count=30, deadline=None)
+ASK = resp.decode_command([b"Q.ASK", b"%016x" % 7, b"aa", b"c=look,t=plain,d=600000,units=1"])
+
+
+class Recorder:
+    """Stands where the driver and the other side would be, and notes what it is told."""
+
+    def __init__(self) -> None:
+        self.log: list[str] = []
+        self.loop = Loop(self.log.append)
+        kinds = {"look": True, "change": False}
+        self.exchange = Exchange(
+            self.loop, self.log.append, kinds, frozenset(["plain"]), 1000, 100, come_back=0.25
+        )
+        self.exchange.decisions = self
+        self.opened: list[Transaction] = []
+        self.gone: list[Transaction] = []
+        self.ended: list[tuple[Branch, Outcome]] = []
+
+    def transaction_opened(self, transaction: Transaction) -> None:
+        self.opened.append(transaction)
+
+    def transaction_gone(self, transaction: Transaction) -> None:
+        self.gone.append(transaction)
+
+    def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
+        self.ended.append((branch, result.outcome))
+
+    def close(self) -> None:
+        for task in list(self.loop.tasks.values()):
+            self.loop.end(task)
+        self.loop.epoll.close()
+
+
+class CallerLegModel(RuleBasedStateMachine):
+    """A leg owes its answers in the order of its commands; the model is the queue of what is owed."""
+
+    @initialize()
+    def start(self) -> None:
+        self.at = Recorder()
+        self.side = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
+        self.side.ready = True
+        self.caller = socket.create_connection(self.side.address)
+        turn_until(self.at.loop, lambda: len(self.side.legs) == 1)
+        self.owed: deque[list[bytes | None]] = deque()  # one cell an answer, in order
+        self.open: list[tuple[Transaction, list[bytes | None]]] = []
+        self.serial = 0
+
+    def flushed(self) -> None:
+        due = b""
+        while self.owed and self.owed[0][0] is not None:
+            due += self.owed.popleft()[0] or b""
+        if due:
+            self.caller.setblocking(False)
+            got = bytearray()
+
+            def read() -> bool:
+                try:
+                    got.extend(self.caller.recv(65536))
+                except BlockingIOError:
+                    return False
+                return len(got) >= len(due)
+
+            turn_until(self.at.loop, read)
+            self.caller.setblocking(True)
+            assert bytes(got) == due
+
+    @precondition(lambda self: len(self.owed) < 40)
+    @rule(cut=st.integers(1, 60))
+    def ask(self, cut: int) -> None:
+        self.serial += 1
+        text = command(f"{self.serial:04x}")
+        self.caller.sendall(text[:cut])
+        self.at.loop.call_later(0, int)
+        self.at.loop.turn()
+        self.caller.sendall(text[cut:])
+        turn_until(self.at.loop, lambda: len(self.at.opened) == self.serial)
+        cell: list[bytes | None] = [None]
+        self.owed.append(cell)
+        self.open.append((self.at.opened[-1], cell))
+
+    @rule()
+    def bad(self) -> None:
+        self.caller.sendall(b"*1\r\n$4\r\nNOPE\r\n")
+        self.owed.append([b"-ERR unknown command\r\n"])
+        self.flushed()
+
+    @precondition(lambda self: self.open)
+    @rule(which=st.integers(0, 1000), what=st.sampled_from(["refuse", "fail"]))
+    def decide(self, which: int, what: str) -> None:
+        transaction, cell = self.open.pop(which % len(self.open))
+        if what == "refuse":
+            self.at.exchange.refuse(transaction.name, 0.02)
+            cell[0] = b"-BUSY 20\r\n"
+        else:
+            self.at.exchange.fail(transaction.name)
+            cell[0] = b"-ERR failed\r\n"
+        self.flushed()
+
+    @invariant()
+    def nothing_is_answered_twice(self) -> None:
+        if hasattr(self, "at"):
+            assert self.at.exchange.open_count == len(self.open)
+
+    def teardown(self) -> None:
+        if hasattr(self, "at"):
+            self.caller.close()
+            turn_until(self.at.loop, lambda: not self.side.legs)
+            # each transaction still open hears that its caller has left, and the leg leaves one line
+            assert self.at.gone == [transaction for transaction, _ in self.open]
+            assert sum(line.startswith("end caller") for line in self.at.log) == 1
+            self.at.close()
+
+
+class NextHopModel(RuleBasedStateMachine):
+    """A connection is busy, idle or ended; the model says which, and how each branch must end."""
+
+    @initialize()
+    def start(self) -> None:
+        self.at = Recorder()
+        self.hop = listener()
+        self.side = NextHops(self.at.loop, self.at.log.append, self.at.exchange, 5.0, 5.0, 60.0, 10)
+        self.at.exchange.next_hops = self.side
+        self.tell(Phase.SERVING)
+        self.busy: list[tuple[Branch, socket.socket]] = []
+        self.idle: list[socket.socket] = []  # at the hop's end, the one used last is last
+        self.expected: dict[Branch, Outcome] = {}
+        self.ends = 0
+
+    def tell(self, phase: Phase) -> None:
+        route = Route("s-1", self.hop.getsockname()[:2], "z1", "std", 0, phase, 1.0, None)
+        self.side.routes_told(RouteSet(1, True, (route,)))
+        self.serving = phase is Phase.SERVING
+
+    def send(self) -> Branch:
+        request = Request("look", "plain", "7", 600.0, 1.0, 1, 0, ASK)
+        transaction = self.at.exchange.open(request, self.at.loop.now(), lambda final: None)
+        sent = self.at.exchange.send(transaction.name, "s-1", None)
+        assert isinstance(sent, Branch)
+        return sent
+
+    @precondition(lambda self: self.serving and len(self.busy) < 8)
+    @rule()
+    def begin(self) -> None:
+        branch = self.send()
+        if self.idle:
+            sock = self.idle.pop()  # the latest is used again
+        else:
+            sock, _ = self.hop.accept()
+            sock.settimeout(20)
+        turn_until(self.at.loop, lambda: branch.carrier.whole)
+        read_until(sock, b"units=1\r\n")
+        self.busy.append((branch, sock))
+
+    @precondition(lambda self: self.busy)
+    @rule(
+        which=st.integers(0, 1000),
+        answer=st.sampled_from(
+            [
+                (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", Outcome.OK, True),
+                (b"-BUSY\r\n", Outcome.FULL, True),
+                (b"-ERR failed\r\n", Outcome.ERROR, True),
+                (b"*0\r\n", Outcome.ERROR, True),
+                (b"*3\r\n$1\r\nv\r\n$-1", Outcome.RESET, False),
+                (b"what\r\n", Outcome.RESET, False),
+                (b"", Outcome.RESET, False),
+            ]
+        ),
+    )
+    def answer(self, which: int, answer: tuple[bytes, Outcome, bool]) -> None:
+        branch, sock = self.busy.pop(which % len(self.busy))
+        text, outcome, whole = answer
+        sock.sendall(text)
+        if whole and self.serving:
+            self.idle.append(sock)
+        else:
+            sock.close()
+            self.ends += 1
+        self.expected[branch] = outcome
+        turn_until(self.at.loop, lambda: branch.ended is not None)
+
+    @precondition(lambda self: self.busy)
+    @rule(which=st.integers(0, 1000))
+    def cancel(self, which: int) -> None:
+        branch, sock = self.busy.pop(which % len(self.busy))
+        self.at.exchange.cancel(branch.transaction.name, branch.number)
+        assert sock.recv(1) == b""  # giving up closes, so that the hop can stop working
+        sock.close()
+        self.ends += 1
+        self.expected[branch] = Outcome.CANCELLED
+
+    @precondition(lambda self: self.idle)
+    @rule(noticed=st.booleans())
+    def hop_closes_idle(self, noticed: bool) -> None:
+        """Noticed by the poll or only before the next write: no command may go there."""
+        self.idle.pop().close()
+        self.ends += 1
+        if noticed:
+            turn_until(self.at.loop, lambda: len(self.lines()) == self.ends)
+        elif self.serving and len(self.busy) < 8:
+            self.begin()
+
+    @rule(phase=st.sampled_from([Phase.SERVING, Phase.DRAINING]))
+    def told(self, phase: Phase) -> None:
+        self.tell(phase)
+        if not self.serving:
+            self.ends += len(self.idle)
+            for sock in self.idle:
+                sock.close()
+            self.idle = []
+
+    def lines(self) -> list[str]:
+        return [line for line in self.at.log if line.startswith("end nexthop")]
+
+    @invariant()
+    def outcomes_are_the_models(self) -> None:
+        if hasattr(self, "at"):
+            assert dict(self.at.ended) == self.expected
+            assert len(self.at.ended) == len(self.expected)
+
+    def teardown(self) -> None:
+        if hasattr(self, "at"):
+            turn_until(self.at.loop, lambda: len(self.lines()) == self.ends)
+            assert self.side.connections == len(self.busy) + len(self.idle)
+            assert not [line for line in self.at.log if "fault" in line]
+            for sock in [self.hop, *self.idle, *(s for _, s in self.busy)]:
+                sock.close()
+            self.at.close()
+
+
+TestCallerLeg = CallerLegModel.TestCase
+TestCallerLeg.settings = STEPS
+TestNextHop = NextHopModel.TestCase
+TestNextHop.settings = STEPS
+
+
+def test_a_hop_that_never_comes_up_or_refuses_is_a_failed_connect() -> None:
+    at, hop = Recorder(), listener()
+    side = NextHops(at.loop, at.log.append, at.exchange, 0.01, 5.0, 60.0, 10)
+    at.exchange.next_hops = side
+    route = Route("s-1", hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
+    hop.close()
+    side.routes_told(RouteSet(1, True, (route,)))
+    finals: list[object] = []
+    request = Request("look", "plain", "7", 60.0, 1.0, 1, 0, ASK)
+    transaction = at.exchange.open(request, at.loop.now(), finals.append)
+    for name in ("s-1", "s-unheard"):
+        at.exchange.send(transaction.name, name, None)
+    assert at.ended == []  # an outcome never comes within the call that asked for it
+    turn_until(at.loop, lambda: len(at.ended) == 2)
+    assert [outcome for _, outcome in at.ended] == [Outcome.CONNECT_FAILED] * 2
+    at.exchange.refuse(transaction.name, None)
+    assert finals == [Refused(None)]
+    at.close()
+
+
+def test_past_the_grace_an_unsent_branch_is_ended_and_never_sent() -> None:
+    at = Recorder()
+    with socket.socket() as hop:
+        hop.bind(("127.0.0.1", 0))
+        hop.listen(0)
+        full = [socket.socket() for _ in range(3)]  # the backlog is full: dialling hangs
+        for sock in full:
+            sock.setblocking(False)
+            sock.connect_ex(hop.getsockname())
+        side = NextHops(at.loop, at.log.append, at.exchange, 60.0, 5.0, 0.06, 10)
+        at.exchange.next_hops = side
+        route = Route("s-1", hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
+        side.routes_told(RouteSet(1, True, (route,)))
+        request = Request("look", "plain", "7", 60.0, 1.0, 1, 0, ASK)
+        transaction = at.exchange.open(request, at.loop.now(), lambda final: None)
+        at.exchange.send(transaction.name, "s-1", None)
+        side.routes_told(RouteSet(2, True, ()))
+        turn_until(at.loop, lambda: at.ended)
+        assert at.ended[0][1] is Outcome.CONNECT_FAILED
+        assert any("end nexthop s-1 drained" in line for line in at.log)
+        for sock in full:
+            sock.close()
+    at.close()
+
+
+def test_the_exchange_answers_once_and_in_time_whatever_the_module_does() -> None:
+    at = Recorder()
+    finals: dict[str, list[object]] = {}
+    for number, (kind, ran) in enumerate([("look", True), ("change", False), ("change", True)]):
+        got = finals.setdefault(f"{kind} {ran}", [])
+        request = Request(kind, "plain", "7", 0.05, 1.0, 1, 0, None)
+        transaction = at.exchange.open(request, at.loop.now(), got.append)
+        if ran:
+            branch = Branch(transaction, 0, "s-1", 0.0, 0.0)
+            transaction.branches.append(branch)
+            transaction.out += 1
+        turn_until(at.loop, lambda: got)  # noqa: B023
+        assert at.loop.now() >= transaction.deadline - Exchange.GUARD
+        assert at.gone[number] is transaction
+        at.exchange.refuse(transaction.name, 1.0)
+        at.exchange.fail(transaction.name)
+        if ran:
+            at.exchange.branch_ended(branch, Result(Outcome.OK, b"late"))
+            assert at.ended[-1] == (branch, Outcome.OK)  # the late result reaches the module all the same
+    mild = [Refused(0.25)]
+    assert finals == {"look True": mild, "change False": mild, "change True": [Failed("failed")]}
+    assert not at.exchange.transactions
+    at.close()
+
+
+def test_a_change_that_may_have_run_is_neither_sent_again_nor_refused() -> None:
+    at = Recorder()
+    finals: list[object] = []
+    request = Request("change", "plain", "7", 60.0, 1.0, 1, 0, None)
+    transaction = at.exchange.open(request, at.loop.now(), finals.append)
+    branch = Branch(transaction, 0, "s-1", 0.0, 60.0)
+    transaction.branches.append(branch)
+    transaction.out += 1
+    sent = at.exchange.send(transaction.name, "s-1", None)
+    assert isinstance(sent, tuple)
+    assert sent[1] is Outcome.MOOT
+    at.exchange.refuse(transaction.name, 1.0)
+    assert finals == [Failed("failed")]
+    at.close()
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,171 @@
+"""The whole program over sockets: the tests are its callers, its next hop and its discovery."""
+
+import json
+import socket
+from pathlib import Path
+
+import pytest
+
+from tests.wire import LIMIT, command, config, listener, member, program, read_until
+
+VALUE = b"*3\r\n$5\r\nva\r\nl\r\n$-1\r\n$-1\r\n"
+ANSWER = b"$5\r\nva\r\nl\r\n"
+
+
+def known(hop: socket.socket) -> dict[str, object]:
+    return {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
+
+
+def accepted(hop: socket.socket) -> socket.socket:
+    sock = hop.accept()[0]
+    sock.settimeout(LIMIT)
+    return sock
+
+
+def test_a_command_is_passed_on_and_its_value_comes_back_byte_for_byte(tmp_path: Path) -> None:
+    with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
+        caller = running.call()
+        caller.sendall(b"*1\r\n$4\r\nPING\r\n" + command("aa01", body=b"b\r\nd"))
+        assert read_until(caller, b"\r\n") == b"+PONG\r\n"
+        at_hop = accepted(hop)
+        got = read_until(at_hop, b"$4\r\nb\r\nd\r\n")
+        assert got.startswith(b"*5\r\n$5\r\nQ.ASK\r\n$16\r\n00000000b4d65521\r\n$4\r\naa01\r\n")
+        assert b"c=look,t=plain,d=" in got
+        assert b",k=a7,units=1,spread=1,first=0\r\n" in got
+        assert int(got.split(b",d=")[1].split(b",")[0]) <= 3000
+        at_hop.sendall(VALUE)
+        assert read_until(caller, b"l\r\n") == ANSWER
+        caller.close()
+        assert running.logged(r"end caller peer_closed answered=2")
+
+
+@pytest.mark.parametrize(
+    ("sent", "answer"),
+    [
+        (command("aa01", kind="other"), b"-ERR unknown class\r\n"),
+        (command("aa01").replace(b"t=plain", b"t=other"), b"-ERR unknown plan\r\n"),
+        (command("aa01", kind="change"), b"-ERR the class goes with the other command\r\n"),
+        (command("aa01").replace(b"units=1", b"units=n"), b"-ERR bad number\r\n"),
+        (command("aa01").replace(b"00000000b4", b"0000000zb4"), b"-ERR bad customer\r\n"),
+        (b"*1\r\n$4\r\nNOPE\r\n", b"-ERR unknown command\r\n"),
+    ],
+)
+def test_a_bad_command_is_named_and_the_next_is_read(tmp_path: Path, sent: bytes, answer: bytes) -> None:
+    with program(tmp_path, config()) as running:
+        caller = running.call()
+        caller.sendall(sent + b"*1\r\n$4\r\nPING\r\n")
+        assert read_until(caller, b"+PONG\r\n") == answer + b"+PONG\r\n"
+
+
+@pytest.mark.parametrize(
+    "sent", [b"GET / HTTP/1.1\r\n", b"*99999\r\n", b"*1\r\n$70000\r\n", b"*1\r\n$-3\r\n", b"*x\r\n"]
+)
+def test_lost_framing_ends_the_leg_alone(tmp_path: Path, sent: bytes) -> None:
+    with program(tmp_path, config()) as running:
+        caller, other = running.call(), running.call()
+        caller.sendall(sent)
+        assert read_until(caller, b"\r\n").startswith(b"-ERR ")
+        assert caller.recv(10) == b""
+        other.sendall(b"*1\r\n$4\r\nPING\r\n")
+        assert read_until(other, b"\r\n") == b"+PONG\r\n"
+        assert running.logged("end caller bad_framing")
+
+
+def test_a_change_broken_after_its_last_byte_fails_and_is_not_sent_again(tmp_path: Path) -> None:
+    with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
+        caller = running.call()
+        caller.sendall(command("aa01", "Q.DO", "change"))
+        at_hop = accepted(hop)
+        read_until(at_hop, b"first=0\r\n")
+        at_hop.close()
+        assert read_until(caller, b"\r\n") == b"-ERR failed\r\n"
+        hop.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            hop.accept()
+
+
+def test_a_pooled_connection_closed_by_the_hop_gets_no_command(tmp_path: Path) -> None:
+    with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
+        caller = running.call()
+        caller.sendall(command("aa01", "Q.DO", "change"))
+        at_hop = accepted(hop)
+        read_until(at_hop, b"first=0\r\n")
+        at_hop.sendall(VALUE)
+        read_until(caller, ANSWER)
+        at_hop.close()
+        assert running.logged("end nexthop s-1 peer_closed served=1")
+        caller.sendall(command("aa02", "Q.DO", "change"))
+        at_hop = accepted(hop)
+        read_until(at_hop, b"first=0\r\n")
+        at_hop.sendall(VALUE)
+        assert read_until(caller, b"l\r\n") == ANSWER
+
+
+def test_sigterm_serves_what_is_open_then_ends(tmp_path: Path) -> None:
+    with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
+        busy, idle = running.call(), running.call()
+        idle.sendall(b"*1\r\n$4\r\nPING\r\n")
+        read_until(idle, b"\r\n")
+        busy.sendall(command("aa01"))
+        at_hop = accepted(hop)
+        read_until(at_hop, b"first=0\r\n")
+        running.terminate()
+        running.logged("stopping")
+        late = running.call()
+        late.sendall(b"*1\r\n$4\r\nPING\r\n")
+        assert read_until(late, b"\r\n") == b"+PONG\r\n"
+        assert idle.recv(10) == b""
+        assert late.recv(10) == b""
+        at_hop.sendall(VALUE)
+        assert read_until(busy, b"l\r\n") == ANSWER
+        assert busy.recv(10) == b""
+        assert running.process.wait(LIMIT) == 0
+
+
+def test_discovery_drains_a_hop_and_a_broken_watch_is_taken_up_at_its_revision(tmp_path: Path) -> None:
+    def watch(agent: socket.socket, lines: str) -> tuple[socket.socket, bytes]:
+        sock = accepted(agent)
+        asked = read_until(sock, b"\r\n\r\n")
+        body = lines.encode()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sock.sendall(head + b"%x\r\n%b\r\n" % (len(body), body) if body else head)
+        return sock, asked
+
+    with listener() as hop, listener() as agent:
+        address = agent.getsockname()
+        raw = config(known=known(hop), discovery=f"{address[0]}:{address[1]}")
+        with program(tmp_path, raw) as running:
+            change = {"revision": 7, "complete": False, "members": [member(hop.getsockname(), "DRAINING"), 3]}
+            sock, asked = watch(agent, json.dumps(change) + "\n\n")
+            assert b"since=1 " in asked
+            assert running.logged("a member was passed over")
+            caller = running.call()
+            caller.sendall(command("aa01"))
+            assert read_until(caller, b"\r\n").startswith(b"-BUSY")  # nothing serves
+            sock.close()
+            sock, asked = watch(agent, "no json\n")
+            assert b"since=7 " in asked
+            assert running.logged("end routes bad_json")
+            change = {"revision": 8, "complete": True, "members": [member(hop.getsockname())]}
+            sock, asked = watch(agent, json.dumps(change) + "\n")
+            assert b"since=7 " in asked
+
+
+@pytest.mark.parametrize(
+    ("raw", "key"),
+    [
+        ("{", "EDGE_CONFIG"),
+        (config(listen="nowhere"), "listen"),
+        (config(seed="xyz"), "seed"),
+        (config(known={"members": 1}), "known"),
+        (config(settings={}), "settings: Caps"),
+        (config(limits={"sockets": -1}), "limits.sockets"),
+    ],
+)
+def test_a_bad_configuration_names_its_key_and_exits_2(tmp_path: Path, raw: object, key: str) -> None:
+    with program(tmp_path, raw) as running:
+        assert running.process.wait(LIMIT) == 2
+        assert running.process.stderr is not None
+        text = running.process.stderr.read().decode()
+        assert text.startswith(f"standflow: {key}")
+        assert text.count("\n") == 1
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,129 @@
+"""The codec: what is cut anywhere reads the same, and what is malformed is named."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standflow.net import resp
+
+ANY = st.binary(max_size=200)
+LEAVES = st.one_of(st.none(), ANY, st.integers(-1000, 1000))
+REPLIES = st.recursive(LEAVES, lambda inner: st.lists(inner, max_size=4), max_leaves=6)
+
+
+def encoded(reply: resp.Reply) -> bytes:
+    if reply is None:
+        return b"$-1\r\n"
+    if isinstance(reply, int):
+        return b":%d\r\n" % reply
+    if isinstance(reply, list):
+        return b"*%d\r\n" % len(reply) + b"".join(encoded(part) for part in reply)
+    assert isinstance(reply, bytes)
+    return resp.bulk(reply)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.lists(ANY, min_size=1, max_size=5), max_size=4), st.integers(1, 50))
+def test_commands_read_the_same_however_they_are_cut(commands: list[list[bytes]], cut: int) -> None:
+    data = b"".join(b"*%d\r\n" % len(c) + b"".join(resp.bulk(part) for part in c) for c in commands)
+    buffer, got = resp.Buffer(), []
+    for at in range(0, len(data), cut):
+        buffer.feed(data[at : at + cut])
+        while (command := buffer.command()) is not None:
+            got.append(command)
+    assert got == commands
+    assert not buffer.data
+
+
+@settings(derandomize=True, deadline=None)
+@given(REPLIES, st.integers(1, 50))
+def test_replies_read_the_same_however_they_are_cut(reply: resp.Reply, cut: int) -> None:
+    data, buffer = encoded(reply), resp.Buffer()
+    for at in range(0, len(data), cut):
+        buffer.feed(data[at : at + cut])
+        got = buffer.reply()
+        assert (got is not None) == (at + cut >= len(data))
+    assert got == (reply,)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=60), st.sampled_from([b"", b"*", b"*1\r\n$", b"*2\r\n$4\r\nPING\r\n"]))
+def test_no_bytes_make_the_codec_fail_otherwise(noise: bytes, start: bytes) -> None:
+    for read in (resp.Buffer.command, resp.Buffer.reply):
+        buffer = resp.Buffer()
+        buffer.feed(start + noise)
+        try:
+            while (got := read(buffer)) is not None:
+                if read is resp.Buffer.command:
+                    resp.decode_command(list(got))  # type: ignore[arg-type]
+                else:
+                    resp.decode_answer(got[0])
+        except (resp.FramingError, resp.CommandError):
+            continue
+
+
+OPTIONS = b"c=look,t=plain,d=480,k=x,units=2,spread=3,first=1"
+
+
+def ask(options: bytes, customer: bytes = b"00000000b4d65521") -> resp.Ping | resp.Ask:
+    return resp.decode_command([b"Q.DO", customer, b"9b1f03aa5c7e2d41", options, b"BODY"])
+
+
+@pytest.mark.parametrize("place", [0, 2, 6])
+def test_only_the_time_left_is_written_anew(place: int) -> None:
+    pieces = [piece for piece in OPTIONS.split(b",") if piece != b"d=480"]
+    pieces.insert(place, b"d=480")
+    got = ask(b",".join(pieces))
+    assert isinstance(got, resp.Ask)
+    assert (got.patience, got.units, got.spread, got.first) == (0.48, 2.0, 3, 1)
+    buffer = resp.Buffer()
+    buffer.feed(resp.encode_ask(got, 0.1239))
+    pieces[place] = b"d=123"
+    assert buffer.command() == [b"Q.DO", b"00000000b4d65521", b"9b1f03aa5c7e2d41", b",".join(pieces), b"BODY"]
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        b"",
+        b"c=look",
+        OPTIONS.replace(b"d=480", b"d=+480"),
+        OPTIONS.replace(b"d=480", b"d=0"),
+        OPTIONS.replace(b"d=480", b"d=" + b"9" * 5000),
+        OPTIONS.replace(b"units=2", b"units=nan"),
+        OPTIONS.replace(b"units=2", b"units=1_0"),
+        OPTIONS.replace(b"spread=3", b"spread=0"),
+        OPTIONS.replace(b"c=look", b"c=l\xffk"),
+        OPTIONS + b",d=4",
+        OPTIONS + b",=4",
+    ],
+)
+def test_bad_options_are_refused_with_a_reason(options: bytes) -> None:
+    with pytest.raises(resp.CommandError):
+        ask(options)
+
+
+@pytest.mark.parametrize("customer", [b"", b"b4d65521", b"0000000200000000", b"+0000000b4d65521"])
+def test_a_bad_customer_is_refused(customer: bytes) -> None:
+    with pytest.raises(resp.CommandError, match="bad customer"):
+        ask(OPTIONS, customer)
+
+
+def test_what_next_hops_answer() -> None:
+    assert resp.decode_answer([b"v", None, None]) == resp.Value(b"v")
+    assert resp.decode_answer([b"v", b"86", b"queue=2,util=0.61"]) == resp.Value(
+        b"v", 86.0, {"queue": 2.0, "util": 0.61}
+    )
+    assert resp.decode_answer(resp.ErrorLine(b"BUSY")) == resp.TurnedAway()
+    assert resp.decode_answer(resp.ErrorLine(b"ERR failed queue=2")) == resp.Broken(
+        "ERR failed queue=2", {"queue": 2.0}
+    )
+    odds: list[resp.Reply] = [None, b"v", 3, [], [None, None]]
+    for odd in odds:
+        assert isinstance(resp.decode_answer(odd), resp.Broken)
+
+
+def test_refusals_say_when_to_come_back() -> None:
+    assert resp.busy(None) == b"-BUSY\r\n"
+    assert resp.busy(0.0001) == b"-BUSY 1\r\n"
+    assert resp.busy(0.5) == b"-BUSY 500\r\n"
--- /dev/null
+++ b/tests/wire.py
@@ -0,0 +1,122 @@
+"""A configuration, sockets and a program that the network tests share."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from standflow.net.loop import Loop
+from tests.test_adapter import INFO, ROOT
+
+LIMIT = 20.0  # seconds after which a condition counts as never met; no verdict hangs on less
+
+
+def config(**changes: Any) -> dict[str, Any]:
+    """A whole configuration for one ingress on its own."""
+    settings = json.loads(json.dumps(INFO)) | {"Balancers": 1, "Zones": ["room-z1", "room-z2"]}
+    settings["Caps"] |= {"IdleCloseUs": 15000000, "MaxOpen": 100}
+    change = settings["Classes"][0] | {"Name": "change", "Effect": "non_idempotent"}
+    settings["Classes"].append(change)
+    settings["Contracts"][0] |= {"PeakUnits": 1000, "Rate": 1000}
+    base = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
+        "known": {"revision": 1, "complete": True, "members": []},
+        "settings": settings,
+    }
+    return base | changes
+
+
+def member(address: tuple[str, int], phase: str = "SERVING") -> dict[str, Any]:
+    return {"id": "s-1", "host_port": f"{address[0]}:{address[1]}", "locality": "z1", "phase": phase}
+
+
+def listener() -> socket.socket:
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.settimeout(LIMIT)
+    return sock
+
+
+def command(ident: str, name: str = "Q.ASK", kind: str = "look", body: bytes = b"", d: int = 3000) -> bytes:
+    options = f"c={kind},t=plain,d={d},k=a7,units=1,spread=1,first=0"
+    parts = [name.encode(), b"00000000b4d65521", ident.encode(), options.encode(), *([body] if body else [])]
+    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(p), p) for p in parts)
+
+
+def turn_until(loop: Loop, met: Callable[[], object]) -> None:
+    """Runs rounds of the loop until something is so."""
+    end = time.monotonic() + LIMIT
+    while not met():
+        assert time.monotonic() < end
+        loop.call_later(0.002, int)
+        loop.turn()
+
+
+def read_until(sock: socket.socket, end: bytes) -> bytes:
+    """What comes up to an ending."""
+    data = b""
+    while not data.endswith(end):
+        more = sock.recv(65536)
+        assert more, f"closed after {data!r}"
+        data += more
+    return data
+
+
+class Program:
+    """The running program and what it has logged."""
+
+    def __init__(self, process: subprocess.Popen[bytes]) -> None:
+        self.process, self.log = process, ""
+
+    def logged(self, pattern: str) -> re.Match[str]:
+        """Waits for a line of the log."""
+        end = time.monotonic() + LIMIT
+        assert self.process.stderr is not None
+        while not (match := re.search(pattern, self.log)):
+            assert time.monotonic() < end, f"no '{pattern}' in: {self.log}"
+            if select.select([self.process.stderr], [], [], 0.1)[0]:
+                more = os.read(self.process.stderr.fileno(), 65536).decode()
+                assert more, f"ended without '{pattern}': {self.log}"
+                self.log += more
+        return match
+
+    def call(self) -> socket.socket:
+        """A new caller leg."""
+        port = int(self.logged(r"ready n0 on 127.0.0.1:(\d+)")[1])
+        sock = socket.create_connection(("127.0.0.1", port), LIMIT)
+        sock.settimeout(LIMIT)
+        return sock
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+
+@contextmanager
+def program(folder: Path, raw: Any) -> Iterator[Program]:
+    """Starts the program on a configuration, and ends it whatever happens."""
+    path = folder / "config.json"
+    path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standflow"],
+        cwd=ROOT,
+        env=os.environ | {"EDGE_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+    )
+    try:
+        yield Program(process)
+    finally:
+        process.kill()
+        process.communicate()
