Every refusal over quota says when to come back; cancelled timers don't wake the loop

Cause: brain._admit, 'short / plan.rate': where only the rollover ratio or the allowance said no, short is below nought and the advice 0. An epoch is the least now: by then more totals may be there.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -102,8 +102,8 @@
             spent = quota.counts[quota.place] + round(request.units * SCALE)
             quota.counts[quota.place], quota.untold[quota.place] = spent & 0xFFFF, 2
             self._send(request, backend)
-        else:  # soon enough to be served within the aim, or when the window has room
-            short = quota.own + quota.others + request.units - plan.burst
+        else:  # soon enough to be served within the aim, or when the window has room or more is told
+            short = max(self.epoch * plan.rate, quota.own + quota.others + request.units - plan.burst)
             self._refuse(request, request.kind.aim / 2 if within or not plan.rate else short / plan.rate)
 
     def _late(self, kind: i.RequestClass, left: float) -> bool:
@@ -217,9 +217,9 @@
 
     def _doors(self, backend: Backend) -> float:
         """Gateways that work with it; while it is cold few, each with a whole request, who weigh it more."""
-        rate, n = 0.7 * self.settings.fall_multiple * self._warmth(backend), self.settings.gateways
-        doors = min(n, max(1, int(rate * self.settings.fall_window / max(self.base.values()))))
-        return doors if self._warmth(backend) < 1 else self.sharers
+        warmth, s = self._warmth(backend), self.settings
+        work = 0.7 * s.fall_multiple * warmth * s.fall_window
+        return self.sharers if warmth == 1 else min(s.gateways, max(1, int(work / max(self.base.values()))))
 
     def _cold_room(self, backend: Backend) -> bool:
         """This gateway's turn and share of what a cold backend stands, on the reading of one core."""
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -27,15 +27,12 @@
     __slots__ = ("args", "call", "when")
 
     def __init__(self, when: float, call: Callable[..., object], args: tuple[Any, ...]) -> None:
-        self.when, self.call, self.args = when, call, args
+        self.when, self.args = when, args
+        self.call: Callable[..., object] | None = call
 
     def cancel(self) -> None:
         """Makes the timer do nothing; its place in the heap is given up when it comes up."""
-        self.call, self.args = _nothing, ()
-
-
-def _nothing() -> None:
-    """What a cancelled timer does."""
+        self.call, self.args = None, ()
 
 
 class Task:
@@ -143,8 +140,11 @@
 
     def turn(self) -> None:
         """One round: what is due, then what is ready."""
+        timers = self.timers
+        while timers and timers[0][2].call is None:  # most deadlines never come up: no waking for them
+            heapq.heappop(timers)
         before = time.monotonic()
-        wait = 1.0 if not self.timers else min(1.0, max(0.0, self.timers[0][0] - before))
+        wait = 1.0 if not timers else min(1.0, max(0.0, timers[0][0] - before))
         events = self.epoll.poll(wait, 256)
         now = time.monotonic()
         self.heard = now if now - before > 0.0002 else self.polled
@@ -156,10 +156,11 @@
             # A task born in this round may have got the number of a closed socket: the event isn't its own.
             if task is not None and task.born != self.round:
                 self.resume(task, ready)
-        timers = self.timers
         now = time.monotonic()
         while timers and timers[0][0] <= now:
             timer = heapq.heappop(timers)[2]
+            if timer.call is None:
+                continue
             try:
                 timer.call(*timer.args)
             except Exception:
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -158,3 +158,16 @@
     gateway.handle(2.0, ended(sends(actions)[0], i.Outcome.OK))
     assert not of(actions + gateway.handle(100.0, i.TimerFired(0)), i.TellPeer)
     assert not gateway.quotas
+
+
+def test_a_refusal_with_room_in_the_window_still_says_when_to_come_back() -> None:
+    """Nothing is short then but the totals: they may be there an epoch later."""
+    pair = Pair()
+    gateway = pair.live[0]
+    refusals = []
+    for n in range(12):
+        for action in gateway.handle(1.0, request(f"r{n}")):
+            if isinstance(action, i.Refuse):
+                refusals.append(action.retry_after)
+    assert refusals
+    assert all(wait is not None and wait >= gateway.epoch for wait in refusals)
