--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -7,7 +7,8 @@
 import random
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from hoistfold import interface as i
 from standflow.config import Config, ConfigError, load
@@ -27,6 +28,15 @@
 COME_BACK = 0.1  # seconds after which a caller turned away by no decision may come again
 
 
+@contextmanager
+def named(key: str) -> Iterator[None]:
+    """An address that can't be listened at is a fault of its key."""
+    try:
+        yield
+    except OSError as error:
+        raise ConfigError(f"{key}: {error.strerror}") from None
+
+
 class Ingress:
     """The parts of one ingress, wired."""
 
@@ -70,16 +80,18 @@
         )
         self.exchange.decisions = self.driver
         if config.peer_listen is not None:
-            self.peers = Peers(
-                loop,
-                log,
-                config.peer_listen,
-                config.peers,
-                config.peers_all,
-                settings.number,
-                self.driver.peer_told,
-            )
-        self.callers = CallerSide(loop, log, self.exchange, config.listen, config.max_legs)
+            with named("peer_listen"):
+                self.peers = Peers(
+                    loop,
+                    log,
+                    config.peer_listen,
+                    config.peers,
+                    config.peers_all,
+                    settings.number,
+                    self.driver.peer_told,
+                )
+        with named("listen"):
+            self.callers = CallerSide(loop, log, self.exchange, config.listen, config.max_legs)
         self.stopping = False
 
     def start(self) -> None:
@@ -114,6 +126,12 @@
             self.loop.call_later(longest + LAST_MOMENT, self.loop.stop)
             self._stop_when_done()
 
+    def close(self) -> None:
+        """Ends every connection; each leaves its line in the log."""
+        self.callers.close()
+        self.next_hops.close()
+        self.routes.close()
+
     def _stop_when_done(self) -> None:
         if self.callers.draining and not self.callers.legs:
             self.loop.stop()
@@ -143,15 +161,11 @@
     log = Log()
     try:
         config = load(os.environ, log)
+        loop = Loop(log)
+        ingress = Ingress(config, loop, log)
     except ConfigError as error:
         sys.stderr.write(f"standflow: {error}\n")
         return 2
-    loop = Loop(log)
-    try:
-        ingress = Ingress(config, loop, log)
-    except OSError as error:
-        sys.stderr.write(f"standflow: listen or peer_listen: {error}\n")
-        return 2
     log.serve(loop)
     watch_signals(loop, ingress.stop)
     ingress.start()
@@ -160,6 +174,7 @@
     gc.freeze()
     gc.set_threshold(20000, 20, 100)
     loop.run()
+    ingress.close()
     log("stopped")
     log.flush()
     return 0
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -52,7 +52,7 @@
         self.events: deque[tuple[i.Event, Transaction | None]] = deque()
         self.busy = False
         self.carry: dict[type[i.Action], Callable[[Any], object]] = {
-            i.Send: self._send,
+            i.Send: lambda action: self.exchange.send(action.request, action.backend, action.timeout),
             i.Cancel: lambda action: self.exchange.cancel(action.request, action.attempt),
             i.Refuse: lambda action: self.exchange.refuse(action.request, action.retry_after),
             i.Fail: lambda action: self.exchange.fail(action.request),
@@ -158,12 +158,6 @@
 
     # Actions.
 
-    def _send(self, action: i.Send) -> None:
-        sent = self.exchange.send(action.request, action.backend, action.timeout)
-        if isinstance(sent, tuple):
-            branch, outcome = sent
-            self.branch_ended(branch, Result(outcome), 0.0, not branch.transaction.open)
-
     def _probe(self, action: i.Probe) -> None:
         began = self.loop.now()
 
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -233,8 +233,8 @@
 
     # The driver.
 
-    def send(self, name: str, hop: str, timeout: float | None) -> tuple[Branch, Outcome] | Branch | None:
-        """Starts a branch. Where that isn't allowed the branch comes back with its outcome, already ended."""
+    def send(self, name: str, hop: str, timeout: float | None) -> Branch | None:
+        """Starts a branch; where that isn't allowed, its outcome is told as all outcomes are."""
         transaction = self.transactions.get(name)
         if transaction is None:
             self.log(f"exchange: a branch for transaction {name}, which is over, was not started")
@@ -247,7 +247,8 @@
         if not transaction.open or limit <= now or branch.number >= self.max_branches or harmful:
             # A rule that the module has to keep as well; a second effect can't be taken back.
             branch.ended = Outcome.MOOT
-            return branch, Outcome.MOOT
+            self.decisions.branch_ended(branch, Result(Outcome.MOOT), 0.0, not transaction.open)
+            return branch
         transaction.out += 1
         branch.timer = self.loop.call_at(limit, self._branch_late, branch)
         self.next_hops.start(branch)
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -19,15 +19,16 @@
     UnacceptableError,
 )
 from standflow.net import resp
-from standflow.net.loop import BROKEN, IN, OUT, Coroutine, Loop, Task
+from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task
 
 READ_SIZE = 65536
 MAX_PIPELINED = 64  # commands of one leg that wait for their answers; more stay in the kernel
 PAUSE_OUT = 256 * 1024  # bytes that a slow reader may leave unread before no more is taken from it
 MAX_OUT = 1024 * 1024  # and before it is given up
 MAX_UNREAD = 32 * 1024 * 1024  # bytes that all legs together may leave unread
-MAX_STALLS = 4  # sweeps in a row without a byte taken after which a reader is given up
+MAX_STALLS = 4  # sweeps in a row without a byte moved after which half a command or answer is given up
 SWEEP_EVERY = 5.0
+LINGER = 1.0  # seconds for the last answer to arrive after framing was lost
 ACCEPT_PAUSE = 0.1  # seconds without accepting when descriptors run out
 
 
@@ -60,6 +61,8 @@
         """The whole life of the leg."""
         try:
             self.reason = yield from self._serve()
+            if self.reason == "bad_framing":
+                yield from self._linger()
         finally:
             self.side.closed(self)
             for slot in self.slots:
@@ -77,6 +80,7 @@
                     if not data:
                         return "peer_closed"
                     self.buffer.feed(data)
+                    self.stalls = 0
                 elif ready & BROKEN:
                     return "broken"
                 self._take()
@@ -90,6 +94,22 @@
             if self.too_slow():
                 return "slow_reader"
 
+    def _linger(self) -> Coroutine:
+        """Reads what still comes and drops it: closing over unread bytes would take the answer back."""
+        timer = self.side.loop.call_later(LINGER, self._wake)
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            while (yield IN) and self.sock.recv(READ_SIZE):
+                pass
+        except OSError:
+            return
+        finally:
+            timer.cancel()
+
+    def _wake(self) -> None:
+        if self.task is not None:
+            self.side.loop.resume(self.task, TICK)
+
     def too_slow(self) -> bool:
         """What waits for slow readers must not outgrow the memory."""
         size = len(self.out)
@@ -146,14 +166,9 @@
             self._flush()
         if self.task is None:
             return
-        if self.last_words and not self.out and not self.slots:
-            self.side.loop.end(self.task)
-        elif self.too_slow():
-            self.reason = "slow_reader"
-            self.side.loop.end(self.task)
-        elif self.buffer.data:
-            # what was held back for room goes on; what was flushed stays flushed
-            self.side.loop.resume(self.task, 0)
+        if self.last_words or self.buffer.data or self.too_slow():
+            # the leg may be done, or what was held back for room may go on
+            self.side.loop.resume(self.task, TICK)
         else:
             self.side.loop.watch(self.task, self.mask())
 
@@ -255,9 +270,7 @@
 
     def _make_room(self) -> bool:
         """At the cap the leg idle longest makes way; one with something open never does."""
-        if self.idle:
-            return self._end(next(iter(self.idle)), "cap")
-        return False
+        return any(self._end(leg, "cap") for leg in list(self.idle))
 
     def _end(self, leg: Leg, reason: str) -> bool:
         """Ends an idle leg unless a request has come on it meanwhile: that one is taken first."""
@@ -278,12 +291,12 @@
             return False
 
     def _sweep(self) -> None:
-        """A leg whose caller takes no byte for long holds its place for nothing."""
+        """A leg stuck in the middle of a command or an answer holds its place for nothing."""
         self.loop.call_later(SWEEP_EVERY, self._sweep)
-        for leg in [leg for leg in self.legs if leg.out]:
+        for leg in [leg for leg in self.legs if leg.out or (leg.buffer.data and not leg.slots)]:
             leg.stalls += 1
             if leg.stalls > MAX_STALLS and leg.task is not None:
-                leg.reason = "slow_reader"
+                leg.reason = "slow_reader" if leg.out else "slow_writer"
                 self.loop.end(leg.task)
 
     def rest(self, leg: Leg) -> None:
@@ -302,6 +315,12 @@
         age = self.loop.now() - leg.made
         self.log(f"end caller {leg.reason} answered={leg.answered} open={len(leg.slots)} age={age:.2f}")
 
+    def close(self) -> None:
+        """Ends what is left, at once."""
+        for leg in list(self.legs):
+            if leg.task is not None:
+                self.loop.end(leg.task)
+
     def drain(self) -> None:
         """No new legs; each leg ends when it has nothing open."""
         self.draining = True
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -17,6 +17,7 @@
 OUT = select.EPOLLOUT
 BROKEN = select.EPOLLHUP | select.EPOLLERR
 TICK = 0
+SHORT_ROUND = 0.001
 
 Coroutine = Generator[int, int, None]
 
@@ -57,8 +58,8 @@
         self.round = 0
         self.stopped = False
         self.polled = time.monotonic()
-        # The earliest moment at which what is being read now can have come: where the loop did not wait in
-        # this round, bytes may have lain in the kernel since the round before, and that counts as lateness.
+        # The earliest moment at which what is being read now can have come: the loop's own lateness is taken
+        # off what a caller has left.
         self.heard = self.polled
 
     def now(self) -> float:
@@ -145,10 +146,14 @@
             heapq.heappop(timers)
         before = time.monotonic()
         wait = 1.0 if not timers else min(1.0, max(0.0, timers[0][0] - before))
-        events = self.epoll.poll(wait, 256)
-        now = time.monotonic()
-        self.heard = now if now - before > 0.0002 else self.polled
-        self.polled = now
+        # What came while the last round was at work has waited since then; a short one isn't worth the call.
+        events = self.epoll.poll(0, 256) if before - self.polled > SHORT_ROUND else []
+        if events:
+            self.heard = self.polled
+            self.polled = time.monotonic()
+        else:
+            events = self.epoll.poll(wait, 256)
+            self.heard = self.polled = time.monotonic()
         self.round += 1
         tasks = self.tasks
         for fd, ready in events:
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -38,14 +38,13 @@
 class Hop:
     """A next hop of the route set and the connections to it."""
 
-    __slots__ = ("connections", "generation", "idle", "route", "shut_at")
+    __slots__ = ("connections", "idle", "route", "shut_at")
 
     def __init__(self, route: Route) -> None:
         self.route = route
         self.connections: set[Connection] = set()
         self.idle: list[Connection] = []  # the one used last is last
         self.shut_at: float | None = None  # from when on nothing new may be written
-        self.generation = 0  # grows when another process stands at the next hop's name
 
 
 class Connection:
@@ -322,6 +321,12 @@
         """The outcome comes after the action that asked for the errand, as all outcomes do."""
         self.loop.call_later(0.0, errand.ended, Result(Outcome.CONNECT_FAILED))
 
+    def close(self) -> None:
+        """Ends every connection, at once; no results follow."""
+        for connection in [c for hop in self.hops.values() for c in hop.connections]:
+            connection.errand = None
+            self._end(connection, "shutdown")
+
     # Connections.
 
     def free(self, connection: Connection) -> None:
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -105,6 +105,7 @@
         self.chance = chance
         self.back_off = FIRST_BACK_OFF
         self.task: Task | None = None
+        self.closed = False
 
     def connect(self) -> None:
         """Opens the watch."""
@@ -122,16 +123,25 @@
         if self.task is not None:
             self.loop.end(self.task)
 
+    def close(self) -> None:
+        """Ends the watch for good."""
+        self.closed = True
+        if self.task is not None:
+            self.loop.end(self.task)
+
     def _live(self, sock: socket.socket) -> Coroutine:
-        reason, made = "fetch", self.loop.now()
+        reason, made = "", self.loop.now()
         try:
             reason = yield from self._watch(sock)
         finally:
             sock.close()
+            reason = reason or ("shutdown" if self.closed else "fetch")
             self.log(f"end routes {reason} age={self.loop.now() - made:.2f}")
             self._again()
 
     def _again(self) -> None:
+        if self.closed:
+            return
         self.loop.call_later(self.back_off * self.chance.uniform(0.5, 1.0), self.connect)
         self.back_off = min(LAST_BACK_OFF, 2 * self.back_off)
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+import time
 
 import pytest
 
@@ -12,6 +13,7 @@
 from standflow.driver import Driver
 from standflow.exchange import Failed, Outcome, Refused, Request, Result
 from standflow.log import MAX_LINES, Log
+from standflow.net.loop import IN, Coroutine
 from standflow.net.peers import Peers
 from standflow.net.routes import RouteError, read_routes, zone_of
 from tests.test_legs import Recorder
@@ -87,6 +89,30 @@
     played.at.close()
 
 
+def test_the_loops_own_lateness_counts_as_time_that_a_caller_has_waited() -> None:
+    at = Recorder()
+    reader, writer = socket.socketpair()
+    heard: list[float] = []
+
+    def wait() -> Coroutine:
+        yield IN
+        heard.append(at.loop.heard)
+
+    def work() -> None:
+        came.append(at.loop.now())
+        writer.send(b"x")
+        time.sleep(0.02)  # the loop is busy while the byte lies in the kernel
+
+    came: list[float] = []
+    at.loop.spawn(reader.fileno(), wait())
+    at.loop.call_later(0, work)
+    turn_until(at.loop, lambda: heard)
+    assert heard[0] <= came[0]
+    reader.close()
+    writer.close()
+    at.close()
+
+
 def test_strangers_and_oversize_datagrams_are_dropped() -> None:
     at = Recorder()
     got: list[tuple[int, bytes]] = []
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -343,8 +343,8 @@
     transaction.branches.append(branch)
     transaction.out += 1
     sent = at.exchange.send(transaction.name, "s-1", None)
-    assert isinstance(sent, tuple)
-    assert sent[1] is Outcome.MOOT
+    assert sent is not None
+    assert at.ended == [(sent, Outcome.MOOT)]
     at.exchange.refuse(transaction.name, 1.0)
     assert finals == [Failed("failed")]
     at.close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -71,6 +71,28 @@
         assert running.logged("end caller bad_framing")
 
 
+def test_at_the_cap_idle_legs_make_way_for_new_ones(tmp_path: Path) -> None:
+    with program(tmp_path, config(limits={"sockets": 64})) as running:
+        half = running.call()
+        half.sendall(b"*1\r\n$4\r\nPI")
+        legs = [running.call() for _ in range(40)]
+        for leg in legs[-5:]:
+            leg.sendall(b"*1\r\n$4\r\nPING\r\n")
+            assert read_until(leg, b"\r\n") == b"+PONG\r\n"
+        assert legs[0].recv(10) == b""
+        half.sendall(b"NG\r\n")  # half a command is no idle leg
+        assert read_until(half, b"\r\n") == b"+PONG\r\n"
+        running.logged("end caller cap")
+
+
+def test_the_reason_arrives_though_much_more_was_sent(tmp_path: Path) -> None:
+    with program(tmp_path, config()) as running:
+        caller = running.call()
+        caller.sendall(b"nonsense" * 30_000)  # closing over unread bytes would reset the answer away
+        assert read_until(caller, b"\r\n").startswith(b"-ERR ")
+        assert caller.recv(10) == b""
+
+
 def test_a_change_broken_after_its_last_byte_fails_and_is_not_sent_again(tmp_path: Path) -> None:
     with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
         caller = running.call()
@@ -120,6 +142,8 @@
         assert read_until(busy, b"l\r\n") == ANSWER
         assert busy.recv(10) == b""
         assert running.process.wait(LIMIT) == 0
+        running.logged("end nexthop s-1 shutdown")
+        running.logged("stopped")
 
 
 def test_discovery_drains_a_hop_and_a_broken_watch_is_taken_up_at_its_revision(tmp_path: Path) -> None:
