One way to connect and to wait in the loop; a write that fails at once is no fault

The next-hop side, the watch and the lingering leg each had their own timer and wake-up; Loop.wait and Loop.connect stand for all three now. Faulty lines found on the way: nexthop.live wrote the first command outside the handler of OSError, so a connection reset right after it came up was logged as a fault of the coroutine (its branch ended as connect_failed all the same).

--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -147,7 +147,7 @@
         signal.signal(number, lambda *_: None)
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
 
-    def wait() -> Coroutine:
+    def wait() -> Coroutine[None]:
         while True:
             yield IN
             os.read(reader, 64)
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import socket
 from collections import OrderedDict, deque
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 
 from standflow.exchange import (
     Exchange,
@@ -19,7 +18,7 @@
     UnacceptableError,
 )
 from standflow.net import resp
-from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task
+from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task, broken
 
 READ_SIZE = 65536
 MAX_PIPELINED = 64  # commands of one leg that wait for their answers; more stay in the kernel
@@ -57,7 +56,7 @@
         self.made = side.loop.now()
         self.task: Task | None = None
 
-    def live(self) -> Coroutine:
+    def live(self) -> Coroutine[None]:
         """The whole life of the leg."""
         try:
             self.reason = yield from self._serve()
@@ -69,7 +68,7 @@
                 if slot.transaction is not None and slot.answer is None:
                     self.side.exchange.caller_gone(slot.transaction)
 
-    def _serve(self) -> Generator[int, int, str]:
+    def _serve(self) -> Coroutine[str]:
         while True:
             ready = yield self.mask()
             try:
@@ -88,27 +87,19 @@
             except BlockingIOError:
                 continue
             except OSError as error:
-                return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
+                return broken(error)
             if self.last_words and not self.out and not self.slots:
                 return self.reason
             if self.too_slow():
                 return "slow_reader"
 
-    def _linger(self) -> Coroutine:
+    def _linger(self) -> Coroutine[None]:
         """Reads what still comes and drops it: closing over unread bytes would take the answer back."""
-        timer = self.side.loop.call_later(LINGER, self._wake)
-        try:
+        loop, end = self.side.loop, self.side.loop.now() + LINGER
+        with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
-            while (yield IN) and self.sock.recv(READ_SIZE):
-                pass
-        except OSError:
-            return
-        finally:
-            timer.cancel()
-
-    def _wake(self) -> None:
-        if self.task is not None:
-            self.side.loop.resume(self.task, TICK)
+            while (yield from loop.wait(IN, end - loop.now())) and self.sock.recv(READ_SIZE):
+                continue
 
     def too_slow(self) -> bool:
         """What waits for slow readers must not outgrow the memory."""
@@ -226,7 +217,7 @@
         self.listener: Task | None = loop.spawn(self.sock.fileno(), self._listen())
         loop.call_later(SWEEP_EVERY, self._sweep)
 
-    def _listen(self) -> Coroutine:
+    def _listen(self) -> Coroutine[None]:
         try:
             while True:
                 yield 0 if self.paused else IN
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import errno
 import heapq
 import select
+import socket
 import time
 import traceback
 from collections.abc import Callable, Generator
-from typing import Any
+from typing import Any, TypeVar
 
 IN = select.EPOLLIN | select.EPOLLRDHUP
 OUT = select.EPOLLOUT
@@ -19,7 +21,13 @@
 TICK = 0
 SHORT_ROUND = 0.001
 
-Coroutine = Generator[int, int, None]
+Ended = TypeVar("Ended")
+Coroutine = Generator[int, int, Ended]
+
+
+def broken(error: OSError) -> str:
+    """The reason code of a connection that an error ended."""
+    return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
 
 
 class Timer:
@@ -41,7 +49,7 @@
 
     __slots__ = ("begun", "born", "coroutine", "doomed", "fd", "mask", "running")
 
-    def __init__(self, fd: int, coroutine: Coroutine, born: int) -> None:
+    def __init__(self, fd: int, coroutine: Coroutine[None], born: int) -> None:
         self.fd, self.coroutine, self.born = fd, coroutine, born
         self.mask, self.begun, self.running, self.doomed = 0, False, False, False
 
@@ -53,6 +61,7 @@
         self.epoll = select.epoll()
         self.log = log
         self.tasks: dict[int, Task] = {}
+        self.current: Task | None = None
         self.timers: list[tuple[float, int, Timer]] = []
         self.serial = 0
         self.round = 0
@@ -77,7 +86,7 @@
         """Has something called after so many seconds."""
         return self.call_at(time.monotonic() + max(0.0, delay), call, *args)
 
-    def spawn(self, fd: int, coroutine: Coroutine) -> Task:
+    def spawn(self, fd: int, coroutine: Coroutine[None]) -> Task:
         """Starts a coroutine at once; from its first yield on it waits on this descriptor."""
         task = Task(fd, coroutine, self.round)
         self.tasks[fd] = task
@@ -90,6 +99,7 @@
         if task.running:
             return
         task.running = True
+        outer, self.current = self.current, task
         try:
             mask = task.coroutine.send(ready) if task.begun else next(task.coroutine)
             task.begun = True
@@ -102,6 +112,7 @@
             return
         finally:
             task.running = False
+            self.current = outer
         if task.doomed:
             self.end(task)
         else:
@@ -130,6 +141,24 @@
             except (OSError, ValueError):  # closed by its coroutine
                 return
 
+    def wait(self, mask: int, limit: float) -> Coroutine[int]:
+        """Within a coroutine: waits for events, and so long at most; TICK says that none came."""
+        assert self.current is not None
+        timer = self.call_later(limit, self.resume, self.current, TICK)
+        try:
+            return (yield mask)
+        finally:
+            timer.cancel()
+
+    def connect(self, sock: socket.socket, address: tuple[str, int], limit: float) -> Coroutine[str]:
+        """Within a coroutine: connects a socket; what is returned is empty or the reason why not."""
+        code = sock.connect_ex(address)
+        if code == errno.EINPROGRESS:
+            if (yield from self.wait(OUT, limit)) == TICK:
+                return "connect_timeout"
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return f"connect_failed:{errno.errorcode.get(code, code)}" if code else ""
+
     def run(self) -> None:
         """Serves until stop() is called."""
         while not self.stopped:
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import socket
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 
 from standflow.exchange import Branch, Exchange, Outcome, Phase, Result, Route, RouteSet
 from standflow.net import resp
-from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task
+from standflow.net.loop import BROKEN, IN, OUT, Coroutine, Loop, Task, broken
 
 READ_SIZE = 65536
 EARLY = 0.05  # seconds before the drain's grace is over at which what is unsent is ended
@@ -68,15 +67,13 @@
         self.sock: socket.socket
         self.task: Task | None = None
 
-    def live(self) -> Coroutine:
+    def live(self) -> Coroutine[None]:
         """The whole life of the connection."""
         outcome = Outcome.CONNECT_FAILED
         try:
-            self.reason = (yield from self._dial()) or ""
-            if not self.reason:
-                self.reason = "given_up"  # unless the connection finds another end itself
-                self._write()
-                self.reason = yield from self._serve()
+            loop, address = self.side.loop, self.hop.route.address
+            failed = yield from loop.connect(self.sock, address, self.side.dial_timeout)
+            self.reason = failed or (yield from self._serve())
         finally:
             errand, self.errand = self.errand, None
             if errand is not None and errand.whole:
@@ -85,52 +82,41 @@
             if errand is not None:
                 errand.ended(Result(outcome))
 
-    def _dial(self) -> Generator[int, int, str | None]:
-        code = self.sock.connect_ex(self.hop.route.address)
-        if code == errno.EINPROGRESS:
-            timer = self.side.loop.call_later(self.side.dial_timeout, self._wake)
-            try:
-                ready = yield OUT
-            finally:
-                timer.cancel()
-            if ready == TICK:
-                return "dial_timeout"
-            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        return f"dial_failed:{errno.errorcode.get(code, code)}" if code else None
-
-    def _wake(self) -> None:
-        if self.task is not None:
-            self.side.loop.resume(self.task, TICK)
-
-    def _serve(self) -> Generator[int, int, str]:
+    def _serve(self) -> Coroutine[str]:
+        ready = OUT  # the first errand's command is due
         while True:
+            try:
+                reason = self._advance(ready)
+            except OSError as error:  # also one that comes right after the connection came up
+                return broken(error)
+            if reason:
+                return reason
             ready = yield self.mask
-            if ready & OUT and self.out:
-                try:
-                    self._write()
-                except OSError as error:
-                    return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
-            if ready & (IN | BROKEN):
-                try:
-                    data = self.sock.recv(READ_SIZE)
-                except BlockingIOError:
-                    continue
-                except OSError as error:
-                    return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
-                if not data:
-                    return "peer_closed"
-                if self.errand is None or not self.errand.whole:
-                    return "unasked_bytes"  # an answer to nothing: the framing can't be trusted any more
-                self.buffer.feed(data)
-                try:
-                    reply = self.buffer.reply()
-                except resp.FramingError:
-                    return "bad_framing"
-                if reply is not None:
-                    if self.buffer.data:
-                        self._finish(reply[0], reuse=False)
-                        return "unasked_bytes"
-                    self._finish(reply[0], reuse=True)
+
+    def _advance(self, ready: int) -> str:
+        """Does what the events allow; the reason of the connection's end, or nothing."""
+        if ready & OUT:
+            self._write()
+        if not ready & (IN | BROKEN):
+            return ""
+        try:
+            data = self.sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return ""
+        if not data:
+            return "peer_closed"
+        if self.errand is None or not self.errand.whole:
+            return "unasked_bytes"  # an answer to nothing: the framing can't be trusted any more
+        self.buffer.feed(data)
+        try:
+            reply = self.buffer.reply()
+        except resp.FramingError:
+            return "bad_framing"
+        if reply is not None:
+            more = bool(self.buffer.data)
+            self._finish(reply[0], reuse=not more)
+            return "unasked_bytes" if more else ""
+        return ""
 
     def _finish(self, reply: resp.Reply, reuse: bool) -> None:
         errand, self.errand = self.errand, None
--- a/standflow/net/peers.py
+++ b/standflow/net/peers.py
@@ -32,7 +32,7 @@
         self.address: Address = self.sock.getsockname()
         loop.spawn(self.sock.fileno(), self._receive())
 
-    def _receive(self) -> Coroutine:
+    def _receive(self) -> Coroutine[None]:
         while True:
             yield IN
             for _ in range(64):
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import errno
 import json
 import math
 import random
 import socket
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 from typing import Any
 
 import h11
 
 from standflow.exchange import Phase, Route, RouteSet
-from standflow.net.loop import IN, OUT, TICK, Coroutine, Loop, Task
+from standflow.net.loop import IN, TICK, Coroutine, Loop, Task, broken
 
 PHASES = {"SERVING": Phase.SERVING, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 FIRST_BACK_OFF = 0.05
@@ -129,7 +128,7 @@
         if self.task is not None:
             self.loop.end(self.task)
 
-    def _live(self, sock: socket.socket) -> Coroutine:
+    def _live(self, sock: socket.socket) -> Coroutine[None]:
         reason, made = "", self.loop.now()
         try:
             reason = yield from self._watch(sock)
@@ -145,23 +144,10 @@
         self.loop.call_later(self.back_off * self.chance.uniform(0.5, 1.0), self.connect)
         self.back_off = min(LAST_BACK_OFF, 2 * self.back_off)
 
-    def _wake(self) -> None:
-        if self.task is not None:
-            self.loop.resume(self.task, TICK)
-
-    def _watch(self, sock: socket.socket) -> Generator[int, int, str]:
-        code = sock.connect_ex(self.address)
-        if code == errno.EINPROGRESS:
-            timer = self.loop.call_later(CONNECT_LIMIT, self._wake)
-            try:
-                ready = yield OUT
-            finally:
-                timer.cancel()
-            if ready == TICK:
-                return "connect_timeout"
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            return f"connect_failed:{errno.errorcode.get(code, code)}"
+    def _watch(self, sock: socket.socket) -> Coroutine[str]:
+        failed = yield from self.loop.connect(sock, self.address, CONNECT_LIMIT)
+        if failed:
+            return failed
         http = h11.Connection(our_role=h11.CLIENT)
         since = "" if self.revision is None else f"&since={self.revision}"
         host = f"{self.address[0]}:{self.address[1]}"
@@ -170,7 +156,7 @@
             sock.send((http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
             return (yield from self._read(sock, http))
         except OSError as error:
-            return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
+            return broken(error)
         except h11.RemoteProtocolError:
             return "bad_http"
         except RouteError as error:
@@ -178,17 +164,12 @@
             self.log(f"routes: {error}")
             return "bad_json"
 
-    def _read(self, sock: socket.socket, http: h11.Connection) -> Generator[int, int, str]:
+    def _read(self, sock: socket.socket, http: h11.Connection) -> Coroutine[str]:
         line = bytearray()
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                timer = self.loop.call_later(SILENCE, self._wake)
-                try:
-                    ready = yield IN
-                finally:
-                    timer.cancel()
-                if ready == TICK:
+                if (yield from self.loop.wait(IN, SILENCE)) == TICK:
                     return "silent"
                 try:
                     http.receive_data(sock.recv(65536))
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -94,7 +94,7 @@
     reader, writer = socket.socketpair()
     heard: list[float] = []
 
-    def wait() -> Coroutine:
+    def wait() -> Coroutine[None]:
         yield IN
         heard.append(at.loop.heard)
 
