--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -212,8 +212,8 @@
 
     def _warmth(self, backend: Backend) -> float:
         """The part of its capacity that a backend surely has by now."""
-        part, age = self.settings.cold_from, max(0.0, self.now - backend.cold_since)
-        return min(1.0, part + (1 - part) * age / max(self.settings.cold_time, 1e-6))
+        s, age = self.settings, max(0.0, self.now - backend.cold_since)
+        return 1.0 if age >= s.cold_time else s.cold_from + (1 - s.cold_from) * age / s.cold_time
 
     def _doors(self, backend: Backend) -> float:
         """Gateways that work with it; while it is cold few, each with a whole request, who weigh it more."""
--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -10,6 +10,7 @@
 MAX_COMMAND = MAX_VALUE + 4096
 MAX_REPLY = 4 * MAX_VALUE
 MAX_DEPTH = 4
+MAX_DIGITS = 20
 MAX_CUSTOMER = 1 << 33
 
 
@@ -148,13 +149,13 @@
 
 def _number(data: bytearray, at: int) -> tuple[int, int]:
     """The rest of a line as a length."""
-    text, after = _line(data, at)
-    if after < 0:
+    end = data.find(b"\r\n", at, at + MAX_DIGITS + 2)
+    if end < 0 and len(data) < at + MAX_DIGITS + 2:
         return 0, -1
-    digits = text[1:] if text[:1] == b"-" else text
-    if not digits.isdigit() or len(digits) > 10:
+    text = data[at : max(end, at)]
+    if not text.isdigit() and not (text[:1] == b"-" and text[1:].isdigit()):
         raise FramingError("a length is not a number")
-    return int(text), after
+    return int(text), end + 2
 
 
 def _reply(data: bytearray, at: int, depth: int) -> tuple[Reply, int]:
