A configuration to start with; what the module failed on is told as gone

README and 'make run' had no configuration to run on: deploy/example.json is one, and a test starts the program on it. After a fault of the module its transaction was answered but the module not told that it is over (driver._handle); RequestGone follows now.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	$(PYTHON) -m ruff format --check hoistfold standflow tests
 	$(PYTHON) -m mypy
 
-# EDGE_CONFIG names the configuration; the README has a small one.
+# One ingress on the configuration that EDGE_CONFIG names.
+run: export EDGE_CONFIG ?= deploy/example.json
 run:
 	exec $(PYTHON) -m standflow
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -93,6 +93,8 @@
             self.log(f"fault of the module on {name}: " + traceback.format_exc().replace("\n", " | "))
             if transaction is not None:
                 self.exchange.abandon(transaction)
+                if not isinstance(event, i.RequestGone):  # what the module may still hold of it is over
+                    self.events.append((i.RequestGone(transaction.name), None))
             return
         for action in actions:
             try:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -61,6 +61,7 @@
     played.at.exchange.open(request, played.at.loop.now(), finals.append)
     assert finals == [final]
     assert "ZeroDivisionError" in played.at.log[0]
+    assert played.events[-1] == i.RequestGone("1")
     played.fault = None
     played.answers[i.RequestArrived] = [i.Fail("2")]
     played.at.exchange.open(request, played.at.loop.now(), finals.append)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,6 +9,7 @@
 from standflow.__main__ import Ingress
 from standflow.config import read
 from standflow.net.loop import Loop
+from tests.test_adapter import ROOT
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
 
 VALUE = b"*3\r\n$5\r\nva\r\nl\r\n$-1\r\n$-1\r\n"
@@ -25,6 +26,17 @@
     return sock
 
 
+def test_the_example_configuration_starts_and_refuses_with_the_time_to_come_back(tmp_path: Path) -> None:
+    raw = json.loads((ROOT / "deploy" / "example.json").read_text()) | {"listen": "127.0.0.1:0"}
+    raw["known"]["members"] = []
+    with program(tmp_path, raw) as running:
+        caller = running.call()
+        caller.sendall(command("aa01", kind="view").replace(b"t=plain", b"t=basic"))
+        answer = read_until(caller, b"\r\n")
+        assert answer.startswith(b"-BUSY ")
+        assert 0 < int(answer[6:]) <= 500
+
+
 def test_a_command_is_passed_on_and_its_value_comes_back_byte_for_byte(tmp_path: Path) -> None:
     with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
         caller = running.call()
