A connection that is being ended can't be taken for a further branch

Found by reading. nexthop._end on a connection at work (its own outcome led the module to close idle connections) left it in hop.idle until its coroutine yielded; a branch sent in between went to it and would have been reset after its last byte, which for a change is final. It leaves the pool at once now. The new test timed out before and passes now.

--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -337,6 +337,9 @@
 
     def _end(self, connection: Connection, reason: str) -> None:
         connection.reason = reason
+        # One that is at work just now ends at its next yield only: until then nobody may take it.
+        if connection in connection.hop.idle:
+            connection.hop.idle.remove(connection)
         if connection.task is not None:
             self.loop.end(connection.task)
 
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -348,3 +348,36 @@
     at.exchange.refuse(transaction.name, 1.0)
     assert finals == [Failed("failed")]
     at.close()
+
+
+def test_a_connection_closed_within_its_own_outcome_gets_no_further_branch() -> None:
+    """It lives on until its coroutine yields: a branch written to it in between would be reset."""
+    at, hop = Recorder(), listener()
+    side = NextHops(at.loop, at.log.append, at.exchange, 60.0, 600.0, 60.0, 10)
+    at.exchange.next_hops = side
+    route = Route("s-1", hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
+    side.routes_told(RouteSet(1, True, (route,)))
+    request = Request("look", "plain", "7", 60.0, 1.0, 1, 0, ASK)
+    names = [at.exchange.open(request, at.loop.now(), lambda final: None).name for _ in range(2)]
+    told = at.branch_ended
+
+    def branch_ended(branch: Branch, result: Result, latency: float, finished: bool) -> None:
+        told(branch, result, latency, finished)
+        if branch.transaction.name == names[0]:
+            side.close_idle("s-1")
+            at.exchange.send(names[1], "s-1", None)
+
+    at.branch_ended = branch_ended  # type: ignore[method-assign]
+    at.exchange.send(names[0], "s-1", None)
+    first, _ = hop.accept()
+    turn_until(at.loop, lambda: at.exchange.transactions[names[0]].branches[0].carrier.whole)
+    first.sendall(b"-BUSY\r\n")
+    turn_until(at.loop, lambda: at.ended)
+    second, _ = hop.accept()
+    turn_until(at.loop, lambda: at.exchange.transactions[names[1]].branches[0].carrier.whole)
+    second.sendall(b"-BUSY\r\n")
+    turn_until(at.loop, lambda: len(at.ended) == 2)
+    assert [outcome for _, outcome in at.ended] == [Outcome.FULL, Outcome.FULL]
+    for sock in (hop, first, second):
+        sock.close()
+    at.close()
