--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -54,6 +54,8 @@
         self.answered = 0
         self.stalls = 0
         self.made = side.loop.now()
+        self.heard = self.made  # when the bytes read last can have come at the earliest
+        self.held_since: float | None = None
         self.task: Task | None = None
 
     def live(self) -> Coroutine[None]:
@@ -80,6 +82,9 @@
                         return "peer_closed"
                     self.buffer.feed(data)
                     self.stalls = 0
+                    # what lay in the kernel while reading paused has used up its caller's time all the same
+                    self.heard = self.held_since or self.side.loop.heard
+                    self.held_since = None
                 elif ready & BROKEN:
                     return "broken"
                 self._take()
@@ -109,6 +114,8 @@
     def mask(self) -> int:
         """Reading pauses while too much of this leg is open or unread."""
         paused = self.last_words or len(self.slots) >= MAX_PIPELINED or len(self.out) > PAUSE_OUT
+        if paused and self.held_since is None:
+            self.held_since = self.side.loop.now()
         return (0 if paused else IN) | (OUT if self.out else 0)
 
     def _take(self) -> None:
@@ -147,7 +154,7 @@
             if self.task is not None and not self.task.running and self.slots[0] is slot:
                 self._answered()
 
-        transaction = exchange.open(request, self.side.loop.heard, reply)
+        transaction = exchange.open(request, self.heard, reply)
         if slot.answer is None:
             slot.transaction = transaction
 
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections import deque
 
 from hypothesis import settings
@@ -23,7 +24,7 @@
     Transaction,
 )
 from standflow.net import resp
-from standflow.net.caller import CallerSide
+from standflow.net.caller import MAX_PIPELINED, CallerSide
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
 from tests.wire import command, listener, read_until, turn_until
@@ -381,3 +382,23 @@
     for sock in (hop, first, second):
         sock.close()
     at.close()
+
+
+def test_a_command_held_back_behind_others_has_less_time_left() -> None:
+    at = Recorder()
+    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    with socket.create_connection(side.address) as caller:
+        caller.sendall(b"".join(command(f"{n:04x}") for n in range(MAX_PIPELINED + 1)))
+        turn_until(at.loop, lambda: len(at.opened) == MAX_PIPELINED)
+        caller.sendall(command("ffff"))
+        since = at.loop.now()
+        time.sleep(0.02)
+        rounds = at.loop.round
+        turn_until(at.loop, lambda: at.loop.round >= rounds + 3)  # the loop itself is not late any more
+        for transaction in at.opened[:2]:
+            at.exchange.fail(transaction.name)
+            turn_until(at.loop, lambda: len(at.opened) > MAX_PIPELINED)
+        turn_until(at.loop, lambda: len(at.opened) == MAX_PIPELINED + 2)
+        for transaction in at.opened[MAX_PIPELINED:]:
+            assert transaction.deadline - transaction.request.patience <= since
+    at.close()
