--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from hoistfold import interface as i
 from standflow.config import Config, ConfigError, load
 from standflow.driver import Driver
 from standflow.exchange import Exchange, RouteSet
@@ -43,10 +42,10 @@
     def __init__(self, config: Config, loop: Loop, log: Callable[[str], None]) -> None:
         self.config, self.loop, self.log = config, loop, log
         settings = config.settings
-        classes = {kind.name: kind.effect is i.Effect.SAFE for kind in settings.classes}
-        plans = frozenset(plan.name for plan in settings.plans)
         come_back = min(COME_BACK, settings.max_retry_after) if settings.retry_after else None
-        self.exchange = Exchange(loop, log, classes, plans, settings.max_attempts, config.max_open, come_back)
+        self.exchange = Exchange(
+            loop, log, config.classes, config.plans, settings.max_attempts, config.max_open, come_back
+        )
         self.next_hops = NextHops(
             loop,
             log,
--- a/standflow/config.py
+++ b/standflow/config.py
@@ -50,6 +50,16 @@
     max_open: int
     longest_deadline: float
 
+    @property
+    def classes(self) -> dict[str, bool]:
+        """The classes by name; true where a request is safe to repeat."""
+        return {kind.name: kind.effect is i.Effect.SAFE for kind in self.settings.classes}
+
+    @property
+    def plans(self) -> frozenset[str]:
+        """The names of the plans."""
+        return frozenset(plan.name for plan in self.settings.plans)
+
 
 class Section(dict[str, Any]):
     """A JSON object that remembers which of its keys was asked for last, so that a fault can be named."""
