The operator's own file and a command line, neither of which the platform pays for

Need: TLS towards next hops and the subsystems after it want settings that the platform's JSON has no place for, written as classic daemons have them; operators want them checked and shown before a start.

Change: config.py becomes a package. deploy/standflow.conf is parsed with lark; tables of directives give each value its kind, unit, bounds and default. A fault names file, line, column and directive, what was expected and the nearest known word; check tells all of them. The file stands for the platform's JSON or over it, and ends in the same checks. 'standflow run|check|show' on click; python -m standflow is as it was.

Measured: 39 tests, among them that the platform's start imports no parser, no click and no ssl.

--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -68,15 +68,17 @@
             config.max_connections,
         )
         self.exchange.next_hops = self.next_hops
-        self.routes = Routes(
-            loop,
-            log,
-            config.discovery,
-            config.zones,
-            config.known.revision if config.known else None,
-            self._routes_told,
-            random.Random(config.seed),
-        )
+        self.routes: Routes | None = None
+        if config.discovery is not None:
+            self.routes = Routes(
+                loop,
+                log,
+                config.discovery,
+                config.zones,
+                config.known.revision if config.known else None,
+                self._routes_told,
+                random.Random(config.seed),
+            )
         self.peers: Peers | None = None
         self.driver = Driver(
             loop,
@@ -87,7 +89,7 @@
             probe=self.next_hops.probe,
             close_idle=self.next_hops.close_idle,
             tell=self._tell,
-            fetch=self.routes.fetch,
+            fetch=self._fetch,
         )
         self.exchange.decisions = self.driver
         if config.peer_listen is not None:
@@ -110,8 +112,9 @@
         if self.config.known is not None:
             self.next_hops.routes_told(self.config.known)
         self.driver.start(self.config.known)
-        self.routes.connect()
-        self.loop.call_later(READY_AT_LATEST, self._ready)
+        if self.routes is not None:
+            self.routes.connect()
+        self.loop.call_later(READY_AT_LATEST if self.routes is not None else 0.0, self._ready)
 
     def _ready(self) -> None:
         if not self.callers.ready:
@@ -123,6 +126,10 @@
         self.driver.routes_told(routes)
         self._ready()
 
+    def _fetch(self) -> None:
+        if self.routes is not None:
+            self.routes.fetch()
+
     def _tell(self, peer: int | None, content: bytes) -> None:
         if self.peers is not None:
             self.peers.tell(peer, content)
@@ -136,9 +143,13 @@
             return
         before, moved = self.config, False
         self.config = replace(before, discovery=config.discovery, counter=config.counter)
-        if config.discovery != before.discovery:
-            moved = True
-            self.routes.move(config.discovery)
+        if self.routes is not None and config.discovery is not None:
+            if config.discovery != before.discovery:
+                moved = True
+                self.routes.move(config.discovery)
+        elif config.discovery != before.discovery:
+            self.log("reload: discovery: takes a restart to change between an address and off")
+            self.config = replace(self.config, discovery=before.discovery)
         if config.counter != before.counter:
             moved = True  # nothing calls the counter yet: the address waits here for what will
         for key in RESTART_KEYS:
@@ -160,7 +171,8 @@
         """Ends every connection; each leaves its line in the log."""
         self.callers.close()
         self.next_hops.close()
-        self.routes.close()
+        if self.routes is not None:
+            self.routes.close()
 
     def _stop_when_done(self) -> None:
         if self.callers.draining and not self.callers.legs:
--- /dev/null
+++ b/standflow/cli.py
@@ -0,0 +1,117 @@
+"""The command line. The platform starts `python -m standflow` and pays for none of this."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from collections.abc import Iterator
+from importlib.metadata import version
+from typing import Any
+
+import click
+
+from standflow.config.model import ConfigError
+from standflow.config.operators import configure, read_block
+from standflow.config.schema import Block
+from standflow.config.text import FileFaultError
+
+FILE = click.Path(dir_okay=False)
+DEFAULT = "deploy/standflow.conf"
+
+
+class FaultyError(click.ClickException):
+    """A configuration that can't be used: every fault on a line, status 2."""
+
+    exit_code = 2
+
+    def show(self, file: Any = None) -> None:
+        """One line a fault on standard error."""
+        click.echo(self.message, err=True)
+
+
+def _read(path: str) -> Block:
+    try:
+        block = read_block(path, os.environ)
+        configure(block, path, os.environ, lambda line: click.echo(line, err=True))
+        if (tls := block.block("tls")) is not None:
+            _check_files(path, tls)
+    except FileFaultError as error:
+        raise FaultyError("\n".join(f"standflow: {fault}" for fault in error.faults)) from None
+    except ConfigError as error:
+        raise FaultyError(f"standflow: {error}") from None
+    return block
+
+
+def _check_files(path: str, tls: Block) -> None:
+    """The files of the block `tls`; wired up with the package that reads them."""
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(version("standflow"), prog_name="standflow")
+def main() -> None:
+    """The ingress of a fleet of shared servers.
+
+    Callers speak RESP2 to it; it keeps plan quotas over all ingresses together, picks a next hop, retries
+    what may be retried, and answers once, in time.
+
+    FILE is the operator's file, by default deploy/standflow.conf. Every directive of it is explained in
+    docs/operators/configuration.md.
+    """
+
+
+@main.command()
+@click.argument("file", type=FILE, default=DEFAULT)
+def run(file: str) -> None:
+    """Run one ingress in the foreground.
+
+    SIGHUP reads FILE anew, SIGTERM ends the ingress once all that is open is answered. The log goes to
+    standard error. Status: 0 after a planned end, 2 where FILE can't be used.
+    """
+    os.environ["STANDFLOW_CONF"] = os.path.abspath(file)
+    from standflow.__main__ import main as serve
+
+    sys.exit(serve())
+
+
+@main.command()
+@click.argument("file", type=FILE, default=DEFAULT)
+def check(file: str) -> None:
+    """Check FILE and the files that it names, and start nothing.
+
+    Each fault is one line: file, line, column, directive, what was expected. Status 2 if there is any.
+    """
+    _read(file)
+    click.echo(f"{file}: can be used")
+
+
+@main.command()
+@click.argument("file", type=FILE, default=DEFAULT)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line instead of columns.")
+def show(file: str, as_json: bool) -> None:
+    """Show the configuration in force: each directive, its values, and where they come from.
+
+    The last column is the place in FILE, `default`, or `not set`.
+    """
+    rows = list(in_force(_read(file)))
+    if as_json:
+        for name, values, origin in rows:
+            click.echo(json.dumps({"directive": name, "values": values, "from": origin}))
+        return
+    names, shown = ([max(len(row[at]) for row in rows)] for at in (0, 1))
+    for name, values, origin in rows:
+        click.echo(f"{name:<{names[0]}}  {values:<{min(40, shown[0])}}  {origin}")
+
+
+def in_force(block: Block) -> Iterator[tuple[str, str, str]]:
+    """Directive, values and origin of everything in force, absent ones named too."""
+    for path, given in block.walk():
+        if given.directive.block is None:
+            yield path, " ".join(given.written), given.origin or "default"
+    for directive in block.table:
+        if not block.all(directive.name):
+            yield directive.name, "", "not set"
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standflow/config/model.py
@@ -0,0 +1,97 @@
+"""What the ingress is told at its start, checked and typed. Times are seconds, sizes bytes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hoistfold import interface as i
+from standflow.exchange import RouteSet
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be used; its text names the key."""
+
+
+@dataclass(slots=True, frozen=True)
+class NameRule:
+    """Which name the next hops that fit must prove: `template` with {id}, {zone} and {kind} filled in.
+
+    The globs are of fnmatch; the first rule that fits holds.
+    """
+
+    template: str
+    hop: str = "*"
+    zone: str = "*"
+    kind: str = "*"
+
+
+@dataclass(slots=True, frozen=True)
+class TlsOptions:
+    """The block `tls` of the operator's file."""
+
+    roots: str
+    certificate: str | None
+    key: str | None
+    key_mode: int  # permission bits that the key's file may have at most
+    minimum: str  # "1.2" or "1.3"
+    alpn: tuple[str, ...]
+    names: dict[str, str]  # the exact table: next hop to name
+    rules: tuple[NameRule, ...]
+    handshake_timeout: float
+    sessions: int  # kept per next hop
+    session_life: float
+    watch: float  # seconds between looks at the files; 0: only on SIGHUP
+    warn: float  # seconds before a certificate's end from which on it is warned of
+
+
+@dataclass(slots=True, frozen=True)
+class HandshakeOptions:
+    """The block `handshakes` of the operator's file."""
+
+    share: float  # of what a next hop can do at the moment, from all ingresses together
+    warm_share: float  # the same for one that is warm
+    cores: dict[str, float]  # of a next hop by kind; "*" for the others
+    cost: float  # processor seconds of a full handshake at a next hop of one core, at least
+    resumed_cost: float
+    back_off: tuple[float, float]  # the first pause after a failure and the longest
+    ready: int  # connections made ready ahead of the first request
+    plain: bool  # the same limits for connections without TLS
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """Everything the ingress is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address | None  # None: `known` holds for good
+    counter: Address | None
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    seed: int
+    sockets: int
+    max_legs: int
+    max_connections: int
+    known: RouteSet | None
+    settings: i.Settings
+    zones: tuple[str, ...]
+    dial_timeout: float
+    idle_limit: float
+    drain_grace: float
+    max_open: int
+    longest_deadline: float
+    tls: TlsOptions | None = None
+    handshakes: HandshakeOptions | None = None
+
+    @property
+    def classes(self) -> dict[str, bool]:
+        """The classes by name; true where a request is safe to repeat."""
+        return {kind.name: kind.effect is i.Effect.SAFE for kind in self.settings.classes}
+
+    @property
+    def plans(self) -> frozenset[str]:
+        """The names of the plans."""
+        return frozenset(plan.name for plan in self.settings.plans)
--- a/standflow/config.py
+++ b/standflow/config/platform.py
@@ -1,4 +1,4 @@
-"""The one place where configuration is read, checked and given defaults.
+"""The platform's configuration: one JSON object.
 
 EDGE_CONFIG names a JSON file; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY stand in for keys that it lacks.
 """
@@ -9,60 +9,19 @@
 import math
 import resource
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from hoistfold import interface as i
 from hoistfold.adapter import read_settings
+from standflow.config.model import Address, Config, ConfigError
 from standflow.exchange import RouteSet
 from standflow.net.routes import RouteError, read_address, read_routes
 
-Address = tuple[str, int]
-
 DEFAULT_SOCKETS = 1024
 SPARE_SOCKETS = 32  # for the log, the epoll, discovery, peers and what the interpreter opens
 
 
-class ConfigError(ValueError):
-    """A configuration that can't be used; its text names the key."""
-
-
-@dataclass(slots=True, frozen=True)
-class Config:
-    """Everything the ingress is told at its start."""
-
-    name: str
-    listen: Address
-    discovery: Address
-    counter: Address | None
-    peer_listen: Address | None
-    peers: tuple[Address, ...]
-    peers_all: Address | None
-    seed: int
-    sockets: int
-    max_legs: int
-    max_connections: int
-    known: RouteSet | None
-    settings: i.Settings
-    zones: tuple[str, ...]
-    dial_timeout: float
-    idle_limit: float
-    drain_grace: float
-    max_open: int
-    longest_deadline: float
-
-    @property
-    def classes(self) -> dict[str, bool]:
-        """The classes by name; true where a request is safe to repeat."""
-        return {kind.name: kind.effect is i.Effect.SAFE for kind in self.settings.classes}
-
-    @property
-    def plans(self) -> frozenset[str]:
-        """The names of the plans."""
-        return frozenset(plan.name for plan in self.settings.plans)
-
-
 class Section(dict[str, Any]):
     """A JSON object that remembers which of its keys was asked for last, so that a fault can be named."""
 
@@ -80,6 +39,11 @@
 
 def load(environment: Mapping[str, str], log: Callable[[str], None]) -> Config:
     """Reads what the environment points to; ConfigError names the key that is at fault."""
+    return read(parse(environment), log)
+
+
+def parse(environment: Mapping[str, str]) -> dict[str, Any]:
+    """The JSON object that EDGE_CONFIG names, with the keys that it lacks from the environment."""
     path = environment.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("EDGE_CONFIG: is not set")
@@ -94,11 +58,11 @@
     for key in ("name", "listen", "discovery"):
         if key not in raw and f"EDGE_{key.upper()}" in environment:
             raw[key] = environment[f"EDGE_{key.upper()}"]
-    return read(raw, log)
+    return raw
 
 
-def read(raw: dict[str, Any], log: Callable[[str], None]) -> Config:
-    """Checks a configuration's keys one by one."""
+def read(raw: dict[str, Any], log: Callable[[str], None], static: bool = False) -> Config:
+    """Checks a configuration's keys one by one; a static one has no discovery, its `known` holds for good."""
     settings, zones = _settings(raw)
     section = raw["settings"]
     caps, rules = section["Caps"], section["Rules"]
@@ -115,7 +79,7 @@
     return Config(
         name=_text(raw, "name"),
         listen=_required(raw, "listen"),
-        discovery=_required(raw, "discovery"),
+        discovery=None if static else _required(raw, "discovery"),
         counter=_address(raw, "counter", optional=True),
         peer_listen=peer_listen,
         peers=peers,
