--- /dev/null
+++ b/lab/callers.py
@@ -0,0 +1,123 @@
+"""Callers: requests at a given rate over RESP2, each with its one answer noted."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Asked:
+    """One request: Unix time, seconds to the answer, and served, refused, failed or lost."""
+
+    at: float
+    ident: str
+    safe: bool
+    took: float
+    end: str
+    value: bytes
+
+
+class Callers:
+    """Callers of one ingress, each on a connection of its own, together at `rate` requests a second."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        rate: float,
+        number: int,
+        legs: int = 4,
+        changes: float = 0.2,
+        spread: int = 1,
+        seed: int = 0,
+        plan: str = "plain",
+    ) -> None:
+        """`number`: the ingress's, with which its customers' sets begin; `changes`: the unsafe part."""
+        self.address, self.rate, self.number, self.legs = address, rate, number, legs
+        self.changes, self.spread, self.seed, self.plan = changes, spread, seed, plan
+        self.asked: list[Asked] = []
+        self.stopped = threading.Event()
+        self.threads = [threading.Thread(target=self._ask, args=(leg,), daemon=True) for leg in range(legs)]
+
+    def start(self) -> None:
+        """Begins to ask."""
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Ends when what is open is answered."""
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join(20.0)
+
+    def ends(self, since: float = 0.0) -> Counter[str]:
+        """How many ended in each way, of those asked since a Unix time."""
+        return Counter(one.end for one in list(self.asked) if one.at >= since)
+
+    def _ask(self, leg: int) -> None:
+        chance = random.Random(f"{self.seed} {self.number} {leg}")
+        sock: socket.socket | None = None
+        due, serial = time.monotonic() + chance.expovariate(self.rate / self.legs), 0
+        while not self.stopped.wait(max(0.0, due - time.monotonic())):
+            due = max(due + chance.expovariate(self.rate / self.legs), time.monotonic() - 1.0)
+            serial += 1
+            safe = chance.random() >= self.changes
+            ident = f"{self.seed:02x}n{self.number}l{leg}s{serial}"
+            customer = b"%016x" % (self.number * 1000 + chance.randrange(20))
+            kind = b"look" if safe else b"change"
+            said = b"c=%b,t=%b,d=3000,units=1,spread=%d,first=%d" % (
+                kind,
+                self.plan.encode(),
+                self.spread,
+                self.number,
+            )
+            parts = [b"Q.ASK" if safe else b"Q.DO", customer, ident.encode(), said]
+            text = b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+            at, began, answer = time.time(), time.monotonic(), b""
+            try:
+                if sock is None:
+                    sock = socket.create_connection(self.address, 5.0)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock.sendall(text)
+                answer = read(sock)
+            except OSError:
+                if sock is not None:
+                    sock.close()
+                sock = None
+            took, end = time.monotonic() - began, kind_of(answer)
+            value = answer.split(b"\r\n")[1] if end == "served" else b""
+            self.asked.append(Asked(at, ident, safe, took, end, value))
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.close()
+
+
+def read(sock: socket.socket) -> bytes:
+    """One answer: a line, or a bulk string; OSError where it does not come whole."""
+    data = b""
+    while True:
+        more = sock.recv(65536)
+        if not more:
+            raise ConnectionResetError
+        data += more
+        if not data.endswith(b"\r\n"):
+            continue
+        if not data.startswith(b"$") or data.startswith(b"$-1"):
+            return data
+        head, _, rest = data.partition(b"\r\n")
+        if len(rest) == int(head[1:]) + 2:
+            return data
+
+
+def kind_of(answer: bytes) -> str:
+    """What an answer is to its caller."""
+    if answer.startswith(b"$") and not answer.startswith(b"$-1"):
+        return "served"
+    if answer.startswith(b"-BUSY"):
+        return "refused"
+    return "failed" if answer else "lost"
--- /dev/null
+++ b/lab/processes.py
@@ -0,0 +1,117 @@
+"""Real ingress processes and box processes, started, watched and ended by the laboratory."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+LIMIT = 20.0  # seconds after which what was waited for never comes
+
+
+class Ingress:
+    """One ingress by an operator's file; its log is gathered as it comes."""
+
+    def __init__(self, path: Path) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "standflow"],
+            cwd=ROOT,
+            env={**os.environ, "STANDFLOW_CONF": str(path)},
+            stderr=subprocess.PIPE,
+        )
+        self.log: list[str] = []
+        self.more = threading.Condition()
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+
+    def _read(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            with self.more:
+                self.log.append(line.decode("utf-8", "replace").rstrip())
+                self.more.notify_all()
+
+    def logged(self, pattern: str, limit: float = LIMIT) -> re.Match[str]:
+        """Waits for a line of the log."""
+        end, at = time.monotonic() + limit, 0
+        while True:
+            with self.more:
+                while at < len(self.log):
+                    if match := re.search(pattern, self.log[at]):
+                        return match
+                    at += 1
+                if time.monotonic() > end or self.process.poll() is not None:
+                    raise TimeoutError(f"no '{pattern}' in the log: {self.log[-5:]}")
+                self.more.wait(0.1)
+
+    def address(self) -> tuple[str, int]:
+        """Where it listens, once it is ready."""
+        match = self.logged(r"ready \S+ on ([\d.]+):(\d+)")
+        return match[1], int(match[2])
+
+    def cpu(self) -> float:
+        """Processor seconds that it has used."""
+        text = Path(f"/proc/{self.process.pid}/schedstat").read_text()
+        return int(text.split()[0]) / 1e9
+
+    def rss(self) -> float:
+        """Resident megabytes."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        found = re.search(r"VmRSS:\s+(\d+)", status)
+        return int(found[1]) / 1024 if found else 0.0
+
+    def signal(self, number: int) -> None:
+        """Sends it a signal."""
+        self.process.send_signal(number)
+
+    def end(self) -> int:
+        """SIGTERM and, where that does not help, SIGKILL; its status."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            self.process.wait(LIMIT)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+        self.reader.join(LIMIT)
+        if self.process.stderr is not None:
+            self.process.stderr.close()
+        return self.process.returncode
+
+
+class BoxProcess:
+    """A box as a process of its own, with the calls of its control."""
+
+    def __init__(self) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "lab.box"], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
+        host, port = self._answer()["address"]
+        self.address: tuple[str, int] = (host, port)
+
+    def _answer(self) -> dict[str, Any]:
+        assert self.process.stdout is not None
+        answer = json.loads(self.process.stdout.readline())
+        assert isinstance(answer, dict)
+        return answer
+
+    def do(self, what: str, **arguments: Any) -> dict[str, Any]:
+        """One command of the control and its answer."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(json.dumps({"do": what, **arguments}).encode() + b"\n")
+        self.process.stdin.flush()
+        return self._answer()
+
+    def end(self) -> None:
+        """Ends it."""
+        self.process.kill()
+        self.process.communicate()
--- a/standflow/config/directives.py
+++ b/standflow/config/directives.py
@@ -95,6 +95,7 @@
 )
 
 HANDSHAKES = (
+    Directive("limit", (SWITCH,), "Off: no limits, and next hops get requests before they are ready.", "on"),
     Directive(
         "share", (share(0.001, 1),), "Of what a cold next hop can do, for all ingresses' handshakes.", "20%"
     ),
--- a/standflow/config/operators.py
+++ b/standflow/config/operators.py
@@ -92,11 +92,15 @@
         raise ConfigError(f"{path}: {error}") from None
     tls = block.block("tls")
     handshakes = block.block("handshakes")
-    plain = handshakes is not None and bool(handshakes.value("plain"))
+    limited = (
+        handshakes is not None
+        and handshakes.value("limit")
+        and (tls is not None or handshakes.value("plain"))
+    )
     return replace(
         config,
         tls=None if tls is None else _tls(tls, folder),
-        handshakes=None if handshakes is None or (tls is None and not plain) else _handshakes(handshakes),
+        handshakes=_handshakes(handshakes) if handshakes is not None and limited else None,
     )
 
 
--- a/standflow/handshakes/showing.py
+++ b/standflow/handshakes/showing.py
@@ -34,6 +34,8 @@
         passed = [
             route for route in (self._told(one, routes.complete, wall) for one in routes.routes) if route
         ]
+        if routes.complete:  # what a whole set does not name is gone
+            passed = [route for route in passed if route.phase is not Phase.GONE]
         return RouteSet(routes.revision, routes.complete, tuple(passed))
 
     def _told(self, route: Route, complete: bool, wall: float) -> Route | None:
--- a/standflow/tls/stream.py
+++ b/standflow/tls/stream.py
@@ -159,9 +159,14 @@
     def write(self, data: bytes) -> None:
         """See Stream: encrypted whole, and written as far as it goes."""
         self._obj.write(data)
-        self._out += self._raw_out.read()
-        self.left = len(self._out)
-        self.flush()
+        out = self._out + self._raw_out.read() if self._out else self._raw_out.read()
+        try:
+            taken = self.sock.send(out)
+        except BlockingIOError:
+            taken = 0
+        self.left = len(out) - taken
+        self._out = out[taken:] if self.left else b""
+        self.busy = self.left > 0
 
     def flush(self) -> None:
         """See Stream."""
@@ -193,23 +198,29 @@
 
     def _decrypt(self, data: bytes) -> bytes:
         """What a record or a part of one holds; how the stream ended is noted behind what came before."""
-        self._raw_in.write(data)
+        raw = self._raw_in
+        raw.write(data)
         plain = b""
         try:
+            # With nothing left in front of OpenSSL there is nothing whole behind what it gave: asking once
+            # more would only raise, which costs more than the record itself.
             while True:
                 more = self._obj.read(CHUNK)
                 if not more:
                     self.ended = "peer_closed"
                     break
-                plain += more
+                plain = plain + more if plain else more
+                if not raw.pending and len(more) < CHUNK:
+                    break
         except ssl.SSLWantReadError:
             pass
         except ssl.SSLZeroReturnError:
             self.ended = "peer_closed"
         except ssl.SSLError as error:
             self.ended = reason_of(error)
-        with contextlib.suppress(OSError):  # the socket's own end is read where it comes up
-            self._collect()
+        if self._raw_out.pending:
+            with contextlib.suppress(OSError):  # the socket's own end is read where it comes up
+                self._collect()
         if self._kept is None:
             self._harvest()
         return plain
