Pages for TLS and the operator's file, held to what the program does by tests

Need: a new user has to get from an empty folder to a request over verified TLS with what is on the page.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,6 @@
 bench-tls:
 	$(PYTHON) -m lab.bench_tls
 
-# One ingress on the configuration that EDGE_CONFIG names.
-run: export EDGE_CONFIG ?= deploy/example.json
+# One ingress on the operator's file.
 run:
-	exec $(PYTHON) -m standflow
+	exec $(PYTHON) -m standflow.cli run deploy/standflow.conf
--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -1,4 +1,4 @@
-"""Every decision of the gateway; its types are in interface.py, the mechanism in docs/design.md."""
+"""Every decision of the gateway; its types are in interface.py, the mechanism in docs/design/decisions.md."""
 
 from __future__ import annotations
 
--- a/lab/authority.py
+++ b/lab/authority.py
@@ -1,4 +1,7 @@
-"""Certificates made at run time: authorities, good certificates, and some that are bad in one way."""
+"""Certificates made at run time: authorities, good certificates, and some that are bad in one way.
+
+python -m lab.authority FOLDER NAME...     # roots.pem, and NAME.pem and NAME.key for each name
+"""
 
 from __future__ import annotations
 
@@ -7,6 +10,7 @@
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
+import click
 import trustme
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -93,3 +97,21 @@
     if alpn:
         context.set_alpn_protocols(list(alpn))
     return context
+
+
+@click.command()
+@click.argument("folder", type=click.Path(file_okay=False, path_type=Path))
+@click.argument("names", nargs=-1, required=True)
+def main(folder: Path, names: tuple[str, ...]) -> None:
+    """Write a new authority's root, and a certificate with its key for each name, into FOLDER."""
+    folder.mkdir(parents=True, exist_ok=True)
+    authority = Authority()
+    authority.write_roots(folder)
+    for name in names:
+        chain, key = authority.write(folder, authority.issue(name), name)
+        _write_key(folder / f"{name}.both.pem", key.read_bytes() + chain.read_bytes())
+        click.echo(f"{chain}, {key}, and both in {folder / name}.both.pem")
+
+
+if __name__ == "__main__":
+    main()
--- a/lab/bench_tls.py
+++ b/lab/bench_tls.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from lab.authority import Authority
-from lab.callers import Callers, read
+from lab.callers import Callers, command, read
 from lab.discovery import Discovery
 from lab.processes import BoxProcess, Ingress
 from lab.report import Report
@@ -136,21 +136,20 @@
     return f"next-hop {name} {{\n    address {address[0]}:{address[1]}\n    zone room-a\n}}\n"
 
 
-def command(ident: str) -> bytes:
-    """A request."""
-    parts = [b"Q.ASK", b"%016x" % 0, ident.encode(), b"c=look,t=plain,d=3000,units=1,spread=1,first=0"]
-    return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+def _look(ident: str) -> bytes:
+    options = b"c=look,t=plain,d=3000,units=1,spread=1,first=0"
+    return command([b"Q.ASK", b"%016x" % 0, ident.encode(), options])
 
 
 def ask(sock: socket.socket, ident: str) -> bytes:
     """One request and its answer."""
-    sock.sendall(command(ident))
+    sock.sendall(_look(ident))
     return read(sock)
 
 
 def ask_many(sock: socket.socket, idents: list[str]) -> None:
     """Some requests at once; each has to be served."""
-    sock.sendall(b"".join(command(ident) for ident in idents))
+    sock.sendall(b"".join(_look(ident) for ident in idents))
     due, got = b"".join(b"$%d\r\nran %b\r\n" % (len(one) + 4, one.encode()) for one in idents), b""
     while len(got) < len(due):
         more = sock.recv(65536)
--- a/lab/box.py
+++ b/lab/box.py
@@ -3,13 +3,15 @@
 It speaks RESP2, plain or in TLS, counts what runs by id, and holds its handshakes and requests to what it can
 do at the moment: right after a start a part of its cores, rising evenly. It fails in the ways named in Mode.
 
-    python -m lab.box [HOST:PORT]      # one JSON command a line on standard input, one JSON answer each
+    python -m lab.box                               # one JSON command a line in, one JSON answer out
+    python -m lab.box --listen HOST:PORT --certificate FILE       # serves until it is ended
 """
 
 from __future__ import annotations
 
 import contextlib
 import json
+import signal
 import socket
 import ssl
 import sys
@@ -22,6 +24,8 @@
 from pathlib import Path
 from typing import Any
 
+import click
+
 from lab.wire import CutError, Wire
 
 NOTHING = b"$-1\r\n"
@@ -276,11 +280,18 @@
     return parts, at
 
 
-def main() -> None:
+@click.command()
+@click.option("--listen", default="127.0.0.1:0", help="Address and port.")
+@click.option("--certificate", help="PEM file with certificate, chain and key: serve TLS until ended.")
+@click.option("--clients", help="PEM file of roots: callers must show a certificate.")
+def main(listen: str, certificate: str | None, clients: str | None) -> None:
     """The box as a process: `start`, `mode`, `restart`, `forget`, `stats`, `cut`, `end` on standard input."""
-    host, _, port = (sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1:0").rpartition(":")
+    host, _, port = listen.rpartition(":")
     box = Box(address=(host, int(port)))
     print(json.dumps({"address": box.address}), flush=True)
+    if certificate is not None:
+        box.forget_sessions(load_context(certificate, clients))
+        signal.pause()
     for line in sys.stdin:
         asked = json.loads(line)
         answer = control(box, asked)
--- a/lab/callers.py
+++ b/lab/callers.py
@@ -1,4 +1,7 @@
-"""Callers: requests at a given rate over RESP2, each with its one answer noted."""
+"""Callers: requests at a given rate over RESP2, each with its one answer noted.
+
+python -m lab.callers HOST:PORT CLASS PLAN     # one request, and its answer
+"""
 
 from __future__ import annotations
 
@@ -10,6 +13,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
+import click
+
 
 @dataclass(slots=True)
 class Asked:
@@ -76,8 +81,7 @@
                 self.spread,
                 self.number,
             )
-            parts = [b"Q.ASK" if safe else b"Q.DO", customer, ident.encode(), said]
-            text = b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+            text = command([b"Q.ASK" if safe else b"Q.DO", customer, ident.encode(), said])
             at, began, answer = time.time(), time.monotonic(), b""
             try:
                 if sock is None:
@@ -97,6 +101,11 @@
                 sock.close()
 
 
+def command(parts: list[bytes]) -> bytes:
+    """An array of bulk strings."""
+    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+
+
 def read(sock: socket.socket) -> bytes:
     """One answer: a line, or a bulk string; OSError where it does not come whole."""
     data = b""
@@ -121,3 +130,23 @@
     if answer.startswith(b"-BUSY"):
         return "refused"
     return "failed" if answer else "lost"
+
+
+@click.command()
+@click.argument("address")
+@click.argument("kind")
+@click.argument("plan")
+@click.option("--unsafe", is_flag=True, help="Q.DO, for a class that must not run twice.")
+def main(address: str, kind: str, plan: str, unsafe: bool) -> None:
+    """Ask the ingress at ADDRESS once, for the class KIND under PLAN, and print the answer."""
+    host, _, port = address.rpartition(":")
+    options = f"c={kind},t={plan},d=3000,units=1,spread=1,first=0".encode()
+    ident = b"%016x" % random.getrandbits(64)
+    with socket.create_connection((host, int(port)), 5.0) as sock:
+        sock.sendall(command([b"Q.DO" if unsafe else b"Q.ASK", b"%016x" % 7, ident, options]))
+        answer = read(sock)
+    click.echo(f"{kind_of(answer)}: {answer.decode('utf-8', 'replace').strip()!r}")
+
+
+if __name__ == "__main__":
+    main()
