--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -478,6 +478,24 @@
     rigged.at.exchange.cancel(busy.transaction.name, busy.number)
 
 
+def test_the_last_connection_lost_throws_doubt_on_a_next_hop_and_one_closed_from_here_does_not(
+    rigged: Any,
+) -> None:
+    kept = Kept(rigged, ready=2)
+    kept.told()
+    kept.until(lambda: kept.shown_hops() == ["tt-07"])
+    rigged.side.end(rigged.side.hops["tt-07"].idle[0], "idle")
+    assert not kept.limits.doubted("tt-07", kept.rig.at.loop.now())
+    rigged.box.cut_all()
+    kept.until(lambda: not rigged.side.hops["tt-07"].connections)
+    assert kept.limits.doubted("tt-07", kept.rig.at.loop.now())
+    branch = rigged.send()
+    kept.until(lambda: branch.ended is not None)
+    assert branch.ended in (Outcome.MOOT, Outcome.OK)  # by whose turn it is just now
+    kept.until(lambda: rigged.streams.resumed == 1)  # it was no restart: its sessions are kept
+    assert not kept.limits.doubted("tt-07", kept.rig.at.loop.now())
+
+
 def test_a_lack_of_room_here_is_no_fault_of_the_next_hop(rigged: Any) -> None:
     rigged.side.max_connections = 0
     kept = Kept(rigged)
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -495,3 +495,33 @@
         for transaction in at.opened[MAX_PIPELINED:]:
             assert transaction.deadline - transaction.request.patience <= since
     at.close()
+
+
+def test_an_errand_whose_first_write_fails_goes_whole_to_another_connection() -> None:
+    """Nothing of it had left; it must neither be lost nor count as begun."""
+    at, hop = Recorder(), listener()
+    side = NextHops(at.loop, at.log.append, at.exchange, 60.0, 600.0, 60.0, 10)
+    at.exchange.next_hops = side
+    route = Route("s-1", hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
+    side.routes_told(RouteSet(1, True, (route,)))
+    request = Request("change", "plain", "7", 600.0, 1.0, 1, 0, ASK)
+    names = [at.exchange.open(request, at.loop.now(), lambda final: None).name for _ in range(2)]
+    first = at.exchange.send(names[0], "s-1", None)
+    with hop.accept()[0] as sock:
+        assert first is not None
+        turn_until(at.loop, lambda: first.carrier.whole)
+        sock.sendall(b"-BUSY\r\n")
+        turn_until(at.loop, lambda: at.ended)
+        idle = side.hops["s-1"].idle[0]
+        idle.sock.shutdown(socket.SHUT_WR)  # the next write fails, though nothing shows before it
+        second = at.exchange.send(names[1], "s-1", None)
+        assert second is not None
+        with hop.accept()[0] as other:
+            turn_until(at.loop, lambda: second.carrier.whole)
+            read_until(other, b"units=1\r\n")
+            other.sendall(b"-BUSY\r\n")
+            turn_until(at.loop, lambda: second.ended)
+    assert second.ended is Outcome.FULL
+    assert any("end nexthop s-1 stale served=1" in line for line in at.log)
+    hop.close()
+    at.close()
