Survivors of mutation in TLS and handshakes are tested closer

Change: a certificate with a common name alone, a store that loses its other tickets with a declined one, files that change in turn, hysteresis of costs have tests that fail without them; a check of the first bytes that OpenSSL makes as well is gone.

--- a/lab/authority.py
+++ b/lab/authority.py
@@ -15,6 +15,7 @@
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 
 
 class Authority:
@@ -35,15 +36,18 @@
             *names, not_before=now + timedelta(seconds=begins), not_after=now + timedelta(seconds=ends)
         )
 
-    def issue_odd(self, name: str) -> trustme.LeafCert:
-        """A certificate for a name that no careful authority would put into one."""
+    def issue_odd(self, name: str | None, common_name: str = "") -> trustme.LeafCert:
+        """What no careful authority would sign: a name with an odd wildcard, or a common name alone."""
         good = self.issue("a.example.org")
         like = x509.load_pem_x509_certificate(good.cert_chain_pems[0].bytes())
         key = serialization.load_pem_private_key(self.ca.private_key_pem.bytes(), None)
         assert isinstance(key, ec.EllipticCurvePrivateKey)
+        subject = (
+            x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, common_name)]) if common_name else like.subject
+        )
         builder = (
             x509.CertificateBuilder()
-            .subject_name(like.subject)
+            .subject_name(subject)
             .issuer_name(like.issuer)
             .public_key(like.public_key())
             .serial_number(x509.random_serial_number())
@@ -53,8 +57,9 @@
         for extension in like.extensions:
             if not isinstance(extension.value, x509.SubjectAlternativeName):
                 builder = builder.add_extension(extension.value, extension.critical)
-        names = x509.SubjectAlternativeName([x509.DNSName(name)])
-        made = builder.add_extension(names, False).sign(key, hashes.SHA256())
+        if name is not None:
+            builder = builder.add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), False)
+        made = builder.sign(key, hashes.SHA256())
         return trustme.LeafCert(
             good.private_key_pem.bytes(), made.public_bytes(serialization.Encoding.PEM), []
         )
--- a/standflow/tls/reasons.py
+++ b/standflow/tls/reasons.py
@@ -67,8 +67,3 @@
     if name in ("WRONG_VERSION_NUMBER", "HTTP_REQUEST"):
         return "not_tls"
     return f"bad_tls:{name.lower() or 'unknown'}"
-
-
-def not_tls(data: bytes) -> bool:
-    """True where the other end's first bytes are no record: type 20 to 24, version 3.x (RFC 8446, 5.1)."""
-    return (len(data) > 0 and not 20 <= data[0] <= 24) or (len(data) > 1 and data[1] != 3)
--- a/standflow/tls/stream.py
+++ b/standflow/tls/stream.py
@@ -14,7 +14,7 @@
 
 from standflow.net.loop import IN, OUT, TICK, Coroutine, Loop, broken
 from standflow.net.stream import READ_SIZE, Handshake
-from standflow.tls.reasons import not_tls, reason_of
+from standflow.tls.reasons import reason_of
 
 CHUNK = 65536  # plain bytes taken from OpenSSL at once
 LONGEST_SETTLE = 0.1  # seconds
@@ -99,8 +99,6 @@
                 return "handshake_timeout"
             if not data:
                 return "cut_off"
-            if first and not_tls(data):
-                return "not_tls"
             if first:
                 stats.round_trip = loop.now() - asked
             stats.waited += loop.now() - asked
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -276,7 +276,7 @@
     assert costs.cost("k", True) == 0.0005
     assert costs.cost("other", False) == 0.001
     for _ in range(KEPT):
-        costs.seen("k", False, 0.00283 + 0.001, 0.001, 1.0)  # just under the step below: it stays
+        costs.seen("k", False, 0.0028 + 0.001, 0.001, 1.0)  # just under the step below: it stays
     assert costs.cost("k", False) == pytest.approx(0.001 * STEP**4)
     for _ in range(KEPT):
         costs.seen("k", False, 0.0002, 0.001, 1.0)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -171,8 +171,7 @@
     with Box(server_context(AUTHORITY.issue("*.room-b.example.org"))) as box:
         with rig(box.address, options(tmp_path)) as at:
             assert at.ask() is Outcome.OK
-        only_cn = AUTHORITY.ca.issue_cert("other.example.org", common_name=NAME)
-        box.forget_sessions(server_context(only_cn))
+        box.forget_sessions(server_context(AUTHORITY.issue_odd(None, common_name=NAME)))
         with rig(box.address, options(tmp_path)) as at:
             assert at.ask() is Outcome.CONNECT_FAILED
             assert at.ends() == ["wrong_name"]
@@ -462,8 +461,12 @@
         assert again() == (2, 2)
         assert again() == (2, 3)
         box.forget_sessions(server_context(CERT, newest=newest))
+        held = at.streams.sessions.kept["tt-07"]
+        held[1].appendleft(held[1][-1])  # as another connection would have left one
+        before = at.streams.sessions.count("tt-07")
         assert again() == (3, 3)  # declined: a full handshake on the same connection
         assert at.streams.declined == 1
+        assert (before, at.streams.sessions.count("tt-07")) == (2, 1)  # the other was worth nothing either
         assert again() == (3, 4)
         at.streams.reload(at.streams.options)  # material of another generation
         assert again() == (4, 4)
@@ -630,6 +633,22 @@
         assert at.streams.resumed == 1  # a session of the old set is not taken up with the new one
 
 
+def test_files_that_change_one_after_the_other_are_read_when_both_are_there(tmp_path: Path) -> None:
+    """Read in between, they would be a bad set, and complained of at each change of certificates."""
+    at = Recorder()
+    streams = TlsStreams(at.loop, at.log.append, own(tmp_path))
+    AUTHORITY.write(tmp_path, AUTHORITY.issue("new.example.org"), "other")
+    streams.options = replace(streams.options, watch=1000.0)
+    for name in ("ingress.pem", "ingress.key"):
+        (tmp_path / name.replace("ingress", "other")).replace(tmp_path / name)
+        streams._watch()
+        assert streams.generation == 1
+    streams._watch()
+    assert streams.generation == 2
+    assert not [line for line in at.log if "stays in use" in line]
+    at.close()
+
+
 # States of a connection.
 
 
