--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -233,6 +233,8 @@
         """Ends every connection; each leaves its line in the log."""
         self.callers.close()
         self.next_hops.close()
+        if self.tls is not None:
+            self.tls.tell_counts()
         if self.routes is not None:
             self.routes.close()
 
--- a/standflow/tls/streams.py
+++ b/standflow/tls/streams.py
@@ -18,6 +18,7 @@
 from standflow.tls.stream import TlsStream
 
 WARN_EVERY = 86400.0  # seconds between two warnings of the same end
+COUNT_EVERY = 60.0  # seconds between lines of the log with the counts, where they have changed
 NO_WATCH = 60.0  # seconds between looks at whether a reload has switched the watch on
 
 
@@ -42,7 +43,9 @@
         self.full = self.resumed = self.failed = self.declined = 0
         self._refused: tuple[str, material.Stamp] | None = None  # what was complained of last
         self._seen = self.material.stamp
+        self._told = ""
         self._say(self.material)
+        loop.call_later(COUNT_EVERY, self._count)
         loop.call_later(WARN_EVERY, self._remind)
         loop.call_later(options.watch or NO_WATCH, self._watch)
 
@@ -153,6 +156,25 @@
                 self._refused = (str(error), found)
                 self.log(f"tls: {error}; the set before stays in use")
 
+    def counts(self) -> str:
+        """Handshakes so far: full, resumed, and the share of these in all; failed; sessions declined."""
+        done = self.full + self.resumed
+        share = self.resumed / done if done else 0.0
+        return (
+            f"full={self.full} resumed={self.resumed} share={share:.2f} "
+            f"failed={self.failed} declined={self.declined}"
+        )
+
+    def tell_counts(self) -> None:
+        """A line of the log, unless it would say the same again."""
+        if (counts := self.counts()) != self._told:
+            self._told = counts
+            self.log(f"tls: handshakes {counts}")
+
+    def _count(self) -> None:
+        self.loop.call_later(COUNT_EVERY, self._count)
+        self.tell_counts()
+
     def _remind(self) -> None:
         self.loop.call_later(WARN_EVERY, self._remind)
         now, ends = datetime.now(UTC), self.material.ends
--- a/tests/test_tls_program.py
+++ b/tests/test_tls_program.py
@@ -79,6 +79,7 @@
         program.terminate()
         assert program.process.wait(LIMIT) == 0
         program.logged(r"end nexthop tt-07 shutdown served=1 .* TLSv1\.3 resumed=0 handshake=")
+        program.logged(r"tls: handshakes full=1 resumed=0 share=0\.00 failed=0 declined=0")
 
 
 def test_a_box_that_does_not_prove_its_name_is_never_shown_and_refused_at_once(tmp_path: Path) -> None:
