--- a/lab/box.py
+++ b/lab/box.py
@@ -26,6 +26,7 @@
 
 import click
 
+from lab.accept import RESET, Acceptor, reset
 from lab.wire import CutError, Wire
 
 NOTHING = b"$-1\r\n"
@@ -93,10 +94,8 @@
         self.lock = threading.Lock()
         self.free_at = 0.0
         self.wires: set[Wire] = set()
-        self.sock = socket.create_server(address, backlog=512)
-        self.address: tuple[str, int] = self.sock.getsockname()
-        self.thread = threading.Thread(target=self._accept, daemon=True)
-        self.thread.start()
+        self.acceptor = Acceptor(self._live, address)
+        self.address = self.acceptor.address
 
     # What a test or the control does to it.
 
@@ -116,15 +115,11 @@
         with self.lock:
             wires = list(self.wires)
         for wire in wires:
-            with contextlib.suppress(OSError):
-                wire.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-                wire.sock.shutdown(socket.SHUT_RDWR)
+            reset(wire.sock)
 
     def close(self) -> None:
         """Ends it."""
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
+        self.acceptor.close()
         self.cut_all()
 
     def __enter__(self) -> Box:
@@ -161,20 +156,12 @@
         if wait > 0:
             time.sleep(wait)
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                return
-            if self.mode.reset_accepts:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-                sock.close()
-                continue
-            threading.Thread(target=self._live, args=(sock,), daemon=True).start()
-
     def _live(self, sock: socket.socket) -> None:
         mode = self.mode
+        if mode.reset_accepts:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.close()
+            return
         wire = Wire(sock, None if mode.plain else self.context)
         wire.cut_after, wire.split = mode.cut_after, mode.split
         with self._counted(wire):
--- a/lab/discovery.py
+++ b/lab/discovery.py
@@ -9,6 +9,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from lab.accept import Acceptor
+
 
 class Discovery:
     """`GET /v1/endpoints`, and the same with `follow=1&since=N` as a watch in chunks."""
@@ -20,9 +22,8 @@
         self.members: dict[str, tuple[int, dict[str, Any]]] = {}  # by id: revision of the change, and entry
         self.changed = threading.Condition()
         self.ended = False
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address: tuple[str, int] = self.sock.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.acceptor = Acceptor(self._serve)
+        self.address = self.acceptor.address
 
     def __enter__(self) -> Discovery:
         return self
@@ -31,9 +32,7 @@
         self.ended = True
         with self.changed:
             self.changed.notify_all()
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
+        self.acceptor.close()
 
     def tell(
         self,
@@ -59,14 +58,6 @@
             self.members[name] = (self.revision, entry)
             self.changed.notify_all()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
     def _serve(self, sock: socket.socket) -> None:
         with sock, contextlib.suppress(OSError):
             sock.settimeout(20.0)
--- a/lab/relay.py
+++ b/lab/relay.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 import threading
 
-RESET = b"\1\0\0\0\0\0\0\0"  # SO_LINGER with no time: a close resets
+from lab.accept import Acceptor, reset
 
 
 class Relay:
     """Passes each connection on to `to`, until a direction has carried so many bytes; then both ends reset.
 
-    `up` counts bytes towards `to`, `down` bytes back; None never cuts. `up_gone` and `down_gone` say how many
-    bytes each connection carried. Settings hold for the connections accepted after they were made.
+    `up` counts bytes towards `to`, `down` bytes back; None never cuts. `carried` says how many bytes each
+    connection carried. Settings hold for the connections accepted after they were made.
     """
 
     def __init__(self, to: tuple[str, int]) -> None:
@@ -22,38 +21,29 @@
         self.down: int | None = None
         self.carried: list[list[int]] = []  # [up, down] of each connection
         self.ended = threading.Semaphore(0)
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address: tuple[str, int] = self.sock.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.acceptor = Acceptor(self._serve)
+        self.address = self.acceptor.address
 
     def __enter__(self) -> Relay:
         return self
 
     def __exit__(self, *_: object) -> None:
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
+        self.acceptor.close()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                near, _ = self.sock.accept()
-            except OSError:
-                return
-            try:
-                far = socket.create_connection(self.to, 20.0)
-            except OSError:
-                near.close()
-                continue
-            for sock in (near, far):
-                sock.settimeout(20.0)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            carried = [0, 0]
-            self.carried.append(carried)
-            left = [2]
-            for way, (source, sink, most) in enumerate([(near, far, self.up), (far, near, self.down)]):
-                args = (source, sink, most, carried, way, left)
-                threading.Thread(target=self._carry, args=args, daemon=True).start()
+    def _serve(self, near: socket.socket) -> None:
+        try:
+            far = socket.create_connection(self.to, 20.0)
+        except OSError:
+            near.close()
+            return
+        for sock in (near, far):
+            sock.settimeout(20.0)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        carried, left = [0, 0], [2]
+        self.carried.append(carried)
+        for way, (source, sink, most) in enumerate([(near, far, self.up), (far, near, self.down)]):
+            args = (source, sink, most, carried, way, left)
+            threading.Thread(target=self._carry, args=args, daemon=True).start()
 
     def _carry(
         self,
@@ -79,9 +69,7 @@
             cut = True
         if cut:
             for sock in (source, sink):
-                with contextlib.suppress(OSError):
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                    sock.shutdown(socket.SHUT_RDWR)
+                reset(sock)
         left[0] -= 1
         if not left[0]:
             source.close()
