--- /dev/null
+++ b/lab/counter.py
@@ -0,0 +1,195 @@
+"""The quota counter: a stand-in that keeps numbers by name, and goes wrong on demand.
+
+Names lie on parts. A part serves calls in turn, so many a second, and turns away what its line has no room
+for. Each listener is the way in from one room: parts can be cut off there alone, and it may lead to a store
+of its own.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+import threading
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+from zlib import crc32
+
+from lab.accept import Acceptor, reset
+
+MOST_LIFE = 60.0
+
+
+@dataclass
+class Number:
+    """A total that is forgotten at a time of the monotonic clock."""
+
+    total: float
+    until: float
+
+
+class Store:
+    """The numbers behind a counter, on parts."""
+
+    def __init__(self, parts: int = 1, per_second: float = 800.0, line: float = 0.2) -> None:
+        """`line`: seconds' worth of calls that a part lets wait before it turns calls away."""
+        self.parts, self.per_second, self.line = parts, per_second, line
+        self.lock = threading.Lock()
+        self.numbers: dict[str, Number] = {}
+        self.free_at = [0.0] * parts
+        self.calls = 0
+        self.turned_away = 0
+
+    def part(self, name: str) -> int:
+        """Where a name lies."""
+        return crc32(name.encode()) % self.parts
+
+    def empty(self) -> None:
+        """What it knew is gone, as if another one had taken its place."""
+        with self.lock:
+            self.numbers.clear()
+
+    def add(self, name: str, amount: float, life: float) -> tuple[float | None, float]:
+        """The total after a call, or None where it is turned away, and the seconds until its turn is over."""
+        now = time.monotonic()
+        with self.lock:
+            self.calls += 1
+            part = self.part(name)
+            begin = max(now, self.free_at[part])
+            if begin - now > self.line:
+                self.turned_away += 1
+                return None, 0.0
+            self.free_at[part] = begin + 1 / self.per_second
+            number = self.numbers.get(name)
+            if number is None or number.until <= now:
+                number = self.numbers[name] = Number(0.0, now + min(life, MOST_LIFE))
+            number.total += amount
+            return number.total, self.free_at[part] - now
+
+
+@dataclass
+class Way:
+    """How the way in from one room is; the default is well."""
+
+    delay: float = 0.0  # seconds more until an answer leaves
+    cut: set[int] = field(default_factory=set)  # parts that nothing comes back from
+    lose: float = 0.0  # part of the answers that never come, though the amount was added
+    spoil: float = 0.0  # part of the answers that hold no number; their connection says no more
+    refuse: bool = False  # connections end at once
+    seed: int = 0
+
+
+class Door:
+    """A counter's listener."""
+
+    def __init__(self, store: Store, way: Way | None = None, idle: float = 10.0, most: int = 32) -> None:
+        self.store, self.way, self.idle, self.most = store, way or Way(), idle, most
+        self.chance = random.Random(self.way.seed)
+        self.lock = threading.Lock()
+        self.held: Counter[str] = Counter()
+        self.socks: set[socket.socket] = set()
+        self.acceptor = Acceptor(self._serve)
+        self.address = self.acceptor.address
+
+    def __enter__(self) -> Door:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Accepts nothing more and ends what is open."""
+        self.acceptor.close()
+        with self.lock:
+            socks = list(self.socks)
+        for sock in socks:
+            reset(sock)
+
+    def _serve(self, sock: socket.socket) -> None:
+        peer = sock.getpeername()[0]
+        with self.lock:
+            self.held[peer] += 1
+            many = self.held[peer] > self.most or self.way.refuse
+            self.socks.add(sock)
+        try:
+            if many:
+                reset(sock)
+            else:
+                self._answer(sock)
+        finally:
+            with self.lock:
+                self.held[peer] -= 1
+                self.socks.discard(sock)
+            sock.close()
+
+    def _answer(self, sock: socket.socket) -> None:
+        """Reads calls and lets a second thread answer in order, so that calls behind one another count."""
+        due: deque[tuple[float, bytes | None]] = deque()
+        more = threading.Condition()
+        writer = threading.Thread(target=self._write, args=(sock, due, more), daemon=True)
+        writer.start()
+        sock.settimeout(self.idle)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        data = b""
+        with contextlib.suppress(OSError):
+            while got := sock.recv(65536):
+                data += got
+                while b"\r\n\r\n" in data:
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    with more:
+                        due.append(self._call(head))
+                        more.notify()
+        with more:
+            due.append((0.0, None))
+            more.notify()
+        writer.join(30.0)
+
+    def _write(
+        self, sock: socket.socket, due: deque[tuple[float, bytes | None]], more: threading.Condition
+    ) -> None:
+        while True:
+            with more:
+                while not due:
+                    more.wait(1.0)
+                at, answer = due.popleft()
+            if answer is None:
+                return
+            time.sleep(max(0.0, at - time.monotonic()))
+            if not answer:  # lost, and with it all that comes after it on this connection
+                return
+            try:
+                sock.sendall(answer)
+            except OSError:
+                return
+
+    def _call(self, head: bytes) -> tuple[float, bytes | None]:
+        """When an answer leaves, and what it is; empty: never."""
+        way, now = self.way, time.monotonic()
+        try:
+            method, target, _ = head.split(b"\r\n", 1)[0].split(b" ")
+            url = urlsplit(target.decode())
+            name = url.path.removeprefix("/v1/count/")
+            asked = parse_qs(url.query)
+            amount, life = float(asked["add"][0]), int(asked["ttl_ms"][0]) / 1000
+            if method != b"POST" or not 1 <= len(name) <= 64 or life <= 0 or abs(amount) > 1e9:
+                raise ValueError
+        except (ValueError, KeyError):
+            return now, reply(b"400 Bad Request", b"")
+        if self.store.part(name) in way.cut:
+            return now, b""
+        total, took = self.store.add(name, amount, life)
+        at = now + took + way.delay
+        if total is None:
+            return at, reply(b"503 Service Unavailable", b"")
+        with self.lock:
+            lost, spoilt = self.chance.random() < way.lose, self.chance.random() < way.spoil
+        if lost:
+            return at, b""
+        return at, reply(b"200 OK", b"no number" if spoilt else b"%.7g" % total)
+
+
+def reply(status: bytes, body: bytes) -> bytes:
+    """An answer on the wire."""
+    return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
