The counter is called beside the ring where block witness switches it on

Need: ledger and client were there, and nothing carried the module's notes to the counter or its totals back.

Change: counter/witness.py, a budget of calls that falls when they are turned away, the block witness of the operator's file, a reload that moves to another counter. Without peer messages the module's epoch is 0.1 s, as only notes leave then. Off by default: no import.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -48,6 +48,8 @@
         }
         # every peer is told each epoch, in three quarters of what a receiver takes in
         self.epoch = max(0.1, len(self.peers) / (0.75 * max(settings.peer_intake, 1.0)))
+        if settings.witness and not settings.may_tell_peers:
+            self.epoch = 0.1  # nobody takes in any messages: only notes leave
         # where a lap takes longer than a window the members without use are skipped
         window = min((plan.burst / plan.rate for plan in settings.plans if plan.rate), default=math.inf)
         self.long_ring = settings.may_tell_peers and settings.gateways * self.epoch > window
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -23,6 +23,8 @@
 from standflow.net.routes import Routes
 
 if TYPE_CHECKING:
+    from standflow.counter.ledger import Told
+    from standflow.counter.witness import Witness
     from standflow.handshakes.keeper import Keeper
     from standflow.tls.streams import TlsStreams
 
@@ -31,7 +33,17 @@
 LONGEST_WAIT = 3.0  # seconds that the longest deadline counts as at least
 LAST_MOMENT = 0.6  # seconds past it at which the end is not put off any more
 # What a reload names as left alone; `seed` and `known` concern a start only.
-RESTART_KEYS = ("name", "listen", "peer_listen", "peers", "peers_all", "settings", "sockets", "handshakes")
+RESTART_KEYS = (
+    "name",
+    "listen",
+    "peer_listen",
+    "peers",
+    "peers_all",
+    "settings",
+    "sockets",
+    "handshakes",
+    "witness",
+)
 COME_BACK = 0.1  # seconds after which a caller turned away by no decision may come again
 
 
@@ -101,6 +113,7 @@
         )
         self.exchange.decisions = self.driver
         self.keeper = self._make_keeper()
+        self.witness = self._make_witness()
         if config.peer_listen is not None:
             with named("peer_listen"):
                 self.peers = Peers(
@@ -147,6 +160,20 @@
             keeper.resumable, keeper.forget, tls.changed = tls.resumable, tls.forget, keeper.replace
         return keeper
 
+    def _make_witness(self) -> Witness | None:
+        """The counter beside the ring, where it is switched on."""
+        options, counter = self.config.witness, self.config.counter
+        if options is None or counter is None:
+            return None
+        from standflow.counter.witness import Witness
+
+        witness = Witness(self.loop, self.log, options, counter, self._use_told)
+        self.driver.noted = witness.noted
+        return witness
+
+    def _use_told(self, told: Told) -> None:
+        self.driver.use_told(told.key, told.place, told.count, told.level)
+
     def start(self) -> None:
         """Begins to serve: the saved list first, then discovery's word, then the callers."""
         known = self.config.known
@@ -207,7 +234,9 @@
             self.log("reload: discovery: takes a restart to change between an address and off")
             self.config = replace(self.config, discovery=before.discovery)
         if config.counter != before.counter:
-            moved = True  # nothing calls the counter yet: the address waits here for what will
+            moved = True
+            if self.witness is not None and config.counter is not None:
+                self.witness.client.move(config.counter)
         if self.tls is not None and config.tls is not None:
             moved = True
             self.tls.reload(config.tls)
@@ -235,6 +264,8 @@
         self.next_hops.close()
         if self.tls is not None:
             self.tls.tell_counts()
+        if self.witness is not None:
+            self.witness.close()
         if self.routes is not None:
             self.routes.close()
 
--- a/standflow/config/directives.py
+++ b/standflow/config/directives.py
@@ -113,6 +113,14 @@
     Directive("plain", (SWITCH,), "Hold to the same limits for connections without TLS.", "off"),
 )
 
+WITNESS = (
+    Directive(
+        "calls", (number(1, 100000),), "Calls a second to the counter, from this ingress at most.", "100"
+    ),
+    Directive("every", (time(0.01, 10),), "Time between rounds of calls.", "250ms"),
+    Directive("near", (share(0, 1),), "What a customer must use of its burst to be asked for.", "30%"),
+)
+
 TOP = (
     Directive("platform", (PATH,), "JSON file in the platform's form; what is written here stands over it."),
     Directive("name", (TEXT,), "This ingress's name.", "n0"),
@@ -135,6 +143,7 @@
     Directive("limits", (), "Bounds on transactions and connections.", "", block=LIMITS),
     Directive("cold", (), "How a next hop warms up after its start.", "", block=COLD),
     Directive("next-hop", (TEXT,), "A next hop known at the start, by its id.", many=True, block=NEXT_HOP),
+    Directive("witness", (), "The counter beside the ring; off without this block.", block=WITNESS),
     Directive("tls", (), "TLS towards next hops; off without this block.", block=TLS),
     Directive(
         "handshakes", (), "Limits on handshakes with next hops; in force with `tls`.", "", block=HANDSHAKES
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -60,6 +60,15 @@
     plain: bool  # the same limits for connections without TLS
 
 
+@dataclass(slots=True, frozen=True)
+class WitnessOptions:
+    """The block `witness` of the operator's file."""
+
+    calls: float  # a second, from this ingress at most
+    every: float  # seconds between rounds of calls
+    near: float  # of its burst, what a customer must use to be asked for
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     """Everything the ingress is told at its start."""
@@ -85,6 +94,7 @@
     longest_deadline: float
     tls: TlsOptions | None = None
     handshakes: HandshakeOptions | None = None
+    witness: WitnessOptions | None = None
 
     @property
     def classes(self) -> dict[str, bool]:
--- a/standflow/config/operators.py
+++ b/standflow/config/operators.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from standflow.config.directives import TOP
-from standflow.config.model import Config, ConfigError, HandshakeOptions, NameRule, TlsOptions
+from standflow.config.model import Config, ConfigError, HandshakeOptions, NameRule, TlsOptions, WitnessOptions
 from standflow.config.platform import parse as parse_platform
 from standflow.config.platform import read as read_platform
 from standflow.config.schema import Block, Given, Reader, is_host
@@ -92,6 +92,9 @@
         raise ConfigError(f"{path}: {error}") from None
     tls = block.block("tls")
     handshakes = block.block("handshakes")
+    witness = block.block("witness")
+    if witness is not None and config.counter is None:
+        raise ConfigError(f"{path}: witness: needs a counter; expected 'counter <address and port>'")
     limited = (
         handshakes is not None
         and handshakes.value("limit")
@@ -101,6 +104,8 @@
         config,
         tls=None if tls is None else _tls(tls, folder),
         handshakes=_handshakes(handshakes) if handshakes is not None and limited else None,
+        witness=None if witness is None else _witness(witness),
+        settings=replace(config.settings, witness=witness is not None),
     )
 
 
@@ -258,6 +263,10 @@
     )
 
 
+def _witness(block: Block) -> WitnessOptions:
+    return WitnessOptions(block.value("calls"), block.value("every"), block.value("near"))
+
+
 # What no single directive can tell.
 
 
--- /dev/null
+++ b/standflow/counter/witness.py
@@ -0,0 +1,69 @@
+"""Carries the module's notes to the counter and what the counter tells back to the module.
+
+Nothing waits for it: a request is decided by what is known when it comes.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from standflow.config.model import WitnessOptions
+from standflow.counter.budget import Budget
+from standflow.counter.client import Client, Counted, How
+from standflow.counter.ledger import LIFE, Call, End, Ledger, Told
+from standflow.net.loop import Loop
+
+ENDS = {How.ADDED: End.ADDED, How.NOTHING: End.NOTHING, How.UNCERTAIN: End.UNCERTAIN}
+FORGET_EVERY = 5.0  # seconds
+
+
+class Witness:
+    """One ingress's side of the counter."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Callable[[str], None],
+        options: WitnessOptions,
+        address: tuple[str, int],
+        told: Callable[[Told], None],
+    ) -> None:
+        self.loop, self.log, self.options, self.told = loop, log, options, told
+        self.client = Client(loop, log, address)
+        self.ledger = Ledger()
+        self.budget = Budget(options.calls, loop.now())
+        # One offset for the whole run: steps of the wall clock must not reach the periods.
+        self.offset = time.time() - time.monotonic()
+        loop.call_later(options.every, self._tick)
+        loop.call_later(FORGET_EVERY, self._forget)
+
+    def noted(self, key: bytes, size: int, place: int, count: int, level: float, fullness: float) -> None:
+        """The module's note of its own use; see hoistfold.interface.UseNoted."""
+        self.ledger.noted(key, size, place, count, level, fullness, self._now())
+
+    def close(self) -> None:
+        """Ends every connection."""
+        self.client.close()
+
+    def _now(self) -> float:
+        return self.loop.now() + self.offset
+
+    def _tick(self) -> None:
+        self.loop.call_later(self.options.every, self._tick)
+        now = self.loop.now()
+        for call in self.ledger.due(self._now(), self.budget.take(now), self.options.near):
+            self.budget.spend()
+            self.client.add(call.name, call.amount, LIFE, lambda end, call=call: self._ended(call, end))  # type: ignore[misc]
+
+    def _ended(self, call: Call, counted: Counted) -> None:
+        if counted.late:
+            return  # the register is read after all that may still land; a late word is older than that
+        self.budget.ended(counted.full, self.loop.now())
+        told = self.ledger.ended(call, ENDS[counted.how], counted.total, self._now())
+        if told is not None:
+            self.told(told)
+
+    def _forget(self) -> None:
+        self.loop.call_later(FORGET_EVERY, self._forget)
+        self.ledger.forget(self._now())
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -49,6 +49,8 @@
         # One offset for the whole run: steps of the wall clock must not reach the module.
         self.offset = time.time() - time.monotonic()
         self.module = Gateway(settings, seed)
+        # key, size, place, count, level, fullness: where a second witness takes notes, it stands here
+        self.noted: Callable[[bytes, int, int, int, float, float], None] = lambda *note: None
         self.events: deque[tuple[i.Event, Transaction | None]] = deque()
         self.busy = False
         self.carry: dict[type[i.Action], Callable[[Any], object]] = {
@@ -64,6 +66,9 @@
             i.FetchList: lambda action: self.fetch(),
             i.Subscribe: lambda action: None,  # the watch stands from the start
             i.Log: lambda action: self.log(f"module: {action.text}"),
+            i.UseNoted: lambda action: self.noted(
+                action.key, action.size, action.place, action.count, action.level, action.fullness
+            ),
         }
 
     def start(self, saved: RouteSet | None) -> None:
@@ -147,6 +152,10 @@
         )
         self.feed(i.BackendsListed(whole if routes.complete else i.ListKind.CHANGES, entries))
 
+    def use_told(self, key: bytes, place: int, count: int, level: float) -> None:
+        """UseWitnessed."""
+        self.feed(i.UseWitnessed(key, place, count, level))
+
     def peer_told(self, sender: int, content: bytes) -> None:
         """PeerMessage."""
         self.feed(i.PeerMessage(sender, content))
