limits.unread: what slow callers together may leave unread is a size of the file

Need: the bound was a constant, and the kind of values for sizes had no directive that takes it.

Change: limits.unread, 32m by default, passed to the caller side; platform and defaults as before.

--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -126,7 +126,9 @@
                     self.driver.peer_told,
                 )
         with named("listen"):
-            self.callers = CallerSide(loop, log, self.exchange, config.listen, config.max_legs)
+            self.callers = CallerSide(
+                loop, log, self.exchange, config.listen, config.max_legs, config.max_unread
+            )
         self.stopping = False
 
     def _make_tls(self) -> TlsStreams | None:
--- a/standflow/config/directives.py
+++ b/standflow/config/directives.py
@@ -15,6 +15,7 @@
     number,
     one_of,
     share,
+    size,
     time,
     whole,
 )
@@ -43,6 +44,9 @@
 LIMITS = (
     Directive("attempts", (whole(1, 100),), "Branches of one transaction at most.", "5"),
     Directive("open", (whole(1, 10**9),), "Transactions open at once.", "20000"),
+    Directive(
+        "unread", (size(1 << 20, 1 << 36),), "Bytes that slow callers together may leave unread.", "32m"
+    ),
     Directive("units", (number(0.001, 1e6),), "Units that one request may take.", "4"),
     Directive("dial-timeout", (time(1e-3, 60),), "How long a connection may take to come up.", "250ms"),
     Directive("idle", (time(0.1, 86400),), "When next hops close what stands idle.", "15s"),
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -95,6 +95,7 @@
     tls: TlsOptions | None = None
     handshakes: HandshakeOptions | None = None
     witness: WitnessOptions | None = None
+    max_unread: int = 32 * 1024 * 1024  # bytes that slow callers together may leave unread
 
     @property
     def classes(self) -> dict[str, bool]:
--- a/standflow/config/operators.py
+++ b/standflow/config/operators.py
@@ -92,7 +92,7 @@
         raise ConfigError(f"{path}: {error}") from None
     tls = block.block("tls")
     handshakes = block.block("handshakes")
-    witness = block.block("witness")
+    witness, limits = block.block("witness"), block.block("limits")
     if witness is not None and config.counter is None:
         raise ConfigError(f"{path}: witness: needs a counter; expected 'counter <address and port>'")
     limited = (
@@ -106,6 +106,7 @@
         handshakes=_handshakes(handshakes) if handshakes is not None and limited else None,
         witness=None if witness is None else _witness(witness),
         settings=replace(config.settings, witness=witness is not None),
+        max_unread=limits.value("unread") if limits is not None else config.max_unread,
     )
 
 
--- a/standflow/config/schema.py
+++ b/standflow/config/schema.py
@@ -72,7 +72,7 @@
         value = _amount(text.lower(), units, "a size, such as 512, 64k or 1m")
         return int(_bounded(value, least, most, lambda v: f"{v:g}"))
 
-    return Kind("size", read)
+    return Kind("size, such as 512, 64k or 1m", read)
 
 
 def whole(least: int, most: int) -> Kind:
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -24,7 +24,7 @@
 MAX_PIPELINED = 64  # commands of one leg that wait for their answers; more stay in the kernel
 PAUSE_OUT = 256 * 1024  # bytes that a slow reader may leave unread before no more is taken from it
 MAX_OUT = 1024 * 1024  # and before it is given up
-MAX_UNREAD = 32 * 1024 * 1024  # bytes that all legs together may leave unread
+MAX_UNREAD = 32 * 1024 * 1024  # bytes that all legs together may leave unread, where nothing else is said
 SWEEP_EVERY = 0.5
 MAX_STALLS = 40  # sweeps in a row without a byte taken after which a slow reader is given up
 MAX_HALF = 5  # and without a byte sent after which half a command is
@@ -112,7 +112,7 @@
     def too_slow(self) -> bool:
         """What waits for slow readers must not outgrow the memory."""
         size = len(self.out)
-        return size > MAX_OUT or (size > PAUSE_OUT and self.side.unread > MAX_UNREAD)
+        return size > MAX_OUT or (size > PAUSE_OUT and self.side.unread > self.side.max_unread)
 
     def mask(self) -> int:
         """Reading pauses while too much of this leg is open or unread."""
@@ -219,8 +219,10 @@
         exchange: Exchange,
         address: tuple[str, int],
         max_legs: int,
+        max_unread: int = MAX_UNREAD,
     ) -> None:
         self.loop, self.log, self.exchange, self.max_legs = loop, log, exchange, max_legs
+        self.max_unread = max_unread
         self.ready = False
         self.draining = False
         self.legs: set[Leg] = set()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -182,6 +182,7 @@
     (tmp_path / "platform.json").write_text(json.dumps(config()))
     configured = read(tmp_path, "platform platform.json\nlimits {\n  drain-grace 250ms\n}\n")
     assert (configured.drain_grace, configured.max_open) == (0.25, 100)  # 20000 is only the file's default
+    assert read(tmp_path, "platform platform.json\nlimits {\n  unread 4m\n}\n").max_unread == 4 * 1024 * 1024
     configured = read(tmp_path, "sockets 100\n", EDGE_CONFIG=str(tmp_path / "platform.json"))
     assert (configured.sockets, configured.name, set(configured.plans)) == (100, "n0", {"plain"})
     assert configured.discovery == ("127.0.0.1", 1)
