After every full handshake of TLS 1.3 the other end's word is awaited

Need: found on reading: a server that asks for a certificate where the ingress has none refuses it after our side is done, when a command may be written; that ended as a reset, not as the failed connect that it is.

Change: the wait for the first ticket or alert holds without a certificate of our own too; a test for both versions.

--- a/standflow/tls/stream.py
+++ b/standflow/tls/stream.py
@@ -25,7 +25,7 @@
 
     __slots__ = (
         "_done", "_kept", "_loop", "_obj", "_on_declined", "_on_session", "_out", "_raw_in", "_raw_out",
-        "_session", "_settle", "_timeout", "_up", "busy", "ended", "generation", "handshake", "left", "name",
+        "_session", "_timeout", "_up", "busy", "ended", "generation", "handshake", "left", "name",
         "sock",
     )  # fmt: skip
 
@@ -38,18 +38,16 @@
         session: ssl.SSLSession | None,
         timeout: float,
         generation: int,
-        settle: bool,
         on_session: Callable[[ssl.SSLSession, bool], None],
         on_declined: Callable[[], None],
         up: Callable[[TlsStream, str], None],
     ) -> None:
-        """`timeout`: of the handshake, seconds. `settle`: a client certificate is shown, which the other end
-        of TLS 1.3 judges only after the handshake. `on_session` takes each new session, true if it is used
-        once; `on_declined` is called where the other end would not take up the one it was offered. `up` is
-        told once how the handshake ended: empty, or the reason of its failure.
+        """`timeout`: of the handshake, seconds. `on_session` takes each new session, true if it is used once;
+        `on_declined` is called where the other end would not take up the one it was offered. `up` is told
+        once how the handshake ended: empty, or the reason of its failure.
         """
         self._loop, self.sock, self.name, self._session = loop, sock, name, session
-        self._timeout, self.generation, self._settle = timeout, generation, settle
+        self._timeout, self.generation = timeout, generation
         self._on_session, self._on_declined, self._up = on_session, on_declined, up
         self._raw_in, self._raw_out = ssl.MemoryBIO(), ssl.MemoryBIO()
         self._obj = context.wrap_bio(self._raw_in, self._raw_out, server_hostname=name, session=session)
@@ -107,7 +105,7 @@
         stats.resumed = bool(self._obj.session_reused)
         if stats.offered and not stats.resumed:
             self._on_declined()  # before any new session is kept
-        if self._settle and not stats.resumed and self._obj.version() == "TLSv1.3":
+        if not stats.resumed and self._obj.version() == "TLSv1.3":
             return (yield from self._settled(min(LONGEST_SETTLE, 3 * stats.round_trip + 0.005)))
         self._harvest()
         return ""
@@ -127,7 +125,9 @@
                 self.flush()
 
     def _settled(self, limit: float) -> Coroutine[str]:
-        """The other end's word on our certificate: a ticket says yes, an alert no; silence is taken for yes.
+        """The other end's word on our certificate, or on our having none: TLS 1.3 has it come after our side.
+
+        A ticket says yes, an alert no; silence is taken for yes.
 
         Without this wait the first command would be written whole before the alert is read, and a change that
         never ran would count as one that may have.
--- a/standflow/tls/streams.py
+++ b/standflow/tls/streams.py
@@ -85,7 +85,6 @@
             session,
             self.options.handshake_timeout,
             using.generation,
-            using.own,
             keep,
             declined,
             up,
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -203,6 +203,17 @@
         assert box.ran() == {"id1": 1}
 
 
+@pytest.mark.parametrize(("newest", "reason"), [(V12, "alert:40"), (V13, "alert:116")])
+def test_a_server_that_asks_for_a_certificate_where_there_is_none_is_a_failed_connect(
+    tmp_path: Path, newest: ssl.TLSVersion, reason: str
+) -> None:
+    with Box(server_context(CERT, clients=AUTHORITY, newest=newest)) as box:
+        with rig(box.address, options(tmp_path)) as at:
+            assert at.ask() is Outcome.CONNECT_FAILED
+            assert at.ends() == [reason]
+        assert not box.ran()
+
+
 @pytest.mark.parametrize(
     ("mode", "outcome", "reason"),
     [
