Counted lines: why requests are refused, how branches end, what is sent and dialled

The log said of a refusal nothing, of a branch only what its connection's end tells, and of a datagram only what was dropped.

--- a/hoistfold/adapter.py
+++ b/hoistfold/adapter.py
@@ -237,7 +237,7 @@
             return f"TRANSMIT Door={door} Ticket={request} Backend={backend}{limit}"
         case i.SetTimer(delay, handle):
             return f"SET_ALARM Door={door} OffsetUs={micros(delay)} Handle={handle}"
-        case i.Refuse(request, retry_after):
+        case i.Refuse(request, retry_after, _):
             advice = "" if retry_after is None else f" RetryInUs={micros(retry_after)}"
             return f"SHED Door={door} Ticket={request}{advice}"
         case i.Fail(request):
--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -122,7 +122,8 @@
             self._send(request, backend)
         else:  # soon enough to be served within the aim, or when the window has room or more is told
             short = max(self.epoch * plan.rate, quota.own + quota.others + request.units - plan.burst)
-            self._refuse(request, request.kind.aim / 2 if within or not plan.rate else short / plan.rate)
+            why = "room" if within else "quota"
+            self._refuse(request, request.kind.aim / 2 if within or not plan.rate else short / plan.rate, why)
 
     def _late(self, kind: i.RequestClass, left: float) -> bool:
         """Most tries are given the same time; one with less tells how long its client has waited."""
@@ -130,9 +131,9 @@
         usual = self.usual_left[kind.name] = min(left, usual + 4 * step) if left > usual else usual - step
         return left < 0.95 * usual and kind.deadline - left + self.base[kind.name] > kind.aim
 
-    def _refuse(self, request: Request, retry_after: float) -> None:
+    def _refuse(self, request: Request, retry_after: float, why: str) -> None:
         advice = min(max(retry_after, 0.0), self.settings.max_retry_after)
-        self.actions.append(i.Refuse(request.name, advice if self.settings.retry_after else None))
+        self.actions.append(i.Refuse(request.name, advice if self.settings.retry_after else None, why))
         self.requests.pop(request.name, None)
 
     def _send(self, request: Request, backend: Backend) -> None:
@@ -163,7 +164,7 @@
         if choice is not None and self.now < request.deadline:
             self._send(request, choice)
         elif self._may_refuse(request):
-            self._refuse(request, request.kind.aim / 3)
+            self._refuse(request, request.kind.aim / 3, "again")
         else:
             self._fail(request)
 
--- a/hoistfold/interface.py
+++ b/hoistfold/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -311,6 +311,7 @@
 
     request: str
     retry_after: float | None
+    reason: str = field(default="", compare=False)  # for the log alone; one of few words
 
 
 @dataclass(slots=True, frozen=True)
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -21,6 +21,7 @@
 from standflow.net.nexthop import NextHops
 from standflow.net.peers import Peers
 from standflow.net.routes import Routes
+from standflow.tally import EVERY, Tally
 
 if TYPE_CHECKING:
     from standflow.counter.ledger import Told
@@ -62,6 +63,7 @@
     def __init__(self, config: Config, loop: Loop, log: Callable[[str], None]) -> None:
         self.config, self.loop, self.log = config, loop, log
         settings = config.settings
+        self.tally = Tally(loop, log)
         come_back = min(COME_BACK, settings.max_retry_after) if settings.retry_after else None
         self.exchange = Exchange(
             loop,
@@ -74,6 +76,7 @@
             settings.gateways,
             settings.number,
             settings.max_units,
+            self.tally,
         )
         self.tls = self._make_tls()
         make: dict[str, Any] = {} if self.tls is None else {"make": self.tls.make}
@@ -98,6 +101,7 @@
                 config.known.revision if config.known else None,
                 self._routes_told,
                 random.Random(config.seed),
+                self.tally,
             )
         self.peers: Peers | None = None
         self.driver = Driver(
@@ -124,6 +128,7 @@
                     config.peers_all,
                     settings.number,
                     self.driver.peer_told,
+                    self.tally,
                 )
         with named("listen"):
             self.callers = CallerSide(
@@ -191,6 +196,7 @@
             self.routes.connect()
         at_once = self.routes is None and self.keeper is None
         self.loop.call_later(0.0 if at_once else READY_AT_LATEST, self._ready)
+        self.loop.call_later(EVERY * random.Random(self.config.seed).random(), self.tally.serve)
 
     def _ready(self) -> None:
         if not self.callers.ready:
@@ -262,6 +268,7 @@
 
     def close(self) -> None:
         """Ends every connection; each leaves its line in the log."""
+        self.tally.flush()
         self.callers.close()
         self.next_hops.close()
         if self.tls is not None:
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -56,7 +56,7 @@
         self.carry: dict[type[i.Action], Callable[[Any], object]] = {
             i.Send: lambda action: self.exchange.send(action.request, action.backend, action.timeout),
             i.Cancel: lambda action: self.exchange.cancel(action.request, action.attempt),
-            i.Refuse: lambda action: self.exchange.refuse(action.request, action.retry_after),
+            i.Refuse: self._refuse,
             i.Fail: lambda action: self.exchange.fail(action.request),
             i.SetTimer: lambda action: self.loop.call_later(action.delay, self._timer, action.handle),
             i.TellPeer: lambda action: self.tell(action.peer, action.content),
@@ -169,6 +169,10 @@
 
     # Actions.
 
+    def _refuse(self, action: i.Refuse) -> None:
+        self.exchange.tally(f"refused.{action.reason or 'other'}")
+        self.exchange.refuse(action.request, action.retry_after)
+
     def _probe(self, action: i.Probe) -> None:
         began = self.loop.now()
 
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -29,6 +29,7 @@
     MOOT = "moot"
 
 
+COUNTED = {outcome: f"branch.{outcome.value}" for outcome in Outcome}
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 
 
@@ -100,6 +101,7 @@
 
 
 Final = Served | Refused | Failed
+ANSWERED: dict[type, str] = {Served: "answer.served", Refused: "answer.refused", Failed: "answer.failed"}
 
 
 @dataclass(slots=True, frozen=True)
@@ -196,8 +198,9 @@
         ingresses: int = 1,
         number: int = 0,
         max_units: float = math.inf,
+        tally: Callable[[str], None] = lambda name: None,
     ) -> None:
-        self.loop, self.log = loop, log
+        self.loop, self.log, self.tally = loop, log, tally
         self.classes, self.plans = classes, plans  # classes: by name, true where safe to repeat
         self.max_branches, self.max_open = max_branches, max_open
         self.ingresses, self.number, self.max_units = ingresses, number, max_units
@@ -226,6 +229,7 @@
             raise UnacceptableError("units are out of range")
         if request.ident is not None and request.ident in self.idents:
             raise UnacceptableError("the id is another open request's")
+        self.tally("taken")
         self.serial += 1
         name = f"{self.serial}"
         deadline = heard + request.patience
@@ -245,6 +249,7 @@
     def caller_gone(self, transaction: Transaction) -> None:
         """The caller has left: nothing is owed any more, its branches run on as the module sees fit."""
         if transaction.open:
+            self.tally("answer.gone")
             self._close(transaction)
             self.decisions.transaction_gone(transaction)
             self._settle(transaction)
@@ -311,6 +316,7 @@
             return
         transaction = branch.transaction
         branch.ended = result.outcome
+        self.tally(COUNTED[result.outcome])
         if branch.timer is not None:
             branch.timer.cancel()
         transaction.out -= 1
@@ -337,6 +343,7 @@
 
     def _conclude(self, transaction: Transaction, final: Final) -> None:
         self._close(transaction)
+        self.tally(ANSWERED[type(final)])
         transaction.reply(final)
         self._settle(transaction)
 
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -226,6 +226,7 @@
         self.dial_timeout, self.idle_limit, self.drain_grace = dial_timeout, idle_limit, drain_grace
         self.max_connections = max_connections
         self.make = make
+        self.tally = exchange.tally
         self.admission: Admission | None = None
         self.hops: dict[str, Hop] = {}
         self.connections = 0
@@ -359,6 +360,7 @@
         except OSError as error:  # no descriptor left: the command was never written
             self.log(f"nexthop: no socket: {error}")
             return False
+        self.tally("dials")
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.stream = self.make(hop.route, connection.sock)
         if errand is not None:
--- a/standflow/net/peers.py
+++ b/standflow/net/peers.py
@@ -24,8 +24,10 @@
         everyone: Address | None,
         own: int,
         told: Callable[[int, bytes], None],
+        tally: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.log, self.peers, self.everyone, self.own, self.told = log, peers, everyone, own, told
+        self.tally = tally
         self.numbers = {address: number for number, address in enumerate(peers)}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
         self.sock.bind(listen)
@@ -43,8 +45,10 @@
                 number = self.numbers.get(sender)
                 # Anyone can send here: strangers, oversize datagrams and our own are dropped.
                 if number is None or number == self.own or len(content) > MAX_DATAGRAM:
+                    self.tally("peers.dropped")
                     self.log(f"peers: dropped {len(content)} bytes from {sender[0]}:{sender[1]}")
                     continue
+                self.tally("peers.in")
                 self.told(number, content)
 
     def tell(self, peer: int | None, content: bytes) -> None:
@@ -61,5 +65,7 @@
         for target in targets:
             try:
                 self.sock.sendto(content, target)
+                self.tally("peers.out")
             except OSError as error:
+                self.tally("peers.unsent")
                 self.log(f"peers: to {target[0]}:{target[1]}: {error}")
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -99,10 +99,11 @@
         revision: int | None,
         told: Callable[[RouteSet], None],
         chance: random.Random,
+        tally: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.loop, self.log, self.address, self.zones, self.told = loop, log, address, zones, told
         self.revision = revision
-        self.chance = chance
+        self.chance, self.tally = chance, tally
         self.back_off = FIRST_BACK_OFF
         self.task: Task | None = None
         self.pending: Timer | None = None  # the next attempt, while no watch is open
@@ -111,6 +112,7 @@
 
     def connect(self) -> None:
         """Opens the watch."""
+        self.tally("routes.asked")
         self.pending = None
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -215,6 +217,7 @@
         except (ValueError, RecursionError):
             raise RouteError("a line is no JSON") from None
         routes = read_routes(raw, self.zones, self.log)
+        self.tally("routes.told")
         self.revision = routes.revision
         self.back_off = FIRST_BACK_OFF
         self.told(routes)
