Ingresses work with eight to a next hop, evenly by a ring, and rooms count whose turn it is

Ruled out: quotas. Of the refusals for room most were on next hops with room. Second cause: _pressed weighed a cold next hop by its warmth although only those in turn at it (_doors) send to it, so with 36 of 60 new 1,776 requests were refused while the cold ones idled; sharers stood still when few were warm.

Change: the ring of next hops (sorted by rank, rooms in turn) is entered at a place of each ingress's own, so any two next hops differ by one ingress at most; a loss moves one or two. Places step by a number without common divisor, as neighbours serve the same customers. Room = limit x sum of warmth / those who share it.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -19,6 +19,8 @@
 FIRST_LIMIT = 8.0  # attempts out at a backend at first, from all gateways together
 FORGIVEN = 5.0  # seconds in which what was seen of a backend's speed loses most of its weight
 SPARE = 0.5  # of the room, the part that may be taken by what is beyond a quota
+SHARERS = 8.0  # gateways that work with one backend, where there are more
+CHOICES = 6  # backends at least that a gateway works with, so that a bad one has a small part
 ALLOWANCE = 0.1  # of an even share, while no total is known
 WITNESSED_FOR = 1.5  # seconds for which a total from the second witness stands for one from the ring
 IDLE_FOR = 30.0  # seconds after which an unused entry is forgotten
@@ -33,6 +35,10 @@
         self.plans = {plan.name: plan for plan in settings.plans}
         self.base = {kind.name: kind.aim / 8 for kind in settings.classes}  # usual latency, learnt
         self.limit = FIRST_LIMIT
+        # neighbours by number serve the same customers: a step without common divisor sets them apart
+        count = settings.gateways
+        step = next(n for n in range(math.ceil(0.618 * count), count + 2) if math.gcd(n, count) == 1)
+        self.place = settings.number * step % count
         self.peers = {n: Peer() for n in range(settings.gateways) if n != settings.number}
         self.handlers: dict[type, Callable[..., object]] = {
             i.Started: self._start,
@@ -200,12 +206,19 @@
 
     def _nearest(self) -> list[Backend]:
         """A stable choice of each gateway's own, so that what it learns is of use; cold ones in turn."""
-        near, fit = [b for b in self.order if self._warmth(b) < 1 and self._cold_room(b)], 0
+        near, warm, fit = [], 0, 0
         for backend in self.order:
-            if fit < self.reach and self._warmth(backend) == 1:
+            if self._warmth(backend) < 1:
+                if self._cold_room(backend):
+                    near.append(backend)
+                continue
+            warm += 1
+            if fit < self.reach:
                 self._check_health(backend)
                 near.append(backend)
                 fit += backend.suspect_since is None
+        # fewer warm ones are shared by more gateways each
+        self.sharers = max(1.0, self.settings.gateways * min(self.reach, warm) / max(1, warm))
         return near
 
     def _cost(self, request: Request, backend: Backend) -> float:
@@ -224,7 +237,7 @@
     def _pressed(self, request: Request, near: list[Backend]) -> bool:
         """Out is what can be answered in time, on average if few, less what is out too long and so lost."""
         fit = [b for b in near if b.suspect_since is None]
-        room = self.limit / self.sharers * sum(self._warmth(b) for b in fit)
+        room = self.room = self.limit * sum(self._warmth(b) / self._doors(b) for b in fit)
         pending = (attempt for b in fit for attempt in b.pending.values())
         out = sum(self.now - attempt.sent < 5 * self.base[attempt.kind.name] for attempt in pending)
         self.busy += min(1.0, max(0.1, room / 10)) * (out - self.busy)
@@ -290,7 +303,7 @@
     def _adjust(self, good: bool) -> None:
         """Each outcome speaks for the time since the last, so that few gateways and many learn alike."""
         weight, self.learnt = min(1.0, (self.now - self.learnt) / 0.5), self.now
-        if self.busy < 0.5 * self.limit * self.reach / self.sharers:
+        if self.busy < 0.5 * self.room:
             return  # the limit had no part in it: long work alone must not wear it down
         self.limit = self.limit + 0.4 * weight if good else max(0.6, self.limit * 0.85**weight)
 
@@ -308,9 +321,18 @@
                 self.backends[name] = known = Backend(entry, started, zlib.crc32(name.encode()), self.now)
             known.entry = entry
         active, s = [b for b in self.backends.values() if b.active], self.settings
-        self.reach = max(1, math.ceil(min(1.0, 40 / s.gateways) * len(active)))  # forty a backend
-        self.sharers = s.gateways * self.reach / max(1, len(active))
-        self.order = sorted(active, key=lambda b: hashlib.md5(b"%d %d" % (b.rank, s.number)).digest())
+        self.reach = min(len(active), max(CHOICES, math.ceil(SHARERS / s.gateways * len(active))))
+        self.order = self._ring(active)
+
+    def _ring(self, active: list[Backend]) -> list[Backend]:
+        """All of them from this gateway's place on: as many gateways begin at each, and rooms take turns."""
+        rooms: dict[str, list[Backend]] = {}
+        for backend in sorted(active, key=lambda b: (b.rank, b.entry.backend)):
+            rooms.setdefault(backend.entry.zone, []).append(backend)
+        placed = [((n + 0.5) / len(room), zone, n) for zone, room in rooms.items() for n in range(len(room))]
+        ring = [rooms[zone][n] for _, zone, n in sorted(placed)]
+        begin = self.place * len(ring) // self.settings.gateways
+        return ring[begin:] + ring[:begin]
 
     def _quota_of(self, key: bytes, plan: i.Plan, first: int, size: int) -> Quota:
         if key not in self.quotas:
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -132,9 +132,10 @@
         self.backends: dict[str, Backend] = {}
         self.order: list[Backend] = []  # the active ones, in this gateway's own order
         self.reach = 1  # backends that this gateway works with
-        self.sharers = 1.0  # gateways that work with one backend
+        self.sharers = 1.0  # gateways that work with one warm backend
         self.learnt = 0.0
         self.busy = 0.0  # attempts out, on average over the last requests
+        self.room = 0.0  # attempts that may be out at once from here
         self.requests: dict[str, Request] = {}
         self.usual_left: dict[str, float] = {}
         self.open: dict[tuple[str, int], Attempt] = {}
