Cold next hops with credit go first, and one that turns away is avoided, not the limit cut

Ruled out: that the credit is too small (half of it was used), that the cold answer late (8% against 25%). Lines at fault: brain._nearest left out a cold next hop unless its credit covered the dearest class, so the room missed it and the choice saw 3 of 9; brain._cost gave it the part of one among its doors though its credit already is the limit; brain._pressed refused before anyone asked whether credit was left.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -199,9 +199,11 @@
     def _choose(self, request: Request) -> Backend | None:
         near = self._nearest()
         pressed = self._may_refuse(request) and self._pressed(request, near)
-        if pressed or len(request.attempts) == self.settings.max_attempts:
+        if pressed and request.spare or len(request.attempts) == self.settings.max_attempts:
             return None
-        usable = [b for b in near if self._may_send(request, b)]
+        usable = [b for b in near if self._may_send(request, b) and self._cold_room(request, b)]
+        if pressed:  # a cold one has a limit of its own
+            usable = [b for b in usable if self._warmth(b) < 1]
         return min(usable, key=lambda b: self._cost(request, b), default=None)
 
     def _nearest(self) -> list[Backend]:
@@ -209,7 +211,7 @@
         near, warm, fit = [], 0, 0
         for backend in self.order:
             if self._warmth(backend) < 1:
-                if self._cold_room(backend):
+                if (self.settings.number - backend.rank) % self.settings.gateways < self._doors(backend):
                     near.append(backend)
                 continue
             warm += 1
@@ -226,7 +228,8 @@
         far = self.settings.cross_zone_price * (backend.entry.zone != self.settings.zone)
         tried = 1 + 3 * any(attempt.backend is backend for attempt in request.attempts)
         chance = math.pow(self.random.expovariate(1.0), max(0.1, 1 - 4 / self.sharers))
-        part = self._warmth(backend) * self.sharers / self._doors(backend)
+        warmth = self._warmth(backend)
+        part = 1.0 if warmth == 1 else max(1.0, warmth * self.sharers)  # its credit is the limit, so use it
         load = tried * self._stretch(backend) * (backend.out + 1) / (backend.entry.size * part)
         return load * (1 + 5 * far) * chance
 
@@ -236,8 +239,8 @@
 
     def _pressed(self, request: Request, near: list[Backend]) -> bool:
         """Out is what can be answered in time, on average if few, less what is out too long and so lost."""
-        fit = [b for b in near if b.suspect_since is None]
-        room = self.room = self.limit * sum(self._warmth(b) / self._doors(b) for b in fit)
+        fit = [b for b in near if b.suspect_since is None and self._warmth(b) == 1]
+        room = self.room = self.limit / self.sharers * len(fit)
         pending = (attempt for b in fit for attempt in b.pending.values())
         out = sum(self.now - attempt.sent < 5 * self.base[attempt.kind.name] for attempt in pending)
         self.busy += min(1.0, max(0.1, room / 10)) * (out - self.busy)
@@ -257,14 +260,13 @@
         work = 0.7 * s.fall_multiple * warmth * s.fall_window
         return self.sharers if warmth == 1 else min(s.gateways, max(1, int(work / max(self.base.values()))))
 
-    def _cold_room(self, backend: Backend) -> bool:
-        """This gateway's turn and share of what a cold backend stands, on the reading of one core."""
-        s, doors = self.settings, self._doors(backend)
-        rate = 0.7 * s.fall_multiple * self._warmth(backend) / doors
+    def _cold_room(self, request: Request, backend: Backend) -> bool:
+        """This gateway's share of what a cold backend stands, on the reading of one core."""
+        s, doors, warmth = self.settings, self._doors(backend), self._warmth(backend)
+        rate = 0.7 * s.fall_multiple * warmth / doors
         gained, backend.cold_at = rate * (self.now - backend.cold_at), self.now
         backend.cold_credit = min(rate * s.fall_window, backend.cold_credit + gained)
-        enough = backend.cold_credit >= min(max(self.base.values()), rate * s.fall_window)
-        return enough and (s.number - backend.rank) % s.gateways < doors
+        return warmth == 1 or backend.cold_credit >= min(self.base[request.kind.name], rate * s.fall_window)
 
     def _check_health(self, backend: Backend) -> None:
         """Suspects a backend that holds old attempts and has answered none since they were sent."""
@@ -295,8 +297,8 @@
             backend.resets += 1 if event.outcome is i.Outcome.RESET else 2
             if backend.resets > 1:
                 self._suspect(backend, event.outcome.value)
-        elif event.outcome is i.Outcome.FULL:
-            self._adjust(False)
+        elif event.outcome is i.Outcome.FULL:  # it drains, or is fuller than the others: no word on them
+            self._suspect(backend, event.outcome.value)
         elif event.outcome in (i.Outcome.TIMEOUT, i.Outcome.ERROR):  # a fault of its own, not the fleet's
             backend.stretch += 0.15 * (10.0 - backend.stretch)
 
