Discovery that turns away is asked rarely, and trials are first attempts that get rarer

Two thirds of what the route set names is dead by 20 s: 500 of 1,000 branches in 2 s end as connect_failed, requests use up their five attempts on trials of suspects (one a second each, brain._send) and 776 units inside quotas are refused after that. Trials are first attempts only, and where connections fail their pause doubles to 8 s.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -18,6 +18,7 @@
 ONCE, TWICE, FORGOTTEN = range(1, 4)  # how a place is still to be told, the last to its own member
 FIRST_LIMIT = 8.0  # attempts out at a backend at first, from all gateways together
 FORGIVEN = 5.0  # seconds in which what was seen of a backend's speed loses most of its weight
+FIRST_PAUSE, LONGEST_PAUSE = 1.0, 8.0  # seconds between trials of a suspected backend
 SPARE = 0.5  # of the room, the part that may be taken by what is beyond a quota
 SHARERS = 8.0  # gateways that work with one backend, where there are more
 CHOICES = 6  # backends at least that a gateway works with, so that a bad one has a small part
@@ -149,7 +150,7 @@
         request.attempts.append(attempt)
         request.quota.open += 1
         backend.cold_credit -= self.base[request.kind.name]
-        backend.next_trial = self.now + 1.0  # while suspected, one trial a second
+        backend.next_trial = self.now + backend.pause  # while suspected, a trial now and then
         self.actions.append(i.Send(request.name, backend.entry.backend, None))
 
     def _attempt_ended(self, event: i.AttemptEnded) -> None:
@@ -178,7 +179,9 @@
         """The rule against repeated effects; a suspected backend gets trials that are safe to lose."""
         risky, kind = [attempt for attempt in request.attempts if attempt.may_have_run], request.kind
         harmful = kind.effect is not i.Effect.SAFE
-        if backend.suspect_since is not None and (harmful or self.now < backend.next_trial):
+        # a trial is a first attempt: five dead ones in a row would use up all that a request may have
+        trial = not harmful and not request.attempts and self.now >= backend.next_trial
+        if backend.suspect_since is not None and not trial:
             return False
         if not risky or not harmful:
             return True
@@ -278,7 +281,8 @@
 
     def _suspect(self, backend: Backend, why: str) -> None:
         if backend.suspect_since is None:
-            backend.suspect_since, backend.next_trial = self.now, self.now + 1.0
+            backend.suspect_since, backend.pause = self.now, FIRST_PAUSE
+            backend.next_trial = self.now + FIRST_PAUSE
             self.actions.append(i.Log(f"backend {backend.entry.backend} suspected: {why}"))
 
     def _learn(self, backend: Backend, kind: i.RequestClass, event: i.AttemptEnded) -> None:
@@ -297,6 +301,7 @@
             backend.resets += 1 if event.outcome is i.Outcome.RESET else 2
             if backend.resets > 1:
                 self._suspect(backend, event.outcome.value)
+                backend.pause = min(2 * backend.pause, LONGEST_PAUSE)  # many work with it and try it too
         elif event.outcome is i.Outcome.FULL:  # it drains, or is fuller than the others: no word on them
             self._suspect(backend, event.outcome.value)
         elif event.outcome in (i.Outcome.TIMEOUT, i.Outcome.ERROR):  # a fault of its own, not the fleet's
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -52,6 +52,7 @@
     pending: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     suspect_since: float | None = None
     next_trial: float = 0.0
+    pause: float = 0.0  # until the trial after that
     resets: int = 0  # connections that broke since it answered last
     cold_credit: float = 0.0
 
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -17,9 +17,14 @@
 PHASES = {"SERVING": Phase.SERVING, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 FIRST_BACK_OFF = 0.05
 LAST_BACK_OFF = 2.0
+# Turned away by a discovery that is overbooked: all ingresses come back at such times, so rarely and apart.
+FIRST_TURNED_AWAY, LAST_TURNED_AWAY = 1.0, 8.0
 SILENCE = 2.6  # seconds after which a watch counts as broken; an idle one says something every 2 s
 CONNECT_LIMIT = 1.0
-HEAD_LIMIT = 1.0  # and without the head of an answer, which comes at once where anybody is there
+HEAD_LIMIT = 1.0
+# Where it doesn't, the call may stand in a line of all ingresses' calls: given up and repeated it only makes that
+# longer, so each is waited for twice as long as the one before, up to a time in which a list must not age.
+LONGEST_HEAD_LIMIT = 4.0
 MAX_LINE = 4 * 1024 * 1024
 
 
@@ -104,7 +109,7 @@
         self.loop, self.log, self.address, self.zones, self.told = loop, log, address, zones, told
         self.revision = revision
         self.chance, self.tally = chance, tally
-        self.back_off = FIRST_BACK_OFF
+        self.back_off, self.patience, self.turned_away = FIRST_BACK_OFF, HEAD_LIMIT, 0.0
         self.task: Task | None = None
         self.pending: Timer | None = None  # the next attempt, while no watch is open
         self.ending = "fetch"  # why the watch is ended from here
@@ -131,7 +136,7 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """Takes the watch to another address, at once and at the revision reached."""
-        self.address, self.back_off = address, 0.0
+        self.address, self.back_off, self.patience, self.turned_away = address, 0.0, HEAD_LIMIT, 0.0
         if self.pending is not None:
             self.pending.cancel()
             self.connect()
@@ -184,17 +189,21 @@
             return "bad_json"
 
     def _read(self, sock: socket.socket, http: h11.Connection) -> Coroutine[str]:
-        line, limit = bytearray(), HEAD_LIMIT
+        line, limit = bytearray(), self.patience
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
                 if (yield from self.loop.wait(IN, limit)) == TICK:
+                    self.patience = min(LONGEST_HEAD_LIMIT, 2 * self.patience)
                     return "silent"
                 try:
                     http.receive_data(sock.recv(65536))
                 except BlockingIOError:
                     continue
             elif isinstance(event, h11.Response):
+                if event.status_code == 503:
+                    self.turned_away = min(LAST_TURNED_AWAY, max(FIRST_TURNED_AWAY, 2 * self.turned_away))
+                    self.back_off = self.turned_away
                 if event.status_code != 200:
                     return f"status:{event.status_code}"
                 limit = SILENCE
@@ -219,5 +228,5 @@
         routes = read_routes(raw, self.zones, self.log)
         self.tally("routes.told")
         self.revision = routes.revision
-        self.back_off = FIRST_BACK_OFF
+        self.back_off, self.patience, self.turned_away = FIRST_BACK_OFF, HEAD_LIMIT, 0.0
         self.told(routes)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -17,7 +17,7 @@
 from standflow.log import MAX_LINES, Log
 from standflow.net.loop import IN, Coroutine
 from standflow.net.peers import Peers
-from standflow.net.routes import RouteError, Routes, read_routes, zone_of
+from standflow.net.routes import LONGEST_HEAD_LIMIT, RouteError, Routes, read_routes, zone_of
 from tests.test_legs import Recorder
 from tests.wire import config, listener, read_until, turn_until
 
@@ -163,11 +163,42 @@
         turn_until(at.loop, lambda: told[-1] == 8)
         assert 2.0 < waits() <= 3.0  # a sign of life is due every 2 s
         turn_until(at.loop, lambda: any("end routes silent" in line for line in at.log))
+        assert routes.patience == 2.0  # the next is waited for longer, it may stand in a line
         sock.close()
     routes.close()
     at.close()
 
 
+def test_a_discovery_that_turns_away_is_asked_rarely_and_one_that_is_slow_waited_for() -> None:
+    """Twenty-four ingresses asked 600 times in 26 s: calls in line were given up and repeated."""
+    at = Recorder()
+    with listener() as agent:
+        routes = Routes(at.loop, at.log.append, agent.getsockname(), (), 7, lambda r: None, Random(1))
+        waits: list[float] = []
+
+        def turned_away() -> None:
+            routes.connect()
+            sock = agent.accept()[0]
+            turn_until(at.loop, lambda: bool(select.select([sock], [], [], 0)[0]))
+            sock.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            lines = len(at.log)
+            turn_until(at.loop, lambda: len(at.log) > lines)
+            assert routes.pending is not None
+            waits.append(routes.pending.when - at.loop.now())
+            routes.pending.cancel()
+            sock.close()
+
+        for _ in range(6):
+            turned_away()
+        assert 0.4 < waits[0] <= 1.0
+        assert all(3.9 < wait <= 8.0 for wait in waits[3:])
+        routes.patience = LONGEST_HEAD_LIMIT
+        routes.move(agent.getsockname())  # another one starts afresh
+        assert (routes.patience, routes.turned_away) == (1.0, 0.0)
+    routes.close()
+    at.close()
+
+
 def test_route_sets_keep_what_can_be_read() -> None:
     log: list[str] = []
     good = {"id": "s", "host_port": "127.0.0.1:1", "locality": "a", "phase": "SERVING", "up_since_ms": 5000}
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -105,7 +105,7 @@
 
 
 def test_forty_gateways_share_sixty_backends_evenly_and_move_little() -> None:
-    """All worked with all: each met a bad one by itself, and dialled two thousand idle connections."""
+    """All worked with all: each met a bad one alone, and dialled two thousand idle connections."""
     names = [f"b{n}" for n in range(60)]
     entries = [backend(name, zone="abc"[n % 3]) for n, name in enumerate(names)]
     before: dict[int, set[str]] = {}
@@ -144,6 +144,25 @@
     assert 0.3 * 36 * 0.7 * 2.5 * 0.35 * 3 < work < 36 * 0.7 * 2.5 * 0.53 * 4
 
 
+def test_trials_are_first_attempts_and_get_rarer_where_connections_fail() -> None:
+    """With the list late most were dead: requests used up their attempts on trials and were refused."""
+    gateway = started("b1 b2 b3 b4 b5 b6", max_attempts=5)
+    dead, tried, now = {"b1", "b2", "b3", "b4"}, [], 1.0
+    for n in range(400):
+        now += 0.05
+        actions = gateway.handle(now, request(f"r{n}", customer=f"c{n}"))
+        for attempt in range(5):
+            for send in sends(actions):
+                outcome = i.Outcome.CONNECT_FAILED if send.backend in dead else i.Outcome.OK
+                if outcome is not i.Outcome.OK:
+                    tried.append((now, attempt))
+                actions = gateway.handle(now, ended(send, outcome, attempt))
+        assert not of(actions, i.Refuse)
+    late = [attempt for at, attempt in tried if at > 2.0]
+    assert set(late) == {0}
+    assert len([at for at, _ in tried if at > 15.0]) <= 8  # one a second each would be twenty-four
+
+
 def test_one_that_turns_away_is_avoided_and_the_limit_stays() -> None:
     """Those that drained turned requests away at once: the limit fell from 8 to 1.7 on idle ones."""
     gateway = started("b1 b2 b3")
