lab.fleetlog adds up the logs of a fleet: who dialled what, noticed what, and too late

A damaged log is read as far as it goes and the report says so; a folder with nothing to read is one line and status 2. A line `starting NAME` tells when a life begins.

--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -309,6 +309,7 @@
     log = Log()
     try:
         config = load(os.environ, log)
+        log(f"starting {config.name}")
         loop = Loop(log)
         ingress = Ingress(config, loop, log)
     except ConfigError as error:
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -21,8 +21,8 @@
 FIRST_TURNED_AWAY, LAST_TURNED_AWAY = 1.0, 8.0
 SILENCE = 2.6  # seconds after which a watch counts as broken; an idle one says something every 2 s
 CONNECT_LIMIT = 1.0
-HEAD_LIMIT = 1.0
-# Where it doesn't, the call may stand in a line of all ingresses' calls: given up and repeated it only makes that
+HEAD_LIMIT = 1.0  # and without the head of an answer, which comes at once where nobody waits
+# Where it doesn't, the call may stand in a line of all ingresses' calls: given up and repeated it makes that
 # longer, so each is waited for twice as long as the one before, up to a time in which a list must not age.
 LONGEST_HEAD_LIMIT = 4.0
 MAX_LINE = 4 * 1024 * 1024
--- /dev/null
+++ b/tests/test_fleetlog.py
@@ -0,0 +1,77 @@
+"""The reader of a fleet's logs, on logs whose sums are known."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from lab.fleetlog import LogError, episodes, main, per_hop, per_second, read_fleet, tallied
+
+N0 = """1796148000.000 starting n0
+0.5 1796148000.500 ready n0 on 127.0.0.1:7001
+1796148002.000 end nexthop s-1 idle served=3 age=1.00
+1796148002.500 end nexthop s-1 connect_failed:ECONNREFUSED served=0 age=0.00
+1796148003.000 module: backend s-1 suspected: no answer for 1.20 s
+1796148004.000 module: backend s-1 answers again
+1796148004.200 end routes status:503 age=0.01
+1796148005.000 tally branch.ok=5 dials=4 refused.room=2
+"""
+N1 = """1796148001.000 starting n1
+1796148001.800 end nexthop s-1 broken:ECONNRESET served=2 age=0.30
+1796148003.500 module: backend s-2 suspected: connect_failed
+1796148004.500 module: backend s-2 suspected: connect_failed
+1796148005.500 module: backend s-1 suspected: reset
+1796148006.000 tally branch.ok=7 dials=1
+"""
+
+
+def write(folder: Path, **logs: str) -> Path:
+    for name, text in logs.items():
+        (folder / f"{name}.log").write_text(text)
+    return folder
+
+
+def test_the_sums_over_ingresses(tmp_path: Path) -> None:
+    fleet = read_fleet(write(tmp_path, n0=N0, n1=N1))
+    assert (fleet.files, fleet.faults) == (2, [])
+    seconds = {row["second"]: row for row in per_second(fleet).to_dicts()}
+    assert (seconds[0]["starting"], seconds[0]["ready"], seconds[1]["starting"]) == (1, 1, 1)
+    assert (seconds[2]["hop idle"], seconds[2]["hop connect_failed"], seconds[1]["hop broken"]) == (1, 1, 1)
+    assert (seconds[4]["routes status:503"], seconds[3]["suspect connect_failed"]) == (1, 1)
+    assert tallied(fleet).to_dicts() == [{"second": 5, "branch.ok": 12, "dials": 5, "refused.room": 2}]
+    hop = per_hop(fleet).to_dicts()[0]
+    assert hop == {
+        "hop": "s-1", "ingresses": 2, "connections": 3, "failed": 1, "served": 5, "unused": 0, "most_open": 2,
+    }  # fmt: skip
+
+
+def test_who_noticed_first_and_who_was_wrong(tmp_path: Path) -> None:
+    late = N1 + "1796148030.000 module: backend s-2 suspected: no answer for 2.00 s\n"
+    late += "1796148031.000 module: backend s-2 answers again\n"
+    found = episodes(read_fleet(write(tmp_path, n0=N0, n1=late))).to_dicts()
+    assert [(e["hop"], e["first"], e["last"], e["ingresses"], e["wrong"]) for e in found] == [
+        ("s-1", 3.0, 5.5, 2, False),  # another one said so too
+        ("s-2", 3.5, 3.5, 1, False),  # said twice by one, never taken back
+        ("s-2", 30.0, 30.0, 1, True),
+    ]
+
+
+def test_a_damaged_log_is_read_as_far_as_it_goes(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    write(tmp_path, n0=N0[:-30], n1="\0\0\x1b garbage\n" + N1 + "1796148009.000 tally odd=x =3 dials=9999\n")
+    assert main([str(tmp_path), "--csv", str(tmp_path / "csv")]) == 0
+    told = capsys.readouterr().out
+    assert "damaged: n0.log: cut off in its last line" in told
+    assert "damaged: n1.log: 1 of 8 lines can't be read" in told
+    assert sorted(path.name for path in (tmp_path / "csv").iterdir()) == [
+        "hops.csv", "per_second.csv", "suspicions.csv", "tally.csv",
+    ]  # fmt: skip
+
+
+def test_nothing_to_read_is_one_line_and_status_2(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    for folder in (tmp_path, tmp_path / "missing"):
+        assert main([str(folder)]) == 2
+        assert capsys.readouterr().err.count("\n") == 1
+    write(tmp_path, n0="noise\n")
+    with pytest.raises(LogError):
+        read_fleet(tmp_path)
