--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= .venv/bin/python
 
-.PHONY: build test lint run bench-tls
+.PHONY: build test lint run bench-tls bench-vast
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -18,6 +18,10 @@
 bench-tls:
 	$(PYTHON) -m lab.bench_tls
 
+# A fleet of 3 to 100 ingresses in simulated time.
+bench-vast:
+	$(PYTHON) -m lab.vast
+
 # One ingress on the operator's file.
 run:
 	exec $(PYTHON) -m standflow.cli run deploy/standflow.conf
--- /dev/null
+++ b/lab/vast.py
@@ -0,0 +1,205 @@
+"""A fleet of decision modules in simulated time: `make bench-vast`, and the properties in tests/test_vast.py.
+
+No sockets and no clock but the fleet's own. Next hops are modelled roughly (cores, a queue, cold starts,
+slow ones), enough to count what a fleet does to them. The same seed gives the same run.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from hoistfold import interface as i
+from hoistfold.brain import Gateway
+from lab.report import Report
+
+VIEW = i.RequestClass("view", 1.2, 4.5, 1.0, 0.0, i.Effect.SAFE, i.Scope.ALL, 15.0, False, 0.0)
+CHANGE = i.RequestClass("change", 3.0, 9.0, 5.0, 0.2, i.Effect.UNSAFE, i.Scope.ALL, 15.0, False, 0.0)
+PLAN = i.Plan("full", 7.5, 16.0, 0, 1.8, 0.3, 0.0, 0.0, 0.0, 0.0)
+WORK = {"view": 0.15, "change": 0.37}  # seconds of a core
+CORES = 2
+IDLE = 5.0  # seconds after which an idle connection is closed
+MESSAGE_DELAY = 0.01
+ROOMS = ("a", "b", "c")
+
+
+def settings(number: int, gateways: int, **changes: Any) -> i.Settings:
+    """What an ingress of such a fleet is told."""
+    values: dict[str, Any] = {
+        "number": number, "gateways": gateways, "zone": ROOMS[number % 3], "tick": 0.001,
+        "classes": (VIEW, CHANGE), "plans": (PLAN,), "pushed_discovery": True,
+        "size_hint": i.SizeHint.NOMINAL, "feedback": i.Feedback.NONE, "report_fields": (),
+        "may_cancel": True, "may_probe": True, "may_tell_peers": True, "second_copies": True,
+        "retry_after": True, "max_attempts": 5, "max_retry_after": 0.5, "dial_timeout": 0.25,
+        "max_units": 2.0, "units_settle": False, "peer_intake": 100.0, "ask_within": 10.0,
+        "cold_from": 0.15, "cold_time": 17.0, "drain_grace": 0.5, "fall_multiple": 4.0, "fall_window": 3.0,
+        "cross_zone_price": 0.0072, "waste_price": 0.058, "late_fail_price": 0.1, "probe_price": 0.08,
+        "peer_price": 0.02,
+    }  # fmt: skip
+    return i.Settings(**(values | changes))
+
+
+@dataclass(slots=True)
+class Box:
+    """A next hop: how fast it is and when its cores are free again."""
+
+    entry: i.BackendEntry
+    slow: float = 1.0
+    free: list[float] = field(default_factory=lambda: [0.0] * CORES)
+    got: list[tuple[float, float]] = field(default_factory=list)  # when, and seconds of work sent to it
+
+    def serve(self, now: float, work: float, from_: float, span: float) -> float:
+        """When an answer comes; a cold one rises evenly from a part of its speed."""
+        age = math.inf if self.entry.started is None else now - self.entry.started
+        speed = 1.0 if age >= span else from_ + (1 - from_) * max(0.0, age) / span
+        core = min(range(CORES), key=self.free.__getitem__)
+        self.free[core] = max(now, self.free[core]) + work * self.slow / speed
+        self.got.append((now, work))
+        return self.free[core]
+
+
+class Fleet:
+    """Gateways, their messages, their connections by count, and next hops."""
+
+    def __init__(self, gateways: int, backends: int, seed: int = 1, rate: float = 12.0) -> None:
+        self.random = random.Random(seed)
+        self.rate = rate  # requests a second at each gateway
+        self.now, self.serial, self.requests = 0.0, 0, 0
+        self.queue: list[tuple[float, int, int, i.Event | None]] = []
+        self.counts: Counter[str] = Counter()
+        self.spent = 0.0  # processor seconds in the modules
+        self.idle: dict[tuple[int, str], list[float]] = {}
+        self.sent: list[tuple[float, int, str]] = []
+        self.boxes: dict[str, Box] = {}
+        for n in range(backends):
+            self.add(f"b{n}", ROOMS[n % 3], None)
+        self.live = [Gateway(settings(n, gateways), seed * 1000 + n) for n in range(gateways)]
+        for number, gateway in enumerate(self.live):
+            self.carry(number, gateway.handle(0.0, i.Started()))
+            self.tell_list(number, i.ListKind.SAVED)
+            self.post(self.random.expovariate(self.rate), number, None)
+
+    def add(self, name: str, room: str, started: float | None) -> None:
+        """A next hop, warm where it started long ago."""
+        entry = i.BackendEntry(name, room, "small-2c", 0, i.Availability.ACTIVE, 1.5, started)
+        self.boxes[name] = Box(entry)
+
+    def tell_list(self, number: int, kind: i.ListKind = i.ListKind.FULL) -> None:
+        """The whole list, to one gateway."""
+        entries = tuple(box.entry for box in self.boxes.values())
+        self.carry(number, self.live[number].handle(self.now, i.BackendsListed(kind, entries)))
+
+    def post(self, delay: float, number: int, event: i.Event | None) -> None:
+        """An event for a gateway after a while; None is its next request."""
+        self.serial += 1
+        heapq.heappush(self.queue, (self.now + delay, self.serial, number, event))
+
+    def run(self, until: float) -> None:
+        """Plays the fleet up to a time."""
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, number, event = heapq.heappop(self.queue)
+            if event is None:
+                event = self.request(number)
+            began = time.process_time()
+            actions = self.live[number].handle(self.now, event)
+            self.spent += time.process_time() - began
+            self.carry(number, actions)
+        self.now = until
+
+    def request(self, number: int) -> i.RequestArrived:
+        """The next request at a gateway, of a customer whose set is half of the fleet."""
+        self.post(self.random.expovariate(self.rate), number, None)
+        self.requests += 1
+        size = max(1, len(self.live) // 2)
+        first = (number - self.random.randrange(size)) % len(self.live)
+        kind = CHANGE if self.random.random() < 0.18 else VIEW
+        customer = f"c{first}-{self.random.randrange(8)}"
+        return i.RequestArrived(
+            f"r{self.requests}", kind.name, "full", customer, kind.deadline, 1.0, size, first
+        )
+
+    def carry(self, number: int, actions: list[i.Action]) -> None:
+        """Carries out what a gateway decides."""
+        for action in actions:
+            if isinstance(action, i.Send):
+                self.send(number, action)
+            elif isinstance(action, i.TellPeer) and action.peer is not None:
+                self.counts["messages"] += 1
+                self.counts["bytes"] += len(action.content)
+                self.counts["longest"] = max(self.counts["longest"], len(action.content))
+                self.post(MESSAGE_DELAY, action.peer, i.PeerMessage(number, action.content))
+            elif isinstance(action, i.SetTimer):
+                self.post(action.delay, number, i.TimerFired(action.handle))
+            elif isinstance(action, i.Refuse):
+                self.counts["refused"] += 1
+
+    def send(self, number: int, action: i.Send) -> None:
+        """An attempt, on an idle connection where there is one."""
+        key = (number, action.backend)
+        ready = [until for until in self.idle.get(key, []) if until >= self.now]
+        if ready:
+            ready.pop()
+        else:
+            self.counts["dials"] += 1
+        self.idle[key] = ready
+        self.sent.append((self.now, number, action.backend))
+        gateway = self.live[number]
+        kind = gateway.requests[action.request].kind.name
+        work = self.random.expovariate(1 / WORK[kind])
+        done = self.boxes[action.backend].serve(self.now, work, 0.3, 11.0) + 0.002
+        attempt = len(gateway.requests[action.request].attempts) - 1
+        latency = done - self.now
+        late = latency > gateway.classes[kind].deadline
+        outcome = i.Outcome.TIMEOUT if late else i.Outcome.OK
+        latency = min(latency, gateway.classes[kind].deadline)
+        self.counts["late" if late else "served"] += 1
+        ended = i.AttemptEnded(action.request, action.backend, attempt, latency, outcome, True, 0.0, 0.0, ())
+        self.idle[key].append(self.now + latency + IDLE)
+        self.post(latency, number, ended)
+
+
+def avoided_after(fleet: Fleet, name: str, since: float, span: float) -> float:
+    """Seconds until nine in ten of those that use a next hop send it one request at most in three seconds."""
+    users = {number for at, number, hop in fleet.sent if hop == name and since - 5.0 <= at < since}
+    sent = [(at - since, number) for at, number, hop in fleet.sent if hop == name and at >= since]
+    for second in range(int(span) - 3):
+        window = Counter(number for at, number in sent if second <= at < second + 3)
+        if sum(window[number] > 1 for number in users) <= 0.1 * len(users):
+            return float(second)
+    return span
+
+
+def bench() -> int:
+    """`make bench-vast`: sizes from 3 to 100 in simulated time, each line with its bound."""
+    report = Report()
+    for gateways, backends in ((3, 10), (10, 20), (40, 60), (100, 150)):
+        rate = 0.55 * CORES * backends / gateways / 0.19  # 55% busy
+        fleet = Fleet(gateways, backends, rate=rate)
+        fleet.run(10.0)
+        name = f"vast.{gateways}x{backends}"
+        per = Counter(hop for _, hop in fleet.idle)  # ingresses that ever had a connection to it
+        sharers = gateways * fleet.live[0].reach / backends
+        requests, counts = fleet.requests, Counter(fleet.counts)
+        report.tell(f"{name}.dials", counts["dials"] / requests, "a-request", "<=0.15")
+        bound = f"<={math.ceil(sharers) + 2}"
+        report.tell(f"{name}.connections", max(per.values()), "ingresses-a-next-hop", bound)
+        told = counts["messages"] / gateways / 10.0
+        report.tell(f"{name}.messages", told, "a-second-to-each", "<=100")
+        report.tell(f"{name}.longest", counts["longest"], "bytes", "<=256")
+        report.tell(f"{name}.cpu", 1e6 * fleet.spent / requests, "us-a-request", "<=600")
+        report.tell(f"{name}.refused", counts["refused"] / requests, "of-requests", "<=0.02")
+        fleet.boxes["b1"].slow = 20.0
+        since = fleet.now
+        fleet.run(since + 15.0)
+        report.tell(f"{name}.bad-avoided", avoided_after(fleet, "b1", since, 15.0), "s", "<=8")
+    return report.status
+
+
+if __name__ == "__main__":
+    sys.exit(bench())
