--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -290,3 +291,32 @@
         text = running.process.stderr.read().decode()
         assert text.startswith(f"standflow: {key}")
         assert text.count("\n") == 1
+
+
+def test_a_list_of_thousands_and_settings_that_nobody_knows_are_borne() -> None:
+    members = [member(("127.0.0.1", 1)) | {"id": f"s-{n}"} for n in range(5000)]
+    raw = config(known={"revision": 1, "complete": True, "members": [*members, 7, {"id": ""}]})
+    raw["settings"] |= {"Unknown": {"Deep": [1]}, "Caps": raw["settings"]["Caps"] | {"NewKey": "x"}}
+    log: list[str] = []
+    loop = Loop(log.append)
+    ingress = Ingress(read(raw, log.append), loop, log.append)
+    assert sum("a member was passed over" in line for line in log) == 2
+    ingress.start()
+    assert len(ingress.next_hops.hops) == len(ingress.driver.module.order) == 5000
+    ingress.callers.ready = True
+    with socket.create_connection(ingress.callers.address) as leg:
+        leg.settimeout(LIMIT)
+        leg.sendall(
+            command("00000000000000aa")
+        )  # nobody listens there: every branch fails, one answer is given
+        turn_until(loop, lambda: any("connect_failed" in line for line in log))
+        turn_until(loop, lambda: ingress.tally.counts.get("answer.refused", 0) == 1)
+        assert read_until(leg, b"\r\n").startswith(b"-BUSY")
+    known = ingress.config.known
+    assert known is not None
+    ingress.next_hops.routes_told(replace(known, routes=()))
+    ingress.driver.routes_told(replace(known, routes=()))
+    assert not ingress.driver.module.backends
+    turn_until(loop, lambda: not ingress.next_hops.hops)
+    ingress.close()
+    loop.epoll.close()
