The quota counter's health: good, slow, a part gone, gone, emptied or disagreeing, and the log says so

Signs must last 0.5 s to enter a state and be absent for 2 s to leave it; slow from a mean of 60 ms until 40 ms. Names are bounded by what was asked in 3 s. The witness logs each change. So far it decides nothing: the modes and their bounds come next.

--- a/standflow/counter/witness.py
+++ b/standflow/counter/witness.py
@@ -11,6 +11,7 @@
 from standflow.config.model import WitnessOptions
 from standflow.counter.budget import Budget
 from standflow.counter.client import Client, Counted, How
+from standflow.counter.health import Health
 from standflow.counter.ledger import LIFE, Call, End, Ledger, Told
 from standflow.net.loop import Loop
 
@@ -32,6 +33,7 @@
         self.loop, self.log, self.options, self.told = loop, log, options, told
         self.client = Client(loop, log, address)
         self.ledger = Ledger()
+        self.health = Health()
         self.budget = Budget(options.calls, loop.now())
         # One offset for the whole run: steps of the wall clock must not reach the periods.
         self.offset = time.time() - time.monotonic()
@@ -52,15 +54,32 @@
     def _tick(self) -> None:
         self.loop.call_later(self.options.every, self._tick)
         now = self.loop.now()
+        before = self.health.state
+        if self.health.look(now) is not None:
+            failing, known = len(self.health.failing()), len(self.health.names)
+            self.log(
+                f"counter: {before.value} -> {self.health.state.value} mean={1000 * self.health.mean:.0f}ms"
+                f" failing={failing}/{known} generation={self.health.generation}"
+            )
         for call in self.ledger.due(self._now(), self.budget.take(now), self.options.near):
             self.budget.spend()
             self.client.add(call.name, call.amount, LIFE, lambda end, call=call: self._ended(call, end))  # type: ignore[misc]
 
     def _ended(self, call: Call, counted: Counted) -> None:
+        now = self.loop.now()
+        if counted.how is How.ADDED:
+            self.health.answered(call.name, counted.took, now)
+        elif not counted.full:
+            self.health.failed(call.name, now)
         if counted.late:
             return  # the register is read after all that may still land; a late word is older than that
-        self.budget.ended(counted.full, self.loop.now())
+        self.budget.ended(counted.full, now)
+        emptied, excess = self.ledger.emptied, self.ledger.excess
         told = self.ledger.ended(call, ENDS[counted.how], counted.total, self._now())
+        if self.ledger.emptied > emptied:
+            self.health.fell(call.name, now)
+        if self.ledger.excess > excess:
+            self.health.rose(call.name, now)
         if told is not None:
             self.told(told)
 
--- a/tests/test_counter_program.py
+++ b/tests/test_counter_program.py
@@ -122,6 +122,7 @@
             one.signal(signal.SIGHUP)
             one.logged("reload: done")
         until(lambda: held(other, 0) == 2)  # the empty one is refilled by who knows
+        first.logged("counter: good -> emptied", 10.0)
         assert second.process.poll() is None
 
 
@@ -145,6 +146,15 @@
         first.logged("end counter silent", 10.0)
 
 
+def test_a_counter_that_is_gone_is_told_and_delays_no_answer(tmp_path: Path) -> None:
+    with Box() as box, Door(Store()) as door, pair(tmp_path, box, door) as (first, _):
+        assert served(first, 1, "a") == 1
+        until(lambda: held(door, 0) == 1)
+        door.close()
+        first.logged("counter: good -> gone", 10.0)
+        assert served(first, 1, "b") == 1
+
+
 def test_a_counter_that_turns_calls_away_is_asked_less_and_later_more_again() -> None:
     budget, now, made = Budget(100.0, 0.0), 0.0, 0
     for _ in range(100):
