Where all next hops are suspected, trials go on until one answers

Seen by a probe of the module (600 requests, every connection failing for 2 s): from then on not one branch is sent, at 3 ingresses and at 40, and all requests are refused for good, although every next hop is back. Ruled out: that the list clears it (it only does where a next hop restarts or leaves) and that pauses of trials are at fault (none is ever due to be looked at). Line at fault: brain._pressed: with nobody unsuspected the room is 0, `busy >= 0` holds, and every request is refused before a trial is considered. Now that is no pressure: trials go out at their own pace, one next hop's answer frees it. The test fails without the change.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -250,7 +250,8 @@
         # a late retry would make the others late too; what earns little for its work yields to the rest
         earns = {k.name: k.worth / self.base[k.name] for k in self.classes.values()}
         part = 0.4 if request.late else 0.7 + 0.3 * earns[request.kind.name] / max(earns.values())
-        return self.busy >= room * (SPARE if request.spare else part)
+        # where all are suspected no room is known: only trials tell that they are back
+        return bool(fit) and self.busy >= room * (SPARE if request.spare else part)
 
     def _warmth(self, backend: Backend) -> float:
         """The part of its capacity that a backend surely has by now."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -163,6 +163,20 @@
     assert len([at for at, _ in tried if at > 15.0]) <= 8  # one a second each would be twenty-four
 
 
+def test_when_all_were_suspected_they_are_tried_until_one_answers() -> None:
+    """Two seconds in which no connection came up, and an ingress refused everything for good."""
+    gateway, now, late = started("b1 b2 b3 b4 b5 b6", gateways=40), 1.0, 0
+    for n in range(600):
+        now += 0.05
+        actions, attempt = gateway.handle(now, request(f"r{n}", customer=f"c{n}")), 0
+        while some := sends(actions):
+            late += now > 12.0
+            outcome = i.Outcome.CONNECT_FAILED if now < 3.0 else i.Outcome.OK
+            actions, attempt = gateway.handle(now, ended(some[0], outcome, attempt)), attempt + 1
+    assert late > 350  # of 380
+    assert all(backend.suspect_since is None for backend in gateway.order)
+
+
 def test_one_that_turns_away_is_avoided_and_the_limit_stays() -> None:
     """Those that drained turned requests away at once: the limit fell from 8 to 1.7 on idle ones."""
     gateway = started("b1 b2 b3")
