Counted lines name next hops, fleetlog shows each over time, and weak tests are closed

Need: read again, the tool gave no branches and no open connections by next hop over time and no number of ingresses up; the log had neither. Change: a second line each 5 s, `hops ID=ok:5,open:2 ...`, the busiest hundred; dials told apart by whether the others to that next hop were busy; fleetlog prints both, `--hop ID` for one alone. A program's own log is read back by the tool in a test.

--- a/lab/fleetlog.py
+++ b/lab/fleetlog.py
@@ -10,6 +10,7 @@
 import argparse
 import re
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -31,6 +32,7 @@
         "age": pl.Float64, "served": pl.Int64,
     },
     "tallies": {"t": pl.Float64, "ingress": pl.String, "name": pl.String, "number": pl.Int64},
+    "hops": {"t": pl.Float64, "ingress": pl.String, "hop": pl.String, "name": pl.String, "number": pl.Int64},
     "suspicions": {"t": pl.Float64, "ingress": pl.String, "hop": pl.String, "why": pl.String},
     "again": {"t": pl.Float64, "ingress": pl.String, "hop": pl.String},
     "lives": {"t": pl.Float64, "ingress": pl.String, "state": pl.String},
@@ -49,6 +51,14 @@
     files: int
     faults: list[str] = field(default_factory=list)
 
+    def only(self, hop: str) -> Fleet:
+        """What concerns one next hop."""
+        kept = {
+            name: table.filter(pl.col("hop") == hop) if "hop" in table.columns else table.clear()
+            for name, table in self.tables.items()
+        }
+        return Fleet(kept, self.files, self.faults)
+
 
 def read_fleet(folder: Path) -> Fleet:
     """Reads every *.log of a folder; LogError where there is none or none has a line."""
@@ -91,6 +101,11 @@
             count = COUNT.match(word)
             if count is not None:
                 rows["tallies"].append((at, ingress, count[1], int(count[2])))
+    elif text.startswith("hops "):
+        for hop, _, counts in (word.partition("=") for word in text.split()[1:]):
+            for name, _, number in (one.partition(":") for one in counts.split(",")):
+                if number.isdigit():
+                    rows["hops"].append((at, ingress, hop, name, int(number)))
     elif (end := END.match(text)) is not None:
         age, served = AGE.search(end[5]), SERVED.search(end[5])
         figures = (float(age[1]) if age else 0.0, int(served[1]) if served else 0)
@@ -105,10 +120,15 @@
 
 
 def per_second(fleet: Fleet, width: int = 1) -> pl.DataFrame:
-    """Over all ingresses and so many seconds: connections by how they ended, watches, lives, suspicions."""
+    """Over all ingresses and so many seconds: connections dialled and ended, watches, lives, suspicions.
+
+    Dials are those whose end was logged; `dials.*` of the tally lines has them all.
+    """
     ends = fleet.tables["ends"]
+    hops = ends.filter(pl.col("side") == "nexthop")
     parts = [
-        ends.filter(pl.col("side") == "nexthop").select("t", name=pl.lit("hop ") + _family(pl.col("reason"))),
+        hops.select(t=pl.col("t") - pl.col("age"), name=pl.lit("dial")),
+        hops.select("t", name=pl.lit("hop ") + _family(pl.col("reason"))),
         ends.filter(pl.col("side") == "routes").select(
             "t", name=pl.lit("routes ") + _family(pl.col("reason"))
         ),
@@ -123,6 +143,34 @@
     return _spread(fleet.tables["tallies"].select("t", "name", "number"), width)
 
 
+def hop_seconds(fleet: Fleet, width: int = 5) -> pl.DataFrame:
+    """Branches by outcome and connections open, of each next hop, over all ingresses and so many seconds."""
+    told = fleet.tables["hops"]
+    if told.is_empty():
+        return pl.DataFrame()
+    slots = told.with_columns(second=(pl.col("t") // width).cast(pl.Int64) * width)
+    # an ingress that says twice in a slot what is open, as at its end, has not opened it twice
+    last = (pl.col("name") != "open") | pl.struct("second", "hop", "name", "ingress").is_last_distinct()
+    summed = slots.filter(last).group_by("second", "hop", "name").agg(pl.col("number").sum()).sort("name")
+    table = summed.pivot("name", index=["second", "hop"], values="number").fill_null(0)
+    return table.sort("second", "hop")
+
+
+def ups(fleet: Fleet) -> pl.DataFrame:
+    """How many ingresses are starting and how many are up, after each of their lines about it.
+
+    One that was killed counts as what it was until it starts again: its log can't tell.
+    """
+    before = pl.col("state").shift(1).over("ingress")
+    steps = [
+        ((pl.col("state") == word).cast(pl.Int64) - (before == word).fill_null(False).cast(pl.Int64))
+        .cum_sum()
+        .alias(name)
+        for name, word in (("starting", "starting"), ("up", "ready"))
+    ]
+    return fleet.tables["lives"].sort("t").select("t", *steps)
+
+
 def _family(reason: pl.Expr) -> pl.Expr:
     """connect_failed:ECONNREFUSED and its like, without the number of the error."""
     return reason.str.replace(r"^(connect_failed|broken):.*$", "$1")
@@ -185,26 +233,27 @@
     )
 
 
+TABLES: dict[str, tuple[str, Callable[[Fleet], pl.DataFrame]]] = {
+    "per_second": ("Per second, all ingresses:", per_second),
+    "tally": ("Tally lines, per 5 s, all ingresses:", tallied),
+    "up": ("Ingresses starting and up:", ups),
+    "hops": ("Next hops, those with most connections first:", per_hop),
+    "hop_seconds": ("Branches and open connections by next hop, per 5 s:", hop_seconds),
+    "suspicions": ("Suspicions; wrong are those of one ingress alone, taken back at once:", episodes),
+}
+
+
 def report(fleet: Fleet, rows: int) -> str:
     """All tables as text, the longest cut to so many rows."""
-    dials = fleet.tables["tallies"].filter(pl.col("name") == "dials")["number"].sum()
+    dials = pl.col("name").str.starts_with("dials.")
+    dialled = fleet.tables["tallies"].filter(dials)["number"].sum()
     ended = fleet.tables["ends"].filter(pl.col("side") == "nexthop").height
-    found, hops = episodes(fleet), per_hop(fleet)
-    parts = [f"{fleet.files} logs"]
-    parts += [f"damaged: {fault}" for fault in fleet.faults]
-    parts += ["", "Per second, all ingresses:", _text(per_second(fleet), rows)]
-    parts += ["", "Tally lines, per 5 s, all ingresses:", _text(tallied(fleet), rows)]
-    parts += [
-        "",
-        f"{dials} dials counted, {ended} ends logged: the rest was open, or lost with a killed ingress.",
-    ]
-    parts += [f"Next hops ({hops.height}, those with most connections first):", _text(hops, rows)]
-    wrong = int(found["wrong"].sum()) if found.height else 0
-    parts += [
-        "",
-        f"Suspicions: {found.height} episodes, {wrong} of one ingress alone and taken back at once:",
-    ]
-    parts += [_text(found, rows)]
+    parts = [f"{fleet.files} logs", *(f"damaged: {fault}" for fault in fleet.faults)]
+    parts.append(
+        f"{dialled} dials counted, {ended} ends logged: the rest is open, or lost with a killed ingress."
+    )
+    for title, table in TABLES.values():
+        parts += ["", title, _text(table(fleet), rows)]
     return "\n".join(parts)
 
 
@@ -228,6 +277,7 @@
     parser = argparse.ArgumentParser(prog="lab.fleetlog", description="The logs of a fleet, added up.")
     parser.add_argument("folder", type=Path, help="a folder with one NAME.log an ingress")
     parser.add_argument("--rows", type=int, default=40, help="rows of a table at most (40)")
+    parser.add_argument("--hop", help="only what concerns this next hop")
     parser.add_argument("--csv", type=Path, help="a folder for the tables, whole, as CSV")
     given = parser.parse_args(words)
     try:
@@ -235,12 +285,12 @@
     except LogError as error:
         sys.stderr.write(f"fleetlog: {error}\n")
         return 2
+    fleet = fleet.only(given.hop) if given.hop else fleet
     print(report(fleet, given.rows))
     if given.csv is not None:
         given.csv.mkdir(parents=True, exist_ok=True)
-        tables = {"per_second": per_second(fleet), "tally": tallied(fleet), "hops": per_hop(fleet)}
-        for name, table in (tables | {"suspicions": episodes(fleet)}).items():
-            table.write_csv(given.csv / f"{name}.csv")
+        for name, (_, table) in TABLES.items():
+            table(fleet).write_csv(given.csv / f"{name}.csv")
     return 0
 
 
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -77,6 +77,7 @@
             settings.number,
             settings.max_units,
             self.tally,
+            self.tally.branch,
         )
         self.tls = self._make_tls()
         make: dict[str, Any] = {} if self.tls is None else {"make": self.tls.make}
@@ -91,6 +92,7 @@
             **make,
         )
         self.exchange.next_hops = self.next_hops
+        self.tally.open = self.next_hops.open_connections
         self.routes: Routes | None = None
         if config.discovery is not None:
             self.routes = Routes(
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -29,7 +29,6 @@
     MOOT = "moot"
 
 
-COUNTED = {outcome: f"branch.{outcome.value}" for outcome in Outcome}
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 
 
@@ -199,8 +198,9 @@
         number: int = 0,
         max_units: float = math.inf,
         tally: Callable[[str], None] = lambda name: None,
+        branch_counted: Callable[[str, str], None] = lambda hop, outcome: None,
     ) -> None:
-        self.loop, self.log, self.tally = loop, log, tally
+        self.loop, self.log, self.tally, self.branch_counted = loop, log, tally, branch_counted
         self.classes, self.plans = classes, plans  # classes: by name, true where safe to repeat
         self.max_branches, self.max_open = max_branches, max_open
         self.ingresses, self.number, self.max_units = ingresses, number, max_units
@@ -316,7 +316,7 @@
             return
         transaction = branch.transaction
         branch.ended = result.outcome
-        self.tally(COUNTED[result.outcome])
+        self.branch_counted(branch.hop, result.outcome.value)
         if branch.timer is not None:
             branch.timer.cancel()
         transaction.out -= 1
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -319,6 +319,13 @@
 
         self._carry(name, errand)
 
+    def open_connections(self) -> dict[str, int]:
+        """Connections that are up, by next hop."""
+        up = {
+            name: sum(one.up for one in hop.connections) for name, hop in self.hops.items() if hop.connections
+        }
+        return {name: number for name, number in up.items() if number}
+
     def close_idle(self, name: str) -> None:
         """Closes the idle connections to a next hop."""
         if name in self.hops:
@@ -360,7 +367,7 @@
         except OSError as error:  # no descriptor left: the command was never written
             self.log(f"nexthop: no socket: {error}")
             return False
-        self.tally("dials")
+        self.tally("dials.busy" if hop.connections else "dials.first")
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.stream = self.make(hop.route, connection.sock)
         if errand is not None:
--- a/standflow/tally.py
+++ b/standflow/tally.py
@@ -1,24 +1,32 @@
-"""Counted things: one line every few seconds in place of a line an event."""
+"""Counted things: a line or two every few seconds in place of a line an event."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from standflow.net.loop import Loop
 
 EVERY = 5.0  # seconds between lines
+MOST_HOPS = 100  # next hops on a line, the busiest; a line of the log holds 8,000 bytes
 
 
 class Tally:
-    """Counts by name since the last line; names come from code, never from outside, so they are few."""
+    """Counts since the last lines, by names from the code and next hops of the route set: they are few."""
 
     def __init__(self, loop: Loop, log: Callable[[str], None]) -> None:
         self.loop, self.log = loop, log
         self.counts: dict[str, int] = {}
+        self.hops: dict[str, dict[str, int]] = {}  # branches, by next hop and outcome
+        self.open: Callable[[], Mapping[str, int]] = dict  # connections that are up now, by next hop
 
-    def __call__(self, name: str, number: int = 1) -> None:
+    def __call__(self, name: str) -> None:
         """Counts something."""
-        self.counts[name] = self.counts.get(name, 0) + number
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def branch(self, hop: str, outcome: str) -> None:
+        """Counts a branch that ended."""
+        ended = self.hops.setdefault(hop, {})
+        ended[outcome] = ended.get(outcome, 0) + 1
 
     def serve(self) -> None:
         """Writes what was counted, now and again and again."""
@@ -26,7 +34,19 @@
         self.flush()
 
     def flush(self) -> None:
-        """One line with what was counted since the last; none where there was nothing."""
-        if self.counts:
-            self.log("tally " + " ".join(f"{name}={number}" for name, number in sorted(self.counts.items())))
-            self.counts.clear()
+        """What was counted since the last lines, and what is open; none where there is nothing."""
+        counts, hops = self.counts, self.hops
+        self.counts, self.hops = {}, {}
+        for ended in hops.values():
+            for outcome, number in ended.items():
+                counts[f"branch.{outcome}"] = counts.get(f"branch.{outcome}", 0) + number
+        if counts:
+            self.log("tally " + " ".join(f"{name}={number}" for name, number in sorted(counts.items())))
+        for hop, number in self.open().items():
+            hops.setdefault(hop, {})["open"] = number
+        busiest = sorted(hops, key=lambda hop: (-sum(hops[hop].values()), hop))[:MOST_HOPS]
+        if busiest:
+            words = (
+                ",".join(f"{name}:{number}" for name, number in sorted(hops[hop].items())) for hop in busiest
+            )
+            self.log("hops " + " ".join(f"{hop}={word}" for hop, word in zip(busiest, words, strict=True)))
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -18,6 +18,7 @@
 from standflow.net.loop import IN, Coroutine
 from standflow.net.peers import Peers
 from standflow.net.routes import LONGEST_HEAD_LIMIT, RouteError, Routes, read_routes, zone_of
+from standflow.tally import MOST_HOPS, Tally
 from tests.test_legs import Recorder
 from tests.wire import config, listener, read_until, turn_until
 
@@ -127,7 +128,9 @@
             sock.bind(("127.0.0.1", 0))
             sock.settimeout(20)
         known = (("127.0.0.1", 1), peer.getsockname())
-        peers = Peers(at.loop, at.log.append, ("127.0.0.1", 0), known, None, 0, lambda *m: got.append(m))
+        count: list[str] = []
+        told = lambda *m: got.append(m)  # noqa: E731
+        peers = Peers(at.loop, at.log.append, ("127.0.0.1", 0), known, None, 0, told, count.append)
         stranger.sendto(b"no", peers.address)
         peer.sendto(b"x" * 257, peers.address)
         peer.sendto(b"x" * 256, peers.address)
@@ -138,6 +141,23 @@
         peers.tell(9, b"lost")
         peers.tell(None, b"all")
         assert peer.recv(300) == b"all"
+        assert count == ["peers.dropped", "peers.dropped", "peers.in", "peers.out"]
+    at.close()
+
+
+def test_counted_lines_hold_what_came_since_the_last_and_the_busiest_next_hops() -> None:
+    at = Recorder()
+    tally = Tally(at.loop, at.log.append)
+    tally("taken")
+    tally.branch("s-1", "ok")
+    tally.open = lambda: {"s-1": 2}
+    tally.flush()
+    tally.flush()
+    assert at.log == ["tally branch.ok=1 taken=1", "hops s-1=ok:1,open:2", "hops s-1=open:2"]
+    tally.open = lambda: {f"s-{n}": n for n in range(1, 5000)}
+    tally.flush()
+    assert len(at.log[-1].split()) == 1 + MOST_HOPS
+    assert at.log[-1].startswith("hops s-4999=open:4999 ")
     at.close()
 
 
@@ -160,7 +180,9 @@
         assert waits() <= 1.5  # an agent that is there answers at once
         line = b'{"revision": 8, "complete": true, "members": []}\n'
         sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(line), line))
+        routes.patience = routes.turned_away = 4.0
         turn_until(at.loop, lambda: told[-1] == 8)
+        assert (routes.patience, routes.turned_away) == (1.0, 0.0)  # it is there again
         assert 2.0 < waits() <= 3.0  # a sign of life is due every 2 s
         turn_until(at.loop, lambda: any("end routes silent" in line for line in at.log))
         assert routes.patience == 2.0  # the next is waited for longer, it may stand in a line
--- a/tests/test_fleetlog.py
+++ b/tests/test_fleetlog.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lab.fleetlog import LogError, episodes, main, per_hop, per_second, read_fleet, tallied
+from lab.fleetlog import LogError, episodes, hop_seconds, main, per_hop, per_second, read_fleet, tallied, ups
 
 N0 = """1796148000.000 starting n0
 0.5 1796148000.500 ready n0 on 127.0.0.1:7001
@@ -15,14 +15,17 @@
 1796148003.000 module: backend s-1 suspected: no answer for 1.20 s
 1796148004.000 module: backend s-1 answers again
 1796148004.200 end routes status:503 age=0.01
-1796148005.000 tally branch.ok=5 dials=4 refused.room=2
+1796148005.000 tally branch.ok=5 dials.first=4 refused.room=2
+1796148005.100 hops s-1=ok:3,open:2 s-2=ok:2
+1796148006.000 hops s-1=open:1
 """
 N1 = """1796148001.000 starting n1
 1796148001.800 end nexthop s-1 broken:ECONNRESET served=2 age=0.30
 1796148003.500 module: backend s-2 suspected: connect_failed
 1796148004.500 module: backend s-2 suspected: connect_failed
 1796148005.500 module: backend s-1 suspected: reset
-1796148006.000 tally branch.ok=7 dials=1
+1796148006.000 tally branch.ok=7 dials.first=1
+1796148006.000 hops s-1=full:1,ok:7,open:4
 """
 
 
@@ -39,7 +42,11 @@
     assert (seconds[0]["starting"], seconds[0]["ready"], seconds[1]["starting"]) == (1, 1, 1)
     assert (seconds[2]["hop idle"], seconds[2]["hop connect_failed"], seconds[1]["hop broken"]) == (1, 1, 1)
     assert (seconds[4]["routes status:503"], seconds[3]["suspect connect_failed"]) == (1, 1)
-    assert tallied(fleet).to_dicts() == [{"second": 5, "branch.ok": 12, "dials": 5, "refused.room": 2}]
+    assert tallied(fleet).to_dicts() == [{"second": 5, "branch.ok": 12, "dials.first": 5, "refused.room": 2}]
+    assert hop_seconds(fleet).to_dicts()[0] == {"second": 5, "hop": "s-1", "full": 1, "ok": 10, "open": 5}
+    assert [(row["starting"], row["up"]) for row in ups(fleet).to_dicts()] == [(1, 0), (0, 1), (1, 1)]
+    assert fleet.only("s-2").tables["ends"].is_empty()
+    assert len(hop_seconds(fleet.only("s-2"))) == 1
     hop = per_hop(fleet).to_dicts()[0]
     assert hop == {
         "hop": "s-1", "ingresses": 2, "connections": 3, "failed": 1, "served": 5, "unused": 0, "most_open": 2,
@@ -58,13 +65,17 @@
 
 
 def test_a_damaged_log_is_read_as_far_as_it_goes(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    write(tmp_path, n0=N0[:-30], n1="\0\0\x1b garbage\n" + N1 + "1796148009.000 tally odd=x =3 dials=9999\n")
+    write(
+        tmp_path,
+        n0=N0[:-30] + "1796148005.2 hops s-1 =ok: s-3=ok:x,",
+        n1="\0\0\x1b garbage\n" + N1 + "1796148009.000 tally odd=x =3 dials.first=9999\n",
+    )
     assert main([str(tmp_path), "--csv", str(tmp_path / "csv")]) == 0
     told = capsys.readouterr().out
     assert "damaged: n0.log: cut off in its last line" in told
-    assert "damaged: n1.log: 1 of 8 lines can't be read" in told
+    assert "damaged: n1.log: 1 of 9 lines can't be read" in told
     assert sorted(path.name for path in (tmp_path / "csv").iterdir()) == [
-        "hops.csv", "per_second.csv", "suspicions.csv", "tally.csv",
+        "hop_seconds.csv", "hops.csv", "per_second.csv", "suspicions.csv", "tally.csv", "up.csv",
     ]  # fmt: skip
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from hypothesis import given
 from hypothesis import settings as how
 from hypothesis import strategies as st
 
+from standflow.config.model import WitnessOptions
+from standflow.counter.client import Counted, How
 from standflow.counter.health import ENTER, HEARD, LEAVE, NAMES, Health, State
+from standflow.counter.witness import Witness
 
 TEN = [f"n{n}" for n in range(10)]
 
@@ -39,8 +44,8 @@
 
 def test_a_counter_that_hovers_at_its_limit_does_not_flap() -> None:
     health, entered = Health(), []
-    for turn in range(40):
-        entered += play(health, turn, 1, took=0.07 if turn % 2 else 0.05)
+    for turn in range(20):
+        entered += play(health, 3 * turn, 3, took=0.07 if turn % 2 else 0.05)
     assert entered == [State.SLOW]
 
 
@@ -67,6 +72,22 @@
     assert health.generation == 1
 
 
+def test_the_witness_passes_on_what_totals_show() -> None:
+    clock, log = [1000.0], list[str]()
+    loop = SimpleNamespace(now=lambda: clock[0], call_later=lambda *_: None)
+    witness = Witness(loop, log.append, WitnessOptions(100.0, 0.05, 0.0), ("127.0.0.1", 1), lambda told: None)  # type: ignore[arg-type]
+    witness.offset, witness.client = 0.0, SimpleNamespace(add=lambda *_: None)  # type: ignore[assignment]
+    for total in (0, 400, 450, 350):  # read, written, then above and below what its only writer put there
+        witness.noted(b"k", 2, 0, 4, 0.0, 1.0)
+        for call in witness.ledger.due(clock[0], 10, 0.0):
+            witness._ended(call, Counted(How.ADDED, float(total) if call.place == 0 else 0.0, 0.01))
+        clock[0] += 1.1
+    witness._tick()
+    clock[0] += ENTER
+    witness._tick()
+    assert [line.split(" mean")[0] for line in log] == ["counter: good -> disagreeing"]
+
+
 def test_what_is_not_asked_tells_nothing_and_names_are_bounded() -> None:
     health = Health()
     play(health, 0, 5, failing=10)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,11 +3,14 @@
 import json
 import signal
 import socket
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 
+import polars as pl
 import pytest
 
+from lab.fleetlog import read_fleet
 from standflow.__main__ import Ingress
 from standflow.config import read
 from standflow.net.loop import Loop
@@ -293,6 +296,38 @@
         assert text.count("\n") == 1
 
 
+def test_the_counted_lines_say_what_an_ingress_did(tmp_path: Path) -> None:
+    """Read as whoever adds up a fleet reads them."""
+    with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
+        caller = running.call()
+        caller.sendall(command("aa01"))
+        at_hop = accepted(hop)
+        read_until(at_hop, b"first=0\r\n")
+        at_hop.sendall(VALUE)
+        assert read_until(caller, b"l\r\n") == ANSWER
+        at_hop.close()
+        hop.close()
+        caller.sendall(command("aa02"))  # nobody is there any more
+        assert read_until(caller, b"\r\n").startswith(b"-BUSY")
+        caller.close()
+        running.terminate()
+        running.logged("stopped")
+    (tmp_path / "n0.log").write_text(running.log)
+    fleet = read_fleet(tmp_path)
+    assert [row["state"] for row in fleet.tables["lives"].to_dicts()] == ["starting", "ready", "stopping"]
+    counts = Counter[str]()
+    for row in fleet.tables["tallies"].to_dicts():  # five seconds may end within
+        counts[row["name"]] += row["number"]
+    assert {name: number for name, number in counts.items() if not name.startswith("routes.")} == {
+        "taken": 2, "answer.served": 1, "answer.refused": 1, "refused.again": 1,
+        "branch.ok": 1, "branch.connect_failed": 1, "dials.first": 2,
+    }  # fmt: skip
+    hops = fleet.tables["hops"].filter(pl.col("name") != "open").to_dicts()
+    assert sorted((row["hop"], row["name"], row["number"]) for row in hops) == [
+        ("s-1", "connect_failed", 1), ("s-1", "ok", 1),
+    ]  # fmt: skip
+
+
 def test_a_list_of_thousands_and_settings_that_nobody_knows_are_borne() -> None:
     members = [member(("127.0.0.1", 1)) | {"id": f"s-{n}"} for n in range(5000)]
     raw = config(known={"revision": 1, "complete": True, "members": [*members, 7, {"id": ""}]})
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -106,7 +106,7 @@
 
 def test_forty_gateways_share_sixty_backends_evenly_and_move_little() -> None:
     """All worked with all: each met a bad one alone, and dialled two thousand idle connections."""
-    names = [f"b{n}" for n in range(60)]
+    names, far = [f"b{n}" for n in range(60)], 0
     entries = [backend(name, zone="abc"[n % 3]) for n, name in enumerate(names)]
     before: dict[int, set[str]] = {}
     uses: Counter[str] = Counter()
@@ -122,7 +122,8 @@
         gateway.handle(1.0, listed(*(e for e in entries if e.backend != "b7"), kind=i.ListKind.FULL))
         after = {b.entry.backend for b in gateway._nearest()}
         assert len(after - before[number]) <= 2
-    assert set(uses) == set(names)
+        far += not before[number] & before.get(number - 1, set())
+    assert far >= 35  # neighbours serve the same customers, so they work with others
     assert max(uses.values()) - min(uses.values()) <= 1
 
 
@@ -207,7 +208,7 @@
     before = gateway.limit
     for n in range(300):
         for send in sends(gateway.handle(1.0 + n, request(f"r{n}", customer=f"c{n}"))):
-            gateway.handle(1.9 + n, ended(send, i.Outcome.OK, latency=0.9 if n % 5 == 0 else 0.1))
+            gateway.handle(1.9 + n, ended(send, i.Outcome.OK, latency=0.9 if n % 3 else 0.1))
     assert gateway.limit >= before
     burst = [gateway.handle(400.0, request(f"b{n}", customer=f"b{n}")) for n in range(40)]
     for send in [send for actions in burst for send in sends(actions)]:
--- a/tests/test_vast.py
+++ b/tests/test_vast.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import random
 from collections import Counter
 from dataclasses import replace
 
@@ -42,26 +41,21 @@
     reach = min(count, max(CHOICES, math.ceil(SHARERS / gateways * count)))
     assert sum(uses.values()) == gateways * reach
     assert set(uses) == set(names)
-    if names:
-        assert (
-            max(uses.values()) - min(uses.values())
-            <= math.ceil(reach * gateways / count) - (reach * gateways // count) + 1
-        )
+    assert max(uses.values(), default=0) - min(uses.values(), default=0) <= 1
 
 
 @how(max_examples=15, deadline=None, derandomize=True)
-@given(st.integers(2, 100), st.integers(20, 200), st.randoms(use_true_random=False))
-def test_a_join_or_a_loss_moves_few(gateways: int, count: int, chance: random.Random) -> None:
+@given(st.integers(1, 100), st.integers(2, 200), st.integers(0, 199))
+def test_a_join_or_a_loss_moves_few(gateways: int, count: int, lost: int) -> None:
     names = [f"b{n}" for n in range(count)]
-    without = [name for name in names if name != chance.choice(names)]
-    moved = kept = 0
+    without = [name for name in names if name != f"b{lost % count}"]
+    joins = losses = 0
     for number in range(gateways):
-        before, after = near(told(gateways, names, number)), near(told(gateways, without, number))
-        moved += len(after - before)
-        kept += len(after)
-    # what the lost one carried, and as much again for those at whose ends the ring shifts
-    assert moved <= 0.5 * kept
-    assert moved <= 2.5 * gateways
+        more, fewer = near(told(gateways, names, number)), near(told(gateways, without, number))
+        joins, losses = joins + len(more - fewer), losses + len(fewer - more)
+    # what the one itself carried, and one more at an end of each ring, where rooms may take turns anew
+    carried = gateways * len(more) / count
+    assert losses <= joins <= carried + 1.5 * gateways + 1
 
 
 @pytest.mark.parametrize("gateways", [1, 3, 40, 100])
@@ -73,12 +67,11 @@
     for n in range(count * 6 // 10):
         del fleet.boxes[f"b{n}"]
         fleet.add(f"new{n}", "abc"[n % 3], fleet.now)
-    old = {name: box for name, box in fleet.boxes.items()}
     for number in range(gateways):
         fleet.tell_list(number)
     fleet.run(14.0)
-    cold = [box for name, box in old.items() if name.startswith("new")]
-    assert sum(len(box.got) for box in cold) > 0
+    cold = [box for name, box in fleet.boxes.items() if name.startswith("new")]
+    assert all(box.got for box in cold)  # none is left out either
     for box in cold:
         assert box.entry.started is not None
         for start in {at for at, _ in box.got}:
