Absurd numbers of ingresses are refused by name, and a weight that bought nothing is gone

Seen by a probe of configurations: Balancers ended in a MemoryError after 3.7 s (a place is kept for each peer), and NaN or 1e999, which json reads, were taken for a PeerIntake or a rate. Ruled out: 0, negative and fractional values, which are named or borne. Now a start with more than 10,000 ingresses or with no finite number ends with one line naming the key, status 2; both cases fail without the change.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -231,9 +231,7 @@
         far = self.settings.cross_zone_price * (backend.entry.zone != self.settings.zone)
         tried = 1 + 3 * any(attempt.backend is backend for attempt in request.attempts)
         chance = math.pow(self.random.expovariate(1.0), max(0.1, 1 - 4 / self.sharers))
-        warmth = self._warmth(backend)
-        part = 1.0 if warmth == 1 else max(1.0, warmth * self.sharers)  # its credit is the limit, so use it
-        load = tried * self._stretch(backend) * (backend.out + 1) / (backend.entry.size * part)
+        load = tried * self._stretch(backend) * (backend.out + 1) / backend.entry.size
         return load * (1 + 5 * far) * chance
 
     def _stretch(self, backend: Backend) -> float:
--- a/lab/vast.py
+++ b/lab/vast.py
@@ -67,8 +67,10 @@
 class Fleet:
     """Gateways, their messages, their connections by count, and next hops."""
 
-    def __init__(self, gateways: int, backends: int, seed: int = 1, rate: float = 12.0) -> None:
-        self.random = random.Random(seed)
+    def __init__(
+        self, gateways: int, backends: int, seed: int = 1, rate: float = 12.0, fast: float = 1.0
+    ) -> None:
+        self.random, self.fast = random.Random(seed), fast  # fast: times the speed of the next hops
         self.rate = rate  # requests a second at each gateway
         self.now, self.serial, self.requests = 0.0, 0, 0
         self.queue: list[tuple[float, int, int, i.Event | None]] = []
@@ -76,6 +78,7 @@
         self.spent = 0.0  # processor seconds in the modules
         self.idle: dict[tuple[int, str], list[float]] = {}
         self.sent: list[tuple[float, int, str]] = []
+        self.taken: dict[int, tuple[int, int]] = {}
         self.boxes: dict[str, Box] = {}
         for n in range(backends):
             self.add(f"b{n}", ROOMS[n % 3], None)
@@ -133,12 +136,23 @@
                 self.counts["messages"] += 1
                 self.counts["bytes"] += len(action.content)
                 self.counts["longest"] = max(self.counts["longest"], len(action.content))
-                self.post(MESSAGE_DELAY, action.peer, i.PeerMessage(number, action.content))
+                self.deliver(number, action)
             elif isinstance(action, i.SetTimer):
                 self.post(action.delay, number, i.TimerFired(action.handle))
             elif isinstance(action, i.Refuse):
                 self.counts["refused"] += 1
 
+    def deliver(self, sender: int, action: i.TellPeer) -> None:
+        """A message to one gateway, which takes in so many in a second and loses the rest."""
+        assert action.peer is not None
+        second, taken = self.taken.get(action.peer, (0, 0))
+        taken = taken + 1 if second == int(self.now) else 1
+        self.taken[action.peer] = int(self.now), taken
+        if taken > self.live[action.peer].settings.peer_intake:
+            self.counts["lost"] += 1
+        else:
+            self.post(MESSAGE_DELAY, action.peer, i.PeerMessage(sender, action.content))
+
     def send(self, number: int, action: i.Send) -> None:
         """An attempt, on an idle connection where there is one."""
         key = (number, action.backend)
@@ -151,7 +165,7 @@
         self.sent.append((self.now, number, action.backend))
         gateway = self.live[number]
         kind = gateway.requests[action.request].kind.name
-        work = self.random.expovariate(1 / WORK[kind])
+        work = self.random.expovariate(1 / WORK[kind]) / self.fast
         done = self.boxes[action.backend].serve(self.now, work, 0.3, 11.0) + 0.002
         attempt = len(gateway.requests[action.request].attempts) - 1
         latency = done - self.now
@@ -194,10 +208,16 @@
         report.tell(f"{name}.longest", counts["longest"], "bytes", "<=256")
         report.tell(f"{name}.cpu", 1e6 * fleet.spent / requests, "us-a-request", "<=600")
         report.tell(f"{name}.refused", counts["refused"] / requests, "of-requests", "<=0.02")
+        report.tell(f"{name}.lost", counts["lost"] / max(1, counts["messages"]), "of-messages", "<=0.01")
         fleet.boxes["b1"].slow = 20.0
         since = fleet.now
         fleet.run(since + 15.0)
         report.tell(f"{name}.bad-avoided", avoided_after(fleet, "b1", since, 15.0), "s", "<=8")
+    for times in (3, 6):  # as many requests at next hops as fast: where messages give
+        fleet = Fleet(40, 60, rate=times * 8.7, fast=times)
+        fleet.run(6.0)
+        lost = fleet.counts["lost"] / fleet.counts["messages"]
+        report.tell(f"vast.40x60.lost-at-{times * 8.7:.0f}-a-second", lost, "of-messages")
     return report.status
 
 
--- a/standflow/config/platform.py
+++ b/standflow/config/platform.py
@@ -19,6 +19,7 @@
 from standflow.net.routes import RouteError, read_address, read_routes
 
 DEFAULT_SOCKETS = 1024
+MOST_INGRESSES = 10_000
 SPARE_SOCKETS = 32  # for the log, the epoll, discovery, peers and what the interpreter opens
 
 
@@ -29,7 +30,10 @@
 
     def __getitem__(self, key: str) -> Any:
         Section.last = key
-        return super().__getitem__(key)
+        value = super().__getitem__(key)
+        if isinstance(value, float) and not math.isfinite(value):
+            raise ValueError(f"{value} is no number to reckon with")  # json reads NaN and 1e999
+        return value
 
     def get(self, key: str, default: Any = None) -> Any:
         """As a dict's, remembering the key."""
@@ -117,6 +121,8 @@
         raise ConfigError("settings: Classes: is empty")
     if not settings.plans:
         raise ConfigError("settings: Contracts: is empty")
+    if settings.gateways > MOST_INGRESSES:  # each is kept a place
+        raise ConfigError(f"settings: Balancers: {settings.gateways} is more than {MOST_INGRESSES}")
     if not 0 <= settings.number < settings.gateways:
         raise ConfigError("settings: Me: is not the number of one of the ingresses (Balancers)")
     return settings, zones
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -285,6 +285,11 @@
         (config(known={"members": 1}), "known"),
         (config(settings={}), "settings: Caps"),
         (config(limits={"sockets": -1}), "limits.sockets"),
+        (config(settings=config()["settings"] | {"Balancers": 30_000_000}), "settings: Balancers"),
+        (
+            json.dumps(config()).replace('"PeerIntake": ', '"PeerIntake": NaN, "Was": '),
+            "settings: PeerIntake",
+        ),
     ],
 )
 def test_a_bad_configuration_names_its_key_and_exits_2(tmp_path: Path, raw: object, key: str) -> None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -140,6 +140,13 @@
                 assert send.backend.startswith("c")
                 answered += 1
                 gateway.handle(2.0 + n / 10, ended(send, i.Outcome.OK, latency=0.1))
+    gateway.plans["paid"] = PAID
+    gateway.quotas.clear()
+    gateway.handle(9.0, request("first", plan="paid"))
+    next(iter(gateway.quotas.values())).own = 100.0
+    assert not sends(
+        gateway.handle(9.0, request("spare", plan="paid"))
+    )  # what is beyond a quota yields here too
     # work of an eighth of a second each, against the budget of one core at what is surely warm by then
     work = answered / 8
     assert 0.3 * 36 * 0.7 * 2.5 * 0.35 * 3 < work < 36 * 0.7 * 2.5 * 0.53 * 4
--- a/tests/test_vast.py
+++ b/tests/test_vast.py
@@ -81,12 +81,14 @@
             assert work <= 4.0 * CORES * warmth * 3.0 + 1.0  # and some slack for chance, as the rule has
 
 
-@pytest.mark.parametrize("gateways", [2, 40, 100])
-def test_datagrams_keep_their_size_and_the_intake(gateways: int) -> None:
-    fleet = Fleet(gateways, 20, rate=10.0)
+@pytest.mark.parametrize("gateways", [2, 10, 40, 100])
+def test_datagrams_keep_their_size_and_at_the_load_of_a_day_the_intake(gateways: int) -> None:
+    """Past 26 requests a second at each of forty, what is asked is more than is taken in: see scale.md."""
+    fleet = Fleet(gateways, 20, rate=14.0, fast=2.0)
     fleet.run(8.0)
     assert 0 < fleet.counts["longest"] <= 252
     assert fleet.counts["messages"] / gateways / 8.0 <= 100.0
+    assert fleet.counts["lost"] <= 0.01 * fleet.counts["messages"]
 
 
 @how(max_examples=20, deadline=None, derandomize=True)
