--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -205,7 +205,7 @@
         self.classes, self.plans = classes, plans  # classes: by name, true where safe to repeat
         self.max_branches, self.max_open = max_branches, max_open
         self.ingresses, self.number, self.max_units = ingresses, number, max_units
-        # The module decides two ticks before the deadline: where a tick is short, so is this, or it comes first.
+        # The module decides two ticks before the deadline: with a short tick the guard would come before it.
         self.guard = min(self.GUARD, tick)
         self.idents: set[object] = set()
         self.come_back = come_back  # what a refusal of the exchange's own advises
