An epoch looks after the 250 fullest customers, not after every one in the window

Cause: `_epoch` drained and sorted all of `telling`, `_note` noted all of `touched` (brain.py), though a message has room for 13. `touched` also kept what `quotas` had forgotten. Ruled out: the messages themselves, they are bounded already. Now both take the fullest 250 by what was known of them last, and `touched` is swept like the others; up to 250 customers nothing changes. The test fails without either part.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= .venv/bin/python
 
-.PHONY: build test lint run bench-tls bench-vast
+.PHONY: build test lint run bench-tls bench-vast bench-counter
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -22,6 +22,10 @@
 bench-vast:
 	$(PYTHON) -m lab.vast
 
+# The promise on quotas, with the ring, the counter, both and neither; its cost.
+bench-counter:
+	$(PYTHON) -m lab.bench_counter
+
 # One ingress on the operator's file.
 run:
 	exec $(PYTHON) -m standflow.cli run deploy/standflow.conf
--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 import math
 import random
 import struct
@@ -24,6 +25,7 @@
 CHOICES = 6  # backends at least that a gateway works with, so that a bad one has a small part
 ALLOWANCE = 0.1  # of an even share, while no total is known
 WITNESSED_FOR = 1.5  # seconds for which a total from the second witness stands for one from the ring
+MOST = 250  # customers at most that an epoch looks after, the fullest
 IDLE_FOR = 30.0  # seconds after which an unused entry is forgotten
 
 
@@ -386,21 +388,26 @@
             self.sweep_at = self.now + IDLE_FOR / 10
             kept = {k: q for k, q in self.quotas.items() if self.now - q.used < IDLE_FOR or q.open}
             self.quotas, self.telling = kept, {k: q for k, q in self.telling.items() if k in kept}
+            self.touched = {k: q for k, q in self.touched.items() if k in kept}
         if self.settings.witness:
             self._note()
         due = dict.fromkeys(() if self.long_ring or not self.settings.may_tell_peers else self.peers, b"")
-        for quota in self.telling.values() if due else ():
-            self._drain(quota)
         # those nearest their quota first: where a message is full, the rest waits for the next epoch
-        for quota in sorted(self.telling.values(), key=self._fullness, reverse=True) if due else ():
+        for quota in self._fullest(self.telling) if due else ():
             self._tell(quota, due)
         for number, entries in due.items():
             self._send_peer(number, entries)
 
+    def _fullest(self, quotas: dict[bytes, Quota]) -> list[Quota]:
+        most = heapq.nlargest(MOST, quotas.values(), key=self._fullness)
+        for quota in most:
+            self._drain(quota)
+        return sorted(most, key=self._fullness, reverse=True)
+
     def _note(self) -> None:
         """What a second witness is to know of this gateway's use; of what has drained, no more after that."""
-        for key, quota in list(self.touched.items()):
-            self._drain(quota)
+        for quota in self._fullest(self.touched):
+            key = quota.key
             level, count = quota.own / quota.plan.burst, quota.counts[quota.place]
             self.actions.append(i.UseNoted(key, quota.size, quota.place, count, level, self._fullness(quota)))
             if quota.own + quota.others < 1 / SCALE:
--- /dev/null
+++ b/lab/bench_counter.py
@@ -0,0 +1,336 @@
+"""The measurement of the second witness: `make bench-counter`. See docs/design/counter.md for what it says.
+
+Real ingress processes on loopback, a box and a counter; heavy, spiky and calm schools ask through all.
+What ran is held against a store that sees everything (lab/quotas.py). Cases run a few at a time.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import random
+import resource
+import socket
+import sys
+import tempfile
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from zlib import crc32
+
+from hoistfold import interface as i
+from hoistfold.brain import Gateway
+from lab.box import Box
+from lab.callers import Callers, command, kind_of, read
+from lab.counter import Door, Store
+from lab.processes import Ingress
+from lab.quotas import Try, Verdict, judge
+from lab.report import Report
+from lab.vast import settings
+from standflow.counter.ledger import Ledger
+
+INGRESSES = 3
+RATE, BURST = 4.0, 12.0
+SPAN = 16.0  # seconds that schools ask for
+GOES_AT = 4.0  # seconds until a case's failure begins
+WEIGHTS = (0.5, 0.3, 0.2)  # of a school's requests, through which ingress
+AT_ONCE = 3  # cases
+SCHOOLS = 100_000  # in a window of 10 s
+LIKELY = 20_000  # as many as a core has requests for in that time, each of another school
+FILE = """
+name      n{number}
+listen    127.0.0.1:0
+number    {number}
+ingresses {ingresses}
+counter   {counter}
+class look {{
+    aim       1s
+    deadline  3s
+}}
+plan plain {{
+    rate   {rate}
+    burst  {burst}
+}}
+{ring}
+next-hop s-1 {{
+    address  {box}
+}}
+{witness}
+"""
+WITNESS = "witness {\n    every  100ms\n    near   20%\n}\n"
+
+
+class Site:
+    """Ingresses with a box and a counter between them; all of it ends with the site."""
+
+    def __init__(self, ring: bool, witness: str) -> None:
+        self.stack = ExitStack()
+        self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+        self.store = Store()
+        self.door = self.stack.enter_context(Door(self.store))
+        self.box = self.stack.enter_context(Box())
+        self.ring, self.witness = ring, witness
+        self.ports = [free_port() for _ in range(INGRESSES)]
+        self.ingresses = [self.start(number) for number in range(INGRESSES)]
+        self.addresses = [one.address() for one in self.ingresses]
+
+    def __enter__(self) -> Site:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stack.close()
+
+    def start(self, number: int) -> Ingress:
+        """An ingress by its number, with nothing kept of an earlier life."""
+        lines = [f"peer-listen 127.0.0.1:{self.ports[number]}"]
+        lines += [f"peer 127.0.0.1:{port}" for port in self.ports]
+        path = self.folder / f"{number}.conf"
+        path.write_text(
+            FILE.format(
+                number=number,
+                ingresses=INGRESSES,
+                counter="{}:{}".format(*self.door.address),
+                rate=RATE,
+                burst=BURST,
+                ring="\n".join(lines) if self.ring else "limits {\n    peer-messages  0\n}",
+                box="{}:{}".format(*self.box.address),
+                witness=self.witness,
+            )
+        )
+        ingress = Ingress(path)
+        self.stack.callback(ingress.end)
+        return ingress
+
+    def restart(self) -> None:
+        """The ingress with the most requests is killed and comes back with nothing."""
+        self.ingresses[0].process.kill()
+        self.ingresses[0].process.wait()
+        self.ingresses[0] = again = self.start(0)
+        self.addresses[0] = again.address()
+
+
+class Asker:
+    """Sends one ingress its part of the schedule, each request at its time; what ran is noted."""
+
+    def __init__(self, site: Site, number: int, due: list[tuple[float, str]]) -> None:
+        self.site, self.number, self.due = site, number, due
+        self.tries: list[Try] = []
+        self.unanswered = 0
+        self.thread = threading.Thread(target=self._ask, daemon=True)
+
+    def _ask(self) -> None:
+        begin = time.monotonic()
+        sock: socket.socket | None = None
+        for serial, (at, school) in enumerate(self.due):
+            time.sleep(max(0.0, begin + at - time.monotonic()))
+            options = b"c=look,t=plain,d=3000,units=1,spread=%d,first=0" % INGRESSES
+            ident = b"n%ds%d" % (self.number, serial)
+            answer = b""
+            try:
+                if sock is None:
+                    sock = socket.create_connection(self.site.addresses[self.number], 1.0)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock.sendall(command([b"Q.ASK", b"%016x" % crc32(school.encode()), ident, options]))
+                answer = read(sock)
+            except OSError:
+                if sock is not None:
+                    sock.close()
+                sock = None
+            end = kind_of(answer)
+            if end in ("served", "refused"):
+                self.tries.append(Try(time.monotonic() - begin, school, 1.0, end == "served"))
+            else:
+                self.unanswered += 1
+        if sock is not None:
+            sock.close()
+
+
+def schedule(chance: random.Random) -> list[list[tuple[float, str]]]:
+    """When which school asks through which ingress."""
+    due: list[list[tuple[float, str]]] = [[] for _ in range(INGRESSES)]
+    kinds = [(f"heavy{n}", 2.0) for n in range(3)] + [(f"spiky{n}", 1.5) for n in range(3)]
+    for school, part in kinds + [(f"calm{n}", 0.3) for n in range(6)]:
+        at = 0.0
+        while (at := at + chance.expovariate(part * RATE)) < SPAN:
+            when = at - at % 3 + (at % 3) / 3 if school.startswith("spiky") else at  # in one second of three
+            due[chance.choices(range(INGRESSES), WEIGHTS)[0]].append((when, school))
+    return [sorted(one) for one in due]
+
+
+@dataclass(slots=True, frozen=True)
+class Case:
+    """What goes wrong after GOES_AT seconds, and what is promised then."""
+
+    name: str
+    ring: bool = True
+    witness: bool = True
+    goes: Callable[[Site], None] = lambda site: None
+    wrong: float = 0.02  # of what was inside quota, refused
+    unanswered: int = 0
+
+
+def slow(seconds: float) -> Callable[[Site], None]:
+    """The counter's answers come so much later."""
+
+    def goes(site: Site) -> None:
+        site.door.way.delay = seconds
+
+    return goes
+
+
+def lose(site: Site) -> None:
+    """Half of the answers never come, though the amount was added."""
+    site.door.way.lose = 0.5
+
+
+CASES = (
+    Case("ring-alone", witness=False),
+    Case("both-good"),
+    Case("ring-and-slow-90ms", goes=slow(0.09)),
+    Case("ring-and-slow-300ms", goes=slow(0.3)),
+    Case("ring-and-gone", goes=lambda site: site.door.close()),
+    Case("ring-and-emptied", goes=lambda site: site.store.empty()),
+    Case("ring-and-answers-lost", goes=lose),
+    Case("ring-and-restart", goes=Site.restart, unanswered=20),
+    Case("restart-with-ring-alone", witness=False, goes=Site.restart, unanswered=20),
+    Case("counter-alone", ring=False, wrong=0.1),
+    Case("counter-alone-emptied", ring=False, goes=lambda site: site.store.empty(), wrong=0.1),
+    Case("neither", ring=False, witness=False, wrong=0.1),
+)
+
+
+def play(case: Case, seed: int = 1) -> tuple[Verdict, int, float]:
+    """The verdict, how many got no answer, and calls of the counter a request."""
+    with Site(case.ring, WITNESS if case.witness else "") as site:
+        if case.ring:
+            time.sleep(1.0)  # the ring has gone round
+        askers = [Asker(site, n, due) for n, due in enumerate(schedule(random.Random(seed)))]
+        for one in askers:
+            one.thread.start()
+        time.sleep(GOES_AT)
+        case.goes(site)
+        for one in askers:
+            one.thread.join(SPAN + 10.0)
+        tries = [one for asker in askers for one in asker.tries]
+        unanswered = sum(asker.unanswered for asker in askers)
+        return judge(tries, RATE, BURST), unanswered, site.store.calls / max(1, len(tries))
+
+
+def promise(report: Report, cases: list[Case]) -> None:
+    """The promise in every case."""
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        for case, (verdict, unanswered, calls) in zip(cases, pool.map(play, cases), strict=True):
+            report.tell(f"{case.name}_use", verdict.use, "of_allowance", "<=1.1")
+            report.tell(f"{case.name}_wrong", verdict.wrong, "of_inside", f"<={case.wrong}")
+            report.tell(f"{case.name}_wrong_calm", verdict.wrong_calm, "of_inside", f"<={case.wrong}")
+            report.tell(f"{case.name}_unanswered", unanswered, "count", f"<={case.unanswered}")
+            if case.witness:
+                report.tell(f"{case.name}_calls", calls, "per_request")
+
+
+def cost(report: Report) -> None:
+    """Processor time of a request with the counter on and off, side by side."""
+    spent: dict[str, float] = {}
+    with Site(True, "witness {\n}\n") as on, Site(True, "") as off:
+        time.sleep(1.0)
+        loads = {}
+        for name, site in (("on", on), ("off", off)):
+            loads[name] = [
+                Callers(a, 100.0, 0, spread=INGRESSES, seed=n) for n, a in enumerate(site.addresses)
+            ]
+            for load in loads[name]:
+                load.start()
+        time.sleep(2.0)
+        before = {name: sum(one.cpu() for one in site.ingresses) for name, site in (("on", on), ("off", off))}
+        since = time.time()
+        time.sleep(12.0)
+        after = {name: sum(one.cpu() for one in site.ingresses) for name, site in (("on", on), ("off", off))}
+        for name, callers in loads.items():
+            for load in callers:
+                load.stop()
+            count = sum(sum(load.ends(since).values()) for load in callers)
+            spent[name] = (after[name] - before[name]) / max(1, count)
+            report.tell(f"cpu_{name}", 1e6 * spent[name], "us_per_request")
+        report.tell("cpu_calls", on.store.calls / 14.0 / INGRESSES, "per_second_per_ingress")
+    report.tell("cpu_on_over_off", spent["on"] / spent["off"], "ratio", "<=1.1")
+
+
+def memory(report: Report) -> None:
+    """What a window with many schools takes, in the module and, with the counter, in the ledger."""
+    spawn = multiprocessing.get_context("spawn")
+    for schools, longest in ((LIKELY, 40), (SCHOOLS, 250)):
+        for name, witness in ((f"window_{schools}_off", False), (f"window_{schools}_on", True)):
+            with ProcessPoolExecutor(1, spawn) as pool:
+                held, worst, noted = pool.submit(window, witness, schools).result()
+            report.tell(f"{name}_memory", held, "MB", "<=192")
+            report.tell(f"{name}_epoch", 1000 * worst, "ms_at_worst", f"<={longest}")
+            report.tell(f"{name}_noted", noted, "customers")
+
+
+def window(witness: bool, schools: int) -> tuple[float, float, int]:
+    """Megabytes of a window with so many schools, seconds of the longest epoch of the two seconds after it,
+    and customers in the ledger.
+    """
+    before, ledger, timers = resident(), Ledger(), deque[tuple[float, int]]()
+    gateway = Gateway(settings(0, INGRESSES, witness=witness), 1)
+    gateway.handle(0.0, i.Started())
+    hops = [i.BackendEntry(f"b{n}", "a", "box", 0, i.Availability.ACTIVE, 1.0, None) for n in range(3)]
+    gateway.handle(0.0, i.BackendsListed(i.ListKind.SAVED, tuple(hops)))
+    for n in range(schools):
+        now, ident = 10.0 * n / schools, f"r{n}"
+        while timers and timers[0][0] <= now:
+            gateway.handle(now, i.TimerFired(timers.popleft()[1]))
+        asked = i.RequestArrived(ident, "view", "full", f"{n:016x}", 4.5, 1.0, INGRESSES, 0)
+        for action in gateway.handle(now, asked):
+            if isinstance(action, i.SetTimer):
+                timers.append((now + action.delay, action.handle))
+            elif isinstance(action, i.Send):
+                ok = i.Outcome.OK
+                ended = i.AttemptEnded(ident, action.backend, 0, 0.01, ok, True, 0.0, 0.0, ())
+                gateway.handle(now, ended)
+    worst = 0.0
+    for n in range(20):
+        now, began = 10.0 + 0.1 * n, time.process_time()
+        for action in gateway.handle(now, i.TimerFired(0)):
+            if isinstance(action, i.UseNoted):
+                a = action
+                ledger.noted(a.key, a.size, a.place, a.count, a.level, a.fullness, now)
+        ledger.due(now, 25, 0.3)
+        worst = max(worst, time.process_time() - began)
+    return resident() - before, worst, len(ledger.customers)
+
+
+def resident() -> float:
+    """Resident megabytes of this process."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+def free_port() -> int:
+    """A port for datagrams that was free a moment ago."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+        assert isinstance(port, int)
+        return port
+
+
+def main() -> int:
+    """Everything, or the cases and parts that are named."""
+    report, parts = Report(), sys.argv[1:]
+    cases = [case for case in CASES if not parts or case.name in parts]
+    if cases:
+        promise(report, cases)
+    if not parts or "cost" in parts:
+        cost(report)
+    if not parts or "memory" in parts:
+        memory(report)
+    return report.status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lab/quotas.py
@@ -0,0 +1,96 @@
+"""Checks the promise on quotas against the truth: what ran for each school, and what was refused. No I/O.
+
+The truth is a store that sees every try at once and in order: a bucket of `burst` units that fills at `rate`
+a second. What such a store would have let in was inside quota, whoever was asked.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+WINDOW = 10.0  # seconds of the promise
+
+
+@dataclass(slots=True, frozen=True)
+class Try:
+    """One request of a school, answered at `at` seconds: its units ran, or were refused."""
+
+    at: float
+    school: str
+    units: float
+    ran: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """Of all schools, units: how far use went, and what was refused though it was inside quota."""
+
+    schools: int
+    use: float  # greatest of any school over any 10 s, as a part of the allowance
+    worst: str  # that school
+    inside: float  # units that a store which sees everything lets in
+    short: float  # of them, units that did not run
+    calm: float  # units asked for by schools that were inside quota throughout
+    refused_calm: float  # of them, units that did not run
+
+    @property
+    def wrong(self) -> float:
+        """The part of what was inside quota that was refused."""
+        return self.short / self.inside if self.inside else 0.0
+
+    @property
+    def wrong_calm(self) -> float:
+        """The same for schools that never asked for more than their quota."""
+        return self.refused_calm / self.calm if self.calm else 0.0
+
+
+def judge(history: Iterable[Try], rate: float, burst: float) -> Verdict:
+    """The verdict on a history in any order. ValueError where the plan allows nothing."""
+    allowance = burst + WINDOW * rate
+    if allowance <= 0:
+        raise ValueError("a plan without an allowance can't be judged")
+    of: dict[str, list[Try]] = defaultdict(list)
+    for one in history:
+        of[one.school].append(one)
+    use, worst, inside, short, calm, refused_calm = 0.0, "", 0.0, 0.0, 0.0, 0.0
+    for school, tries in of.items():
+        tries.sort(key=lambda one: one.at)
+        most = _most(tries) / allowance
+        if most > use:
+            use, worst = most, school
+        ideal = _ideal(tries, rate, burst)
+        asked, ran = sum(one.units for one in tries), sum(one.units for one in tries if one.ran)
+        inside += ideal
+        short += max(0.0, ideal - ran)
+        if ideal == asked:
+            calm += asked
+            refused_calm += asked - ran
+    return Verdict(len(of), use, worst, inside, short, calm, refused_calm)
+
+
+def _most(tries: Sequence[Try]) -> float:
+    """Most units that ran within any window; one that ran a whole window ago is outside."""
+    held: deque[Try] = deque()
+    total = most = 0.0
+    for one in tries:
+        if not one.ran:
+            continue
+        held.append(one)
+        total += one.units
+        while held[0].at <= one.at - WINDOW:
+            total -= held.popleft().units
+        most = max(most, total)
+    return most
+
+
+def _ideal(tries: Sequence[Try], rate: float, burst: float) -> float:
+    """Units that the store which sees everything lets in."""
+    room, at, let_in = burst, tries[0].at, 0.0
+    for one in tries:
+        room, at = min(burst, room + (one.at - at) * rate), one.at
+        if one.units <= room:
+            room -= one.units
+            let_in += one.units
+    return let_in
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from hoistfold import interface as i
-from tests.world import BASIC, Pair, of
+from hoistfold.brain import IDLE_FOR, MOST
+from tests.world import BASIC, Pair, ended, of, request, sends, started
 
 
 class Witnessed(Pair):
@@ -100,3 +101,17 @@
     pair.now += pair.live[0].epoch
     noted += of(pair.live[0].handle(pair.now, i.TimerFired(0)), i.UseNoted)
     assert not noted
+
+
+def test_of_many_customers_an_epoch_looks_after_the_fullest_and_forgets_all_in_the_end() -> None:
+    gateway = started(witness=True, gateways=2)
+    for n in range(4 * MOST):
+        units = 4.0 if n == 2 * MOST else 1.0
+        event = request(f"r{n}", customer=f"c{n}", units=units, ring_size=2)
+        for send in sends(gateway.handle(0.0, event)):
+            gateway.handle(0.0, ended(send, i.Outcome.OK))
+    notes = of(gateway.handle(0.1, i.TimerFired(0)), i.UseNoted)
+    assert len(notes) == MOST
+    assert notes[0].level > 0.3 > max(note.level for note in notes[1:])
+    gateway.handle(IDLE_FOR + 1, i.TimerFired(0))
+    assert (gateway.quotas, gateway.telling, gateway.touched) == ({}, {}, {})
