Cut off from all, an ingress keeps to an even share; restarted, it counts what it hears of once

Causes: - brain._drain let an ingress that hears of nobody drain its own use at the whole rate, so n of them spent n rates. Now all that is heard of first stays within the level told. - with the counter alone nobody came near its quota alone, so no customer was asked for (`near`).

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -6,15 +6,14 @@
 import heapq
 import math
 import random
-import struct
 import zlib
 from collections.abc import Callable
 
 from hoistfold import interface as i
+from hoistfold.codec import ENTRY, ROOM, opened, seal
 from hoistfold.state import Attempt, Backend, Entry, Kept, Peer, Quota, Request
 
 SCALE = 4  # fractions of a unit that a peer message can carry
-ENTRY = struct.Struct(">5sBBHHHHHH")  # the fields of state.Entry
 TELL, ASK, TOTAL = range(3)  # what an entry is
 ONCE, TWICE, FORGOTTEN = range(1, 4)  # how a place is still to be told, the last to its own member
 FIRST_LIMIT = 8.0  # attempts out at a backend at first, from all gateways together
@@ -55,10 +54,9 @@
             i.PeerMessage: self._peer_message,
             i.UseWitnessed: self._witnessed,
         }
-        # every peer is told each epoch, in three quarters of what a receiver takes in
-        self.epoch = max(0.1, len(self.peers) / (0.75 * max(settings.peer_intake, 1.0)))
-        if settings.witness and not settings.may_tell_peers:
-            self.epoch = 0.1  # nobody takes in any messages: only notes leave
+        # every peer is told each epoch, in three quarters of what a receiver takes in, or only notes leave
+        told = 0 if settings.witness and not settings.may_tell_peers else len(self.peers)
+        self.epoch = max(0.1, told / (0.75 * max(settings.peer_intake, 1.0)))
         # where a lap takes longer than a window the members without use are skipped
         window = min((plan.burst / plan.rate for plan in settings.plans if plan.rate), default=math.inf)
         self.long_ring = settings.may_tell_peers and settings.gateways * self.epoch > window
@@ -93,7 +91,10 @@
         else:
             others = self._members(quota, quota.place)[1:]
             told = not others or any(self._answers(n) for n in others)
+            quota.lag = self.epoch * len(others) + (0.0 if told else min(self.now - quota.witnessed, 1.0))
             told = told or self.now - quota.witnessed < WITNESSED_FOR
+            # where others are heard the members are gone and ask no more; where nobody is, we are cut off
+            quota.alone = not (told or any(self._answers(n) for n in self.peers))
             self._admit(request, self._within_quota(quota, event.units, told))
 
     def _set_timer(self, delay: float, request: Request) -> None:
@@ -354,9 +355,9 @@
         return [(quota.first + p) % self.settings.gateways for p in places]
 
     def _drain(self, quota: Quota) -> None:
-        """The window slides: the total drains at the rate, each part in its proportion."""
+        """The window slides: the total drains at the rate, each part in its proportion, alone an even one."""
         passed, quota.at = self.now - quota.at, self.now
-        total, plan = quota.own + quota.others, quota.plan
+        total, plan = max(quota.own + quota.others, quota.alone * quota.size * quota.own), quota.plan
         keep = max(0.0, 1 - plan.rate * passed / total) if total > 0 else 0.0
         quota.own, quota.others = quota.own * keep, quota.others * keep
         quota.others_rate *= math.exp(-passed / 2)
@@ -375,7 +376,7 @@
             return False
         left = plan.burst - quota.others
         # the rollover ratio: what the others are likely to have used since they were last heard
-        ratio = min(0.5, quota.others_rate * self.epoch * (quota.size - 1) / max(left, 1 / SCALE))
+        ratio = min(0.5, quota.others_rate * quota.lag / max(left, 1 / SCALE))
         if not told:  # part of an even share, one request at least if none was refused before
             least = 0.0 if quota.refusals else self.settings.max_units
             left = min(left, max(least, ALLOWANCE * plan.burst / quota.size))
@@ -399,19 +400,18 @@
             self._send_peer(number, entries)
 
     def _fullest(self, quotas: dict[bytes, Quota]) -> list[Quota]:
-        most = heapq.nlargest(MOST, quotas.values(), key=self._fullness)
-        for quota in most:
+        for quota in (most := heapq.nlargest(MOST, quotas.values(), key=self._fullness)):
             self._drain(quota)
         return sorted(most, key=self._fullness, reverse=True)
 
     def _note(self) -> None:
         """What a second witness is to know of this gateway's use; of what has drained, no more after that."""
         for quota in self._fullest(self.touched):
-            key = quota.key
-            level, count = quota.own / quota.plan.burst, quota.counts[quota.place]
-            self.actions.append(i.UseNoted(key, quota.size, quota.place, count, level, self._fullness(quota)))
+            level, full = quota.own / quota.plan.burst, self._fullness(quota)
+            count = quota.counts[quota.place]
+            self.actions.append(i.UseNoted(quota.key, quota.size, quota.place, count, level, full))
             if quota.own + quota.others < 1 / SCALE:
-                del self.touched[key]
+                del self.touched[quota.key]
 
     def _witnessed(self, event: i.UseWitnessed) -> None:
         """Merged as what the ring tells; a register that was emptied and holds too little tells nothing."""
@@ -437,7 +437,7 @@
             # a member knows its own use, and what has left the window is no news: both only took room
             if times != FORGOTTEN and (target == owner or level * SCALE < 1):
                 del quota.untold[place]
-            elif len(due[target]) + ENTRY.size <= 252:
+            elif len(due[target]) + ENTRY.size <= ROOM:
                 due[target] += self._entry(quota, TELL, place, quota.counts[place], level)
                 quota.untold[place] = ONCE
                 if times != TWICE:
@@ -455,16 +455,14 @@
         return ENTRY.pack(quota.key, plan, what, quota.first, quota.size, place, count, told, units)
 
     def _send_peer(self, number: int, entries: bytes) -> None:
-        # the checksum lets a garbled message be dropped
-        self.actions.append(i.TellPeer(number, struct.pack(">I", zlib.crc32(entries)) + entries))
+        self.actions.append(i.TellPeer(number, seal(entries)))
 
     def _peer_message(self, event: i.PeerMessage) -> None:
-        entries = event.content[4:]
-        sound = event.content[:4] == struct.pack(">I", zlib.crc32(entries)) and len(entries) % ENTRY.size == 0
-        if sound and event.sender in self.peers:
+        entries = opened(event.content)
+        if entries is not None and event.sender in self.peers:
             self.peers[event.sender].heard = self.now
-            for fields in ENTRY.iter_unpack(entries):
-                self._entry_told(event.sender, Entry(*fields))
+            for entry in entries:
+                self._entry_told(event.sender, entry)
 
     def _entry_told(self, sender: int, entry: Entry) -> None:
         """What cannot be of a ring that both are members of is passed over."""
@@ -485,6 +483,7 @@
 
     def _merge(self, quota: Quota, place: int, count: int, level: int) -> None:
         """Counts only grow, so late, repeated and reordered messages change nothing."""
+        first = place == quota.place or place not in quota.counts
         more = (count - quota.counts.get(place, max(0, count - min(level, 0x7FFF)))) & 0xFFFF  # counts wrap
         if more > 0x7FFF and place != quota.place:
             self._news(quota, place, FORGOTTEN)  # its member knows less than we do: tell it
@@ -492,7 +491,9 @@
         if 0 < more <= 0x7FFF:
             # an earlier life's count that comes back: this life's use goes on top
             quota.counts[place] = (count + (place == quota.place) * quota.counts.get(place, 0)) & 0xFFFF
-            quota.others += min(more, level) / SCALE  # the window holds no more than the level
+            # the window holds no more than the level, all that is heard of for the first time together
+            most = max(quota.others, level / SCALE) if first else math.inf
+            quota.others = min(quota.others + min(more, level) / SCALE, most)
             quota.others_rate += 0 if self.long_ring else more / SCALE / 2
             self._news(quota, place, TWICE)
 
--- /dev/null
+++ b/hoistfold/codec.py
@@ -0,0 +1,25 @@
+"""Peer messages on the wire: entries of a fixed size behind a checksum. Decides nothing."""
+
+from __future__ import annotations
+
+import struct
+import zlib
+
+from hoistfold.state import Entry
+
+ENTRY = struct.Struct(">5sBBHHHHHH")  # the fields of state.Entry
+SUM = struct.Struct(">I")
+ROOM = 256 - SUM.size  # bytes of entries that a message holds
+
+
+def seal(entries: bytes) -> bytes:
+    """Entries as a message; the checksum lets a garbled one be dropped."""
+    return SUM.pack(zlib.crc32(entries)) + entries
+
+
+def opened(content: bytes) -> list[Entry] | None:
+    """The entries of a message, or None where it is not sound."""
+    entries = content[SUM.size :]
+    if content[: SUM.size] != SUM.pack(zlib.crc32(entries)) or len(entries) % ENTRY.size:
+        return None
+    return [Entry(*fields) for fields in ENTRY.iter_unpack(entries)]
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -175,9 +175,18 @@
         options, counter = self.config.witness, self.config.counter
         if options is None or counter is None:
             return None
+        from standflow.counter.modes import Modes
         from standflow.counter.witness import Witness
 
-        witness = Witness(self.loop, self.log, options, counter, self._use_told)
+        witness = Witness(
+            self.loop,
+            self.log,
+            options,
+            counter,
+            self._use_told,
+            Modes(self.driver.module.epoch),
+            lambda: self.driver.heard,
+        )
         self.driver.noted = witness.noted
         return witness
 
--- a/standflow/counter/ledger.py
+++ b/standflow/counter/ledger.py
@@ -26,6 +26,7 @@
 VERIFY = 1.0  # seconds after which a register is read anyway: the counter may have been emptied
 LEVELS = 99  # steps of a level, 0 to a whole burst
 COUNTS = 1 << 16  # a running count wraps there
+FIRST_TURN = 2.0  # seconds that a new customer counts as having waited
 FORGET = 45.0  # seconds after which a customer without news is dropped
 
 assert COUNTS * (LEVELS + 1) <= 9_999_999  # seven digits of a total are exact
@@ -93,6 +94,7 @@
     own: Own
     reading: dict[int, float]  # by place: when a call for it began
     read_at: dict[int, float]  # and when one was answered last
+    turn: float  # when it was called for last
 
 
 class Ledger:
@@ -111,21 +113,25 @@
         customer = self.customers.get(key)
         if customer is None:
             own = Own(period_of(now), wanted)
-            self.customers[key] = Customer(size, place, fullness, now, own, {}, {})
+            self.customers[key] = Customer(size, place, fullness, now, own, {}, {}, now - FIRST_TURN)
             return
         customer.fullness, customer.news, customer.own.wanted = fullness, now, wanted
 
     def due(self, now: float, budget: int, near: float) -> list[Call]:
         """The calls to make now, `budget` at most, for customers that use `near` of their burst or more.
 
-        The fullest come first; of one customer its own register, then the others', the longest unread first.
+        The fullest and the longest waiting come first, by the product of both; of one customer its own
+        register, then the others', the longest unread first.
         """
         calls: list[Call] = []
-        wanted = [(c.fullness, key) for key, c in self.customers.items() if c.fullness >= near]
+        known = [(c, key) for key, c in self.customers.items() if c.fullness >= near]
+        wanted = [(c.fullness * (now - c.turn), key) for c, key in known]
         for _, key in sorted(wanted, reverse=True):
             if len(calls) >= budget:
                 break
-            calls.extend(self._calls(key, now)[: budget - len(calls)])
+            if more := self._calls(key, now):
+                self.customers[key].turn = now
+            calls.extend(more[: budget - len(calls)])
         for call in calls:
             customer = self.customers[call.key]
             if call.place == customer.place:
--- a/standflow/counter/modes.py
+++ b/standflow/counter/modes.py
@@ -36,8 +36,8 @@
 class Side:
     """One witness: whether it counts, and since when what was seen of it has spoken against that."""
 
-    counts: bool = True
-    against: float = math.inf
+    counts: bool = False
+    against: float = -math.inf  # at first one word is enough
 
     def look(self, speaks: bool, now: float) -> None:
         """What was seen of it just now."""
@@ -50,12 +50,12 @@
 
 
 class Modes:
-    """The mode of one ingress; it begins with both and gives up what does not speak."""
+    """The mode of one ingress; it begins with neither."""
 
     def __init__(self, epoch: float) -> None:
         """`epoch`: seconds between tellings of the ring; four without a word are silence."""
         self.ring, self.counter, self.quiet = Side(), Side(), 4 * epoch
-        self.mode = Mode.BOTH
+        self.mode = Mode.NEITHER
 
     def look(self, heard: float, counter: State, now: float) -> Mode | None:
         """`heard`: when another ingress was heard last. The mode entered now, or None."""
@@ -75,7 +75,7 @@
     rate: float
     burst: float
     members: int  # of a customer's set
-    asked: float  # what a customer asks for a second, through all members
+    asked: float  # the most that a customer asks for a second within that age, through all members
     epoch: float  # of the ring
     every: float  # between rounds of calls of the counter
     delay: float = 0.0  # of a datagram, or of a call's answer
--- a/standflow/counter/witness.py
+++ b/standflow/counter/witness.py
@@ -13,6 +13,7 @@
 from standflow.counter.client import Client, Counted, How
 from standflow.counter.health import Health
 from standflow.counter.ledger import LIFE, Call, End, Ledger, Told
+from standflow.counter.modes import Modes
 from standflow.net.loop import Loop
 
 ENDS = {How.ADDED: End.ADDED, How.NOTHING: End.NOTHING, How.UNCERTAIN: End.UNCERTAIN}
@@ -29,8 +30,12 @@
         options: WitnessOptions,
         address: tuple[str, int],
         told: Callable[[Told], None],
+        modes: Modes,
+        heard: Callable[[], float],
     ) -> None:
+        """`heard`: when another ingress was heard last, of the loop's clock."""
         self.loop, self.log, self.options, self.told = loop, log, options, told
+        self.modes, self.heard = modes, heard
         self.client = Client(loop, log, address)
         self.ledger = Ledger()
         self.health = Health()
@@ -61,7 +66,12 @@
                 f"counter: {before.value} -> {self.health.state.value} mean={1000 * self.health.mean:.0f}ms"
                 f" failing={failing}/{known} generation={self.health.generation}"
             )
-        for call in self.ledger.due(self._now(), self.budget.take(now), self.options.near):
+        before_mode = self.modes.mode
+        if self.modes.look(self.heard(), self.health.state, now) is not None:
+            self.log(f"quotas: {before_mode.value} -> {self.modes.mode.value}")
+        # Alone nobody comes near a quota: without the ring every customer is asked for, the fullest first.
+        near = self.options.near if self.modes.ring.counts else 0.0
+        for call in self.ledger.due(self._now(), self.budget.take(now), near):
             self.budget.spend()
             self.client.add(call.name, call.amount, LIFE, lambda end, call=call: self._ended(call, end))  # type: ignore[misc]
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -252,3 +254,15 @@
     assert len(ledger.customers) == 500
     ledger.forget(1000.0)
     assert not ledger.customers
+
+
+def test_under_a_short_budget_all_have_their_turn_the_fullest_more_often() -> None:
+    ledger, turns = Ledger(), Counter[bytes]()
+    for n in range(10):
+        ledger.noted(b"%d" % n, 3, 0, 4, 0.5, 0.1 * (n + 1), 0.0)
+    for step in range(200):
+        for call in ledger.due(0.1 * step, 3, 0.0):
+            turns[call.key] += 1
+            ledger.ended(call, End.ADDED, float(call.amount), 0.1 * step + 0.01)
+    assert len(turns) == 10
+    assert turns[b"9"] > 2 * turns[b"0"]
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -215,3 +215,39 @@
     quota = pair.live[0].quotas[key_of("basic c1")]
     assert quota.counts[0] == pair.live[1].quotas[key_of("basic c1")].counts[0] == 4 * 10
     assert sum(pair.ask(1, f"c{n}", ring_size=3) for n in range(20)) <= 7
+
+
+def test_gateways_that_hear_of_nobody_keep_to_the_quota_together() -> None:
+    pair = Pair(3, may_tell_peers=False, max_units=1.0)
+    total = 0
+    for _ in range(200):
+        pair.now += 0.1
+        total += sum(pair.ask(n, f"{pair.now} {n}", ring_size=3) for n in range(3))
+    assert 0.8 * BASIC.rate * pair.now <= total <= 1.1 * (BASIC.burst + BASIC.rate * pair.now)
+
+
+def test_where_others_are_heard_a_silent_member_leaves_its_share() -> None:
+    pair = Pair(3)
+    pair.epochs(2)
+    del pair.live[1]
+    total = 0
+    for _ in range(200):
+        pair.epochs(1)
+        total += pair.ask(0, f"{pair.now}", ring_size=2)
+    assert total >= 0.9 * BASIC.rate * pair.now
+
+
+def test_what_a_restarted_gateway_hears_of_at_first_is_within_the_window() -> None:
+    pair = Pair(3)
+    for _ in range(60):  # all places have used far more than a burst in their lives
+        pair.epochs(1)
+        for n in range(3):
+            pair.ask(n, f"{pair.now} {n}", ring_size=3)
+    pair.restart(0)
+    for _ in range(4):
+        for n in range(3):
+            pair.ask(n, f"{pair.now} {n} again", ring_size=3)
+        pair.epochs(1)
+    quota = next(iter(pair.live[0].quotas.values()))
+    assert len(quota.counts) > 1
+    assert 0.5 * BASIC.burst <= quota.own + quota.others <= BASIC.burst + BASIC.rate * 0.5
