--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -90,12 +90,12 @@
             self._ask(request)
         else:
             others = self._members(quota, quota.place)[1:]
-            told = not others or any(self._answers(n) for n in others)
-            quota.lag = self.epoch * len(others) + (0.0 if told else min(self.now - quota.witnessed, 1.0))
-            told = told or self.now - quota.witnessed < WITNESSED_FOR
+            heard, read = sum(map(self._answers, others)), self.now - quota.witnessed
+            told, some = heard or not others or read < WITNESSED_FOR, heard < len(others)
+            quota.lag = self.epoch * len(others) + (read if some and read < WITNESSED_FOR else 0.0)
             # where others are heard the members are gone and ask no more; where nobody is, we are cut off
             quota.alone = not (told or any(self._answers(n) for n in self.peers))
-            self._admit(request, self._within_quota(quota, event.units, told))
+            self._admit(request, self._within_quota(quota, event.units, bool(told)))
 
     def _set_timer(self, delay: float, request: Request) -> None:
         self.serial += 1
--- a/standflow/counter/modes.py
+++ b/standflow/counter/modes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -57,10 +58,13 @@
         """`epoch`: seconds between tellings of the ring; four without a word are silence."""
         self.ring, self.counter, self.quiet, self.began = Side(), Side(), 4 * epoch, now
         self.mode = Mode.NEITHER
+        self.whole = False  # all others are heard
 
-    def look(self, heard: float, counter: State, now: float) -> Mode | None:
-        """`heard`: when another ingress was heard last. The mode entered now, or None."""
-        self.ring.look(now - heard < self.quiet, now)
+    def look(self, heard: Iterable[float], counter: State, now: float) -> Mode | None:
+        """`heard`: when each other ingress was heard last. The mode entered now, or None."""
+        speaks = [now - at < self.quiet for at in heard]
+        self.ring.look(any(speaks), now)
+        self.whole = all(speaks)
         self.counter.look(counter in USABLE, now)
         mode = MODES.get((self.ring.counts, self.counter.counts), Mode.NEITHER)
         if mode is self.mode:
@@ -70,9 +74,9 @@
 
     def share(self, now: float) -> float:
         """The part of the calls that is of use: all after a start, for what an earlier life let in, and while
-        the ring is silent.
+        any other ingress is silent.
         """
-        return CALM if self.ring.counts and now - self.began >= WINDOW else 1.0
+        return CALM if self.ring.counts and self.whole and now - self.began >= WINDOW else 1.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/standflow/counter/witness.py
+++ b/standflow/counter/witness.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from standflow.config.model import WitnessOptions
 from standflow.counter.budget import Budget
@@ -31,9 +31,9 @@
         address: tuple[str, int],
         told: Callable[[Told], None],
         modes: Modes,
-        heard: Callable[[], float],
+        heard: Callable[[], Iterable[float]],
     ) -> None:
-        """`heard`: when another ingress was heard last, of the loop's clock."""
+        """`heard`: when each other ingress was heard last, of the loop's clock."""
         self.loop, self.log, self.options, self.told = loop, log, options, told
         self.modes, self.heard = modes, heard
         self.client = Client(loop, log, address)
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -50,7 +50,8 @@
         # One offset for the whole run: steps of the wall clock must not reach the module.
         self.offset = time.time() - time.monotonic()
         self.module = Gateway(settings, seed)
-        self.heard = -math.inf  # of the loop's clock: when another ingress was heard last
+        # of the loop's clock: when each other ingress was heard last
+        self.heard = dict.fromkeys(self.module.peers, -math.inf)
         # key, size, place, count, level, fullness: where a second witness takes notes, it stands here
         self.noted: Callable[[bytes, int, int, int, float, float], None] = lambda *note: None
         self.events: deque[tuple[i.Event, Transaction | None]] = deque()
@@ -160,7 +161,7 @@
 
     def peer_told(self, sender: int, content: bytes) -> None:
         """PeerMessage."""
-        self.heard = self.loop.now()
+        self.heard[sender] = self.loop.now()
         self.feed(i.PeerMessage(sender, content))
 
     def _timer(self, handle: int) -> None:
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -4,9 +4,11 @@
 
 from typing import Any
 
+import pytest
+
 from hoistfold import interface as i
 from hoistfold.brain import IDLE_FOR, MOST
-from tests.world import BASIC, Pair, ended, of, request, sends, started
+from tests.world import BASIC, Pair, ended, of, request, sealed, sends, started
 
 
 class Witnessed(Pair):
@@ -117,3 +119,21 @@
     assert notes[0].level > 0.3 > max(note.level for note in notes[1:])
     gateway.handle(IDLE_FOR + 1, i.TimerFired(0))
     assert (gateway.quotas, gateway.telling, gateway.touched) == ({}, {}, {})
+
+
+def test_what_a_silent_member_may_have_used_since_the_counter_told_is_reserved() -> None:
+    gateway = started(witness=True, gateways=3)
+    ring = gateway.epoch * 2
+    lags = []
+    for n, speaking in enumerate(((1, 2), (1,), ())):
+        now = 1.0 + 10 * n
+        gateway.handle(now, request(f"first{n}", ring_size=3))
+        quota = next(iter(gateway.quotas.values()))
+        gateway.handle(now, i.UseWitnessed(quota.key, 2, 8, 0.2))
+        for sender in speaking:
+            gateway.handle(now + 1.0, i.PeerMessage(sender, sealed(b"")))
+        gateway.handle(now + 1.0, request(f"r{n}", ring_size=3))
+        lags.append(quota.lag)
+    assert lags == pytest.approx([ring, ring + 1.0, ring + 1.0])
+    gateway.handle(31.0, request("later", ring_size=3))
+    assert quota.lag == ring  # nothing tells of anybody: the even share holds instead
