Whom only the counter tells of is taken to have used as much as we since it told

Cause: schools that ask in bursts; brain._within_quota reserved by the others' rate, which has decayed when a burst begins, and the counter's word is a third of a second old. Ruled out: the mode's entry and the start, the excess comes with the bursts; calls (1,000 a second gave more). Now each silent member is taken to have used what this ingress let in since the counter told last, in place of the reserve by the counter's age that was there before.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -91,11 +91,11 @@
         else:
             others = self._members(quota, quota.place)[1:]
             heard, read = sum(map(self._answers, others)), self.now - quota.witnessed
-            told, some = heard or not others or read < WITNESSED_FOR, heard < len(others)
-            quota.lag = self.epoch * len(others) + (read if some and read < WITNESSED_FOR else 0.0)
+            told = heard > 0 or not others or read < WITNESSED_FOR
+            quota.silent = len(others) - heard if read < WITNESSED_FOR else 0
             # where others are heard the members are gone and ask no more; where nobody is, we are cut off
             quota.alone = not (told or any(self._answers(n) for n in self.peers))
-            self._admit(request, self._within_quota(quota, event.units, bool(told)))
+            self._admit(request, self._within_quota(quota, event.units, told))
 
     def _set_timer(self, delay: float, request: Request) -> None:
         self.serial += 1
@@ -123,6 +123,7 @@
             self._send(request, backend)  # it takes nothing from the quota
         elif backend is not None:
             quota.own += request.units
+            quota.since += request.units
             quota.ceiling -= request.units * quota.size
             spent = quota.counts[quota.place] + round(request.units * SCALE)
             quota.counts[quota.place] = spent & 0xFFFF
@@ -374,9 +375,9 @@
         over = plan.ceiling_rate and quota.ceiling < units * quota.size
         if over or (plan.max_open and quota.open >= plan.max_open):
             return False
-        left = plan.burst - quota.others
+        left = plan.burst - quota.others - quota.silent * quota.since
         # the rollover ratio: what the others are likely to have used since they were last heard
-        ratio = min(0.5, quota.others_rate * quota.lag / max(left, 1 / SCALE))
+        ratio = min(0.5, quota.others_rate * self.epoch * (quota.size - 1) / max(left, 1 / SCALE))
         if not told:  # part of an even share, one request at least if none was refused before
             least = 0.0 if quota.refusals else self.settings.max_units
             left = min(left, max(least, ALLOWANCE * plan.burst / quota.size))
@@ -416,13 +417,12 @@
     def _witnessed(self, event: i.UseWitnessed) -> None:
         """Merged as what the ring tells; a register that was emptied and holds too little tells nothing."""
         quota = self.quotas.get(event.key)
-        if quota is None or event.place >= quota.size:
-            return
-        self._drain(quota)
-        if event.place != quota.place:
-            quota.witnessed = self.now
-        if (event.count - quota.counts.get(event.place, event.count)) & 0xFFFF <= 0x7FFF:
-            self._merge(quota, event.place, event.count, round(event.level * quota.plan.burst * SCALE))
+        if quota is not None and event.place < quota.size:
+            self._drain(quota)
+            if event.place != quota.place:
+                quota.witnessed, quota.since = self.now, 0.0
+            if (event.count - quota.counts.get(event.place, event.count)) & 0xFFFF <= 0x7FFF:
+                self._merge(quota, event.place, event.count, round(event.level * quota.plan.burst * SCALE))
 
     def _fullness(self, quota: Quota) -> float:
         return (quota.own + quota.others) / quota.plan.burst
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -98,7 +98,8 @@
     told: bool = False  # a keeper was heard
     refusals: int = 0
     shut_until: float = 0.0
-    lag: float = 0.0  # seconds that others' use may be old when it is known here
+    silent: int = 0  # other members that only the second witness tells of: each is taken to have used
+    since: float = 0.0  # as much as we since it told of another member last, so many units
     alone: bool = False  # nobody at all was heard of when it was last asked for
     witnessed: float = -math.inf  # when the second witness told of another member last
 
--- a/lab/bench_counter.py
+++ b/lab/bench_counter.py
@@ -20,6 +20,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 from zlib import crc32
 
 from hoistfold import interface as i
@@ -39,7 +40,8 @@
 SPAN = 16.0  # seconds that schools ask for
 GOES_AT = 4.0  # seconds until a case's failure begins
 WEIGHTS = (0.5, 0.3, 0.2)  # of a school's requests, through which ingress
-AT_ONCE = 4  # cases
+AT_ONCE = 5  # cases
+PARTS = 2  # of the counter
 SCHOOLS = 100_000  # in a window of 10 s
 LIKELY = 20_000  # as many as a core has requests for in that time, each of another school
 FILE = """
@@ -71,8 +73,9 @@
     def __init__(self, ring: bool, witness: str, loss: float = 0.0) -> None:
         self.stack = ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
-        self.store = Store()
-        self.door = self.stack.enter_context(Door(self.store))
+        self.store = Store(PARTS)
+        # The way in from the room of the first ingress, and that of the others.
+        self.near, self.door = (self.stack.enter_context(Door(self.store)) for _ in range(2))
         self.box = self.stack.enter_context(Box())
         self.ring, self.witness = ring, witness
         self.network = self.stack.enter_context(Datagrams(INGRESSES, loss))
@@ -94,7 +97,7 @@
             FILE.format(
                 number=number,
                 ingresses=INGRESSES,
-                counter="{}:{}".format(*self.door.address),
+                counter="{}:{}".format(*(self.door if number else self.near).address),
                 rate=RATE,
                 burst=BURST,
                 ring="\n".join(lines) if self.ring else "limits {\n    peer-messages  0\n}",
@@ -170,23 +173,37 @@
     ring: bool = True
     witness: bool = True
     goes: Callable[[Site], None] = lambda site: None
+    use: float = 1.1  # of the allowance
     wrong: float = 0.02  # of what was inside quota, refused
     unanswered: int = 0
     loss: float = 0.0  # part of the datagrams
 
 
-def slow(seconds: float) -> Callable[[Site], None]:
-    """The counter's answers come so much later."""
+def ways(**values: Any) -> Callable[[Site], None]:
+    """The ways in from both rooms become like this; see lab.counter.Way."""
 
     def goes(site: Site) -> None:
-        site.door.way.delay = seconds
+        for door in (site.near, site.door):
+            for name, value in values.items():
+                setattr(door.way, name, value)
 
     return goes
 
 
-def lose(site: Site) -> None:
-    """Half of the answers never come, though the amount was added."""
-    site.door.way.lose = 0.5
+def end(site: Site) -> None:
+    """The counter is gone."""
+    site.near.close()
+    site.door.close()
+
+
+def part_cut(site: Site) -> None:
+    """One part is reached from the others' room only."""
+    site.near.way.cut.add(0)
+
+
+def disagree(site: Site) -> None:
+    """From the first ingress's room an empty counter is reached from now on, another than the others'."""
+    site.near.store = Store(PARTS)
 
 
 def silence(site: Site) -> None:
@@ -194,40 +211,59 @@
     site.network.cut.update(range(INGRESSES))
 
 
-def silence_and_end(site: Site) -> None:
-    """Neither ring nor counter, all at once."""
-    silence(site)
-    site.door.close()
-
-
 def cut_off(site: Site) -> None:
     """One ingress is cut off from the others, not from the counter."""
     site.network.cut.add(0)
 
 
-def silence_and_restart(site: Site) -> None:
-    """The ring falls silent, and an ingress comes back with nothing."""
-    silence(site)
-    site.restart()
+def cut_off_from_all(site: Site) -> None:
+    """One ingress is cut off from the others and from the counter."""
+    cut_off(site)
+    site.near.close()
+
+
+def silence_and(other: Callable[[Site], None]) -> Callable[[Site], None]:
+    """The ring falls silent, and something else goes wrong with it."""
+
+    def goes(site: Site) -> None:
+        silence(site)
+        other(site)
+
+    return goes
+
+
+def empty(site: Site) -> None:
+    """The counter knows nothing any more."""
+    site.store.empty()
 
 
 CASES = (
     Case("ring-alone", witness=False),
     Case("both-good"),
-    Case("ring-and-slow-90ms", goes=slow(0.09)),
-    Case("ring-and-slow-300ms", goes=slow(0.3)),
-    Case("ring-and-gone", goes=lambda site: site.door.close()),
-    Case("ring-and-emptied", goes=lambda site: site.store.empty()),
-    Case("ring-and-answers-lost", goes=lose),
+    Case("ring-and-slow-70ms", goes=ways(delay=0.07)),
+    Case("ring-and-slow-90ms", goes=ways(delay=0.09)),
+    Case("ring-and-slow-300ms", goes=ways(delay=0.3)),
+    Case("ring-and-gone", goes=end),
+    Case("ring-and-part-cut", goes=part_cut),
+    Case("ring-and-two-counters", goes=disagree),
+    Case("ring-and-emptied", goes=empty),
+    Case("ring-and-answers-lost", goes=ways(lose=0.5)),
+    Case("ring-and-answers-spoilt", goes=ways(spoil=0.3)),
     Case("ring-and-restart", goes=Site.restart, unanswered=20),
+    Case("restart-with-ring-alone", witness=False, goes=Site.restart, unanswered=20),
     Case("ring-loses-7-of-100", loss=0.065, witness=False),
-    Case("ring-falls-silent", goes=silence, wrong=0.1),
-    Case("ring-and-counter-go", goes=silence_and_end, wrong=0.1),
+    Case("silent-ring", goes=silence, wrong=0.1),
+    Case("silent-ring-and-slow-70ms", goes=silence_and(ways(delay=0.07)), wrong=0.1),
+    Case("silent-ring-and-gone", goes=silence_and(end), wrong=0.1),
+    Case("silent-ring-and-part-cut", goes=silence_and(part_cut), wrong=0.1),
+    Case("silent-ring-and-two-counters", goes=silence_and(disagree), wrong=0.1),
+    Case("silent-ring-and-emptied", goes=silence_and(empty), wrong=0.1),
+    Case("silent-ring-and-answers-lost", goes=silence_and(ways(lose=0.5)), use=1.5, wrong=0.1),
+    Case("silent-ring-and-answers-spoilt", goes=silence_and(ways(spoil=0.3)), use=1.5, wrong=0.1),
+    Case("silent-ring-and-restart", goes=silence_and(Site.restart), wrong=0.1, unanswered=20),
     Case("one-cut-off-from-the-ring", goes=cut_off, wrong=0.1),
-    Case("silent-ring-and-restart", goes=silence_and_restart, wrong=0.1, unanswered=20),
-    Case("restart-with-ring-alone", witness=False, goes=Site.restart, unanswered=20),
+    Case("one-cut-off-from-both", goes=cut_off_from_all, wrong=0.1),
     Case("counter-alone", ring=False, wrong=0.1),
-    Case("counter-alone-emptied", ring=False, goes=lambda site: site.store.empty(), wrong=0.1),
     Case("neither", ring=False, witness=False, wrong=0.1),
 )
 
@@ -253,7 +289,7 @@
     """The promise in every case."""
     with ThreadPoolExecutor(AT_ONCE) as pool:
         for case, (verdict, unanswered, calls) in zip(cases, pool.map(play, cases), strict=True):
-            report.tell(f"{case.name}_use", verdict.use, "of_allowance", "<=1.1")
+            report.tell(f"{case.name}_use", verdict.use, "of_allowance", f"<={case.use}")
             report.tell(f"{case.name}_wrong", verdict.wrong, "of_inside", f"<={case.wrong}")
             report.tell(f"{case.name}_wrong_calm", verdict.wrong_calm, "of_inside", f"<={case.wrong}")
             report.tell(f"{case.name}_unanswered", unanswered, "count", f"<={case.unanswered}")
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -121,19 +121,20 @@
     assert (gateway.quotas, gateway.telling, gateway.touched) == ({}, {}, {})
 
 
-def test_what_a_silent_member_may_have_used_since_the_counter_told_is_reserved() -> None:
+@pytest.mark.parametrize(("speaking", "fits"), [((1, 2), 7), ((1,), 4), ((), 3)])
+def test_what_silent_members_may_have_used_since_the_counter_told_is_reserved(
+    speaking: tuple[int, ...], fits: int
+) -> None:
     gateway = started(witness=True, gateways=3)
-    ring = gateway.epoch * 2
-    lags = []
-    for n, speaking in enumerate(((1, 2), (1,), ())):
-        now = 1.0 + 10 * n
-        gateway.handle(now, request(f"first{n}", ring_size=3))
-        quota = next(iter(gateway.quotas.values()))
-        gateway.handle(now, i.UseWitnessed(quota.key, 2, 8, 0.2))
-        for sender in speaking:
-            gateway.handle(now + 1.0, i.PeerMessage(sender, sealed(b"")))
-        gateway.handle(now + 1.0, request(f"r{n}", ring_size=3))
-        lags.append(quota.lag)
-    assert lags == pytest.approx([ring, ring + 1.0, ring + 1.0])
-    gateway.handle(31.0, request("later", ring_size=3))
-    assert quota.lag == ring  # nothing tells of anybody: the even share holds instead
+    gateway.handle(0.0, request("first", ring_size=3))
+    quota = next(iter(gateway.quotas.values()))
+    now = 10.0
+    gateway.handle(now, i.UseWitnessed(quota.key, 2, 8, 0.2))  # two units of a burst of ten
+    for sender in speaking:
+        gateway.handle(now, i.PeerMessage(sender, sealed(b"")))
+    served = 0
+    for n in range(12):
+        for send in sends(gateway.handle(now, request(f"{n}", ring_size=3))):
+            gateway.handle(now, ended(send, i.Outcome.OK))
+            served += 1
+    assert served == fits
