--- a/standflow/counter/modes.py
+++ b/standflow/counter/modes.py
@@ -15,7 +15,7 @@
 
 GIVEN_UP = 1.0  # seconds of silence after which a witness counts for nothing
 TRUSTED = 2.0  # seconds for which it speaks again before it counts
-CALM = 0.1  # of the calls are made where the ring tells the same as the counter could
+CALM = 0.05  # of the calls are made where the ring tells the same as the counter could
 WINDOW = 10.0  # seconds over which use is held against the allowance
 MISS = 0.01  # part of the tellings that may come later than the bound takes for granted
 
