The bench of quotas begins its failures when the counter is asked rarely, all held to 110%

Lines at fault: bench_counter.GOES_AT, SPAN and Case.use. Now failures begin at 12 of 26 s and every case is held to 1.1. Driver.peer_told also took a garbled datagram for a word of its sender, so the ring could count while the module heard nothing; the module's own mark of sound messages is read now (test seen to fail without).

--- a/lab/bench_counter.py
+++ b/lab/bench_counter.py
@@ -37,10 +37,10 @@
 
 INGRESSES = 3
 RATE, BURST = 4.0, 12.0
-SPAN = 16.0  # seconds that schools ask for
-GOES_AT = 4.0  # seconds until a case's failure begins
+SPAN = 26.0  # seconds that schools ask for
+GOES_AT = 12.0  # seconds until a case's failure begins: by then the counter is asked rarely (modes.CALM)
 WEIGHTS = (0.5, 0.3, 0.2)  # of a school's requests, through which ingress
-AT_ONCE = 5  # cases
+AT_ONCE = 6  # cases
 PARTS = 2  # of the counter
 SCHOOLS = 100_000  # in a window of 10 s
 LIKELY = 20_000  # as many as a core has requests for in that time, each of another school
@@ -173,7 +173,6 @@
     ring: bool = True
     witness: bool = True
     goes: Callable[[Site], None] = lambda site: None
-    use: float = 1.1  # of the allowance
     wrong: float = 0.02  # of what was inside quota, refused
     unanswered: int = 0
     loss: float = 0.0  # part of the datagrams
@@ -258,7 +257,7 @@
     Case("silent-ring-and-part-cut", goes=silence_and(part_cut), wrong=0.1),
     Case("silent-ring-and-two-counters", goes=silence_and(disagree), wrong=0.1),
     Case("silent-ring-and-emptied", goes=silence_and(empty), wrong=0.1),
-    Case("silent-ring-and-answers-lost", goes=silence_and(ways(lose=0.5)), use=1.5, wrong=0.1),
+    Case("silent-ring-and-answers-lost", goes=silence_and(ways(lose=0.5)), wrong=0.1),
     Case("silent-ring-and-answers-spoilt", goes=silence_and(ways(spoil=0.3)), wrong=0.1),
     Case("silent-ring-and-restart", goes=silence_and(Site.restart), wrong=0.1, unanswered=20),
     Case("one-cut-off-from-the-ring", goes=cut_off, wrong=0.1),
@@ -280,6 +279,7 @@
         case.goes(site)
         for one in askers:
             one.thread.join(SPAN + 10.0)
+            assert not one.thread.is_alive()  # a history cut short proves nothing
         tries = [one for asker in askers for one in asker.tries]
         unanswered = sum(asker.unanswered for asker in askers)
         return judge(tries, RATE, BURST), unanswered, site.store.calls / max(1, len(tries))
@@ -289,7 +289,7 @@
     """The promise in every case."""
     with ThreadPoolExecutor(AT_ONCE) as pool:
         for case, (verdict, unanswered, calls) in zip(cases, pool.map(play, cases), strict=True):
-            report.tell(f"{case.name}_use", verdict.use, "of_allowance", f"<={case.use}")
+            report.tell(f"{case.name}_use", verdict.use, "of_allowance", "<=1.1")
             report.tell(f"{case.name}_wrong", verdict.wrong, "of_inside", f"<={case.wrong}")
             report.tell(f"{case.name}_wrong_calm", verdict.wrong_calm, "of_inside", f"<={case.wrong}")
             report.tell(f"{case.name}_unanswered", unanswered, "count", f"<={case.unanswered}")
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -185,7 +185,7 @@
             counter,
             self._use_told,
             Modes(self.driver.module.epoch, self.loop.now()),
-            lambda: self.driver.heard.values(),
+            self.driver.heard,
         )
         self.driver.noted = witness.noted
         return witness
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 import traceback
 from collections import deque
@@ -50,8 +49,6 @@
         # One offset for the whole run: steps of the wall clock must not reach the module.
         self.offset = time.time() - time.monotonic()
         self.module = Gateway(settings, seed)
-        # of the loop's clock: when each other ingress was heard last
-        self.heard = dict.fromkeys(self.module.peers, -math.inf)
         # key, size, place, count, level, fullness: where a second witness takes notes, it stands here
         self.noted: Callable[[bytes, int, int, int, float, float], None] = lambda *note: None
         self.events: deque[tuple[i.Event, Transaction | None]] = deque()
@@ -159,9 +156,12 @@
         """UseWitnessed."""
         self.feed(i.UseWitnessed(key, place, count, level))
 
+    def heard(self) -> list[float]:
+        """When a sound message of each other ingress came last, of the loop's clock."""
+        return [peer.heard - self.offset for peer in self.module.peers.values()]
+
     def peer_told(self, sender: int, content: bytes) -> None:
         """PeerMessage."""
-        self.heard[sender] = self.loop.now()
         self.feed(i.PeerMessage(sender, content))
 
     def _timer(self, handle: int) -> None:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import time
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -21,16 +22,17 @@
 from standflow.tally import MOST_HOPS, Tally
 from tests.test_legs import Recorder
 from tests.wire import config, listener, read_until, turn_until
+from tests.world import sealed
 
 
 class Played:
     """A driver whose module says what the test wants."""
 
-    def __init__(self) -> None:
+    def __init__(self, gateways: int = 1) -> None:
         self.at = Recorder()
         self.told: list[object] = []
         self.probes: list[str] = []
-        settings = read(config(), self.at.log.append).settings
+        settings = replace(read(config(), self.at.log.append).settings, gateways=gateways)
         self.driver = Driver(
             self.at.loop,
             self.at.log.append,
@@ -72,6 +74,17 @@
     played.at.close()
 
 
+def test_a_garbled_datagram_is_no_word_of_an_ingress() -> None:
+    played = Played(gateways=3)
+    del played.driver.module.handle
+    began = played.at.loop.now()
+    played.driver.peer_told(1, b"garbled")
+    assert max(played.driver.heard()) < began
+    played.driver.peer_told(1, sealed(b""))
+    assert sum(at >= began for at in played.driver.heard()) == 1
+    played.at.close()
+
+
 def test_actions_are_carried_out_and_what_they_cause_waits_its_turn() -> None:
     played = Played()
     actions: list[i.Action] = [
