Operators' calls and figures, next hops out by hand, an ingress emptied and back

The change: standflow/ops/ (server, calls, figures, overlay), Loop.first, Exchange.ends, NextHops.forwards, Kept.avoided; CallerSide's drain is one mechanism for SIGTERM and evacuate, and its legs end by a half-close with reading on (before: a close at once). EDGE_OPS goes before `ops` of the file, as two processes may share that.

--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -150,3 +150,7 @@
         self.touched: dict[bytes, Quota] = {}  # those whose use is noted for the second witness
         self.sweep_at = 0.0
         self.answer_time = 0.05  # seconds until a total asked for is back, learnt
+
+    def avoided(self) -> set[str]:
+        """The backends that are suspected; what merely lies outside this gateway's reach is not."""
+        return {name for name, backend in self.backends.items() if backend.suspect_since is not None}
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -27,6 +27,7 @@
     from standflow.counter.ledger import Told
     from standflow.counter.witness import Witness
     from standflow.handshakes.keeper import Keeper
+    from standflow.ops.operations import Operations
     from standflow.tls.streams import TlsStreams
 
 READY_AT_LATEST = 0.25  # seconds that a restarted ingress waits for discovery, its saved list being stale
@@ -37,6 +38,7 @@
 RESTART_KEYS = (
     "name",
     "listen",
+    "ops",
     "peer_listen",
     "peers",
     "peers_all",
@@ -138,6 +140,17 @@
                 loop, log, self.exchange, config.listen, config.max_legs, config.max_unread
             )
         self.stopping = False
+        self.applied = self.rejected = 0  # files at SIGHUP
+        self.ops = self._make_ops()
+
+    def _make_ops(self) -> Operations | None:
+        """The operators' calls, where the platform gives them a place."""
+        if self.config.ops is None:
+            return None
+        from standflow.ops.operations import Operations
+
+        with named("ops"):
+            return Operations(self.loop, self.log, self.config.ops, self, self._laid_over)
 
     def _make_tls(self) -> TlsStreams | None:
         """Nothing of TLS is imported where the operator's file has no block for it."""
@@ -196,6 +209,8 @@
     def start(self) -> None:
         """Begins to serve: the saved list first, then discovery's word, then the callers."""
         known = self.config.known
+        if self.ops is not None and known is not None:
+            known = self.ops.overlay.told(known)
         if self.keeper is not None:
             self.driver.start(None)
             if known is not None:
@@ -216,6 +231,10 @@
             self.log(f"ready {self.config.name} on {self.callers.address[0]}:{self.callers.address[1]}")
 
     def _routes_told(self, routes: RouteSet) -> None:
+        self._laid_over(routes if self.ops is None else self.ops.overlay.told(routes))
+
+    def _laid_over(self, routes: RouteSet) -> None:
+        """Takes in the route set as operators left it."""
         if self.keeper is not None:
             self.keeper.routes_told(routes)
             return
@@ -242,8 +261,10 @@
         try:
             config = load(os.environ, self.log)
         except ConfigError as error:
+            self.rejected += 1
             self.log(f"reload: {error}; nothing was changed")
             return
+        self.applied += 1
         before, moved = self.config, False
         self.config = replace(before, discovery=config.discovery, counter=config.counter)
         if self.routes is not None and config.discovery is not None:
@@ -273,7 +294,7 @@
         if not self.stopping:
             self.stopping = True
             self.log("stopping")
-            self.loop.call_later(ACCEPT_ON, self.callers.drain)
+            self.loop.call_later(ACCEPT_ON, self.callers.stop)
             longest = max(LONGEST_WAIT, self.config.longest_deadline)
             self.loop.call_later(longest + LAST_MOMENT, self.loop.stop)
             self._stop_when_done()
@@ -283,6 +304,8 @@
         self.tally.flush()
         self.callers.close()
         self.next_hops.close()
+        if self.ops is not None:
+            self.ops.close()
         if self.tls is not None:
             self.tls.tell_counts()
         if self.witness is not None:
@@ -291,7 +314,7 @@
             self.routes.close()
 
     def _stop_when_done(self) -> None:
-        if self.callers.draining and not self.callers.legs:
+        if self.callers.listener is None and not self.callers.legs:
             self.loop.stop()
         else:
             self.loop.call_later(0.01, self._stop_when_done)
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -75,6 +75,7 @@
 
     name: str
     listen: Address
+    ops: Address | None  # where operators call; None: nowhere
     discovery: Address | None  # None: `known` holds for good
     counter: Address | None
     peer_listen: Address | None
--- a/standflow/config/platform.py
+++ b/standflow/config/platform.py
@@ -19,6 +19,8 @@
 from standflow.net.routes import RouteError, read_address, read_routes
 
 DEFAULT_SOCKETS = 1024
+OPS_SOCKETS = 34  # for the operators' calls: ops.server.DESCRIPTORS
+LEAST_SOCKETS = 16  # for callers and next hops
 MOST_INGRESSES = 10_000
 SPARE_SOCKETS = 32  # for the log, the epoll, discovery, peers and what the interpreter opens
 
@@ -62,6 +64,8 @@
     for key in ("name", "listen", "discovery"):
         if key not in raw and f"EDGE_{key.upper()}" in environment:
             raw[key] = environment[f"EDGE_{key.upper()}"]
+    if environment.get("EDGE_OPS"):  # two processes of one ingress may share the file, but not this address
+        raw["ops"] = environment["EDGE_OPS"]
     return raw
 
 
@@ -75,7 +79,10 @@
         raise ConfigError("limits: is not an object")
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = min(int(_number(limits, "sockets", "limits.sockets", 64, 1e7, DEFAULT_SOCKETS)), allowed)
-    usable = sockets - SPARE_SOCKETS
+    ops = _address(raw, "ops", optional=True)
+    usable = sockets - SPARE_SOCKETS - (OPS_SOCKETS if ops is not None else 0)
+    if usable < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets: {sockets} is too few for what is switched on")
     peer_listen = _address(raw, "peer_listen", optional=True)
     peers = tuple(_peers(raw))
     if settings.may_tell_peers and peer_listen is not None and len(peers) != settings.gateways:
@@ -83,6 +90,7 @@
     return Config(
         name=_text(raw, "name"),
         listen=_required(raw, "listen"),
+        ops=ops,
         discovery=None if static else _required(raw, "discovery"),
         counter=_address(raw, "counter", optional=True),
         peer_listen=peer_listen,
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -160,6 +160,10 @@
         """When a sound message of each other ingress came last, of the loop's clock."""
         return [peer.heard - self.offset for peer in self.module.peers.values()]
 
+    def avoided(self) -> set[str]:
+        """The next hops that the module avoids now."""
+        return self.module.avoided()
+
     def peer_told(self, sender: int, content: bytes) -> None:
         """PeerMessage."""
         self.feed(i.PeerMessage(sender, content))
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -113,6 +113,22 @@
     report: Mapping[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Ends:
+    """How many transactions of one class were taken in and how they ended, since the process began."""
+
+    taken: int = 0
+    succeeded: int = 0
+    declined: int = 0
+    aborted: int = 0
+    gone: int = 0  # the caller had left
+
+    @property
+    def open(self) -> int:
+        """Those that have not ended."""
+        return self.taken - self.succeeded - self.declined - self.aborted - self.gone
+
+
 class UnacceptableError(ValueError):
     """A request that can't be taken in; its text tells the caller why."""
 
@@ -213,6 +229,7 @@
         self.next_hops: NextHopSide
         self.transactions: dict[str, Transaction] = {}
         self.open_count = 0
+        self.ends: dict[str, Ends] = {name: Ends() for name in classes}  # one dropped keeps its counts
         self.serial = 0
 
     # The caller side.
@@ -233,6 +250,7 @@
         if request.ident is not None and request.ident in self.idents:
             raise UnacceptableError("the id is another open request's")
         self.tally("taken")
+        self.ends[request.class_name].taken += 1
         self.serial += 1
         name = f"{self.serial}"
         deadline = heard + request.patience
@@ -253,6 +271,7 @@
         """The caller has left: nothing is owed any more, its branches run on as the module sees fit."""
         if transaction.open:
             self.tally("answer.gone")
+            self.ends[transaction.request.class_name].gone += 1
             self._close(transaction)
             self.decisions.transaction_gone(transaction)
             self._settle(transaction)
@@ -347,6 +366,13 @@
     def _conclude(self, transaction: Transaction, final: Final) -> None:
         self._close(transaction)
         self.tally(ANSWERED[type(final)])
+        ends = self.ends[transaction.request.class_name]
+        if isinstance(final, Served):
+            ends.succeeded += 1
+        elif isinstance(final, Refused):
+            ends.declined += 1
+        else:
+            ends.aborted += 1
         transaction.reply(final)
         self._settle(transaction)
 
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -31,6 +31,7 @@
 SPEAK_WITHIN = 2.3  # seconds in which a new leg has its first command whole; a sweep more, and it ends
 SETTLE = 0.25  # seconds in which a new leg isn't asked to make way: its command may be under way
 LINGER = 1.0  # seconds for the last answer to arrive after framing was lost
+PRESS = 1.5  # seconds of a drain after which no leg takes another command: what it has open may finish
 ACCEPT_PAUSE = 0.1  # seconds without accepting when descriptors run out
 
 
@@ -65,7 +66,7 @@
         """The whole life of the leg."""
         try:
             self.reason = yield from self._serve()
-            if self.reason == "bad_framing":
+            if self.reason in ("bad_framing", "drained"):
                 yield from self._linger()
         finally:
             self.side.closed(self)
@@ -133,12 +134,14 @@
             if parts is None:
                 return
             self.side.idle.pop(self, None)
+            if self.side.pressing:
+                self.last_words, self.reason = True, "drained"
             slot = Slot()
             self.slots.append(slot)
             try:
                 command = resp.decode_command(parts)
                 if isinstance(command, resp.Ping):
-                    slot.answer = resp.PONG if self.side.ready else resp.error("starting")
+                    slot.answer = self.side.pong()
                 else:
                     self._open(slot, command)
             except (resp.CommandError, UnacceptableError) as error:
@@ -224,7 +227,10 @@
         self.loop, self.log, self.exchange, self.max_legs = loop, log, exchange, max_legs
         self.max_unread = max_unread
         self.ready = False
-        self.draining = False
+        self.draining = False  # each leg ends when it has nothing open
+        self.pressing = False  # and takes no command more
+        self.evacuated = False  # by an operator: no front should send callers
+        self.drains = 0
         self.legs: set[Leg] = set()
         self.idle: OrderedDict[Leg, None] = OrderedDict()  # legs with nothing open, the longest idle first
         self.unread = 0  # bytes written by no leg yet
@@ -312,6 +318,9 @@
         """A leg that never asks, or is stuck in a command or an answer, holds its place for nothing."""
         self.loop.call_later(SWEEP_EVERY, self._sweep)
         now = self.loop.now()
+        if self.pressing:
+            for leg in [leg for leg in self.idle if now - leg.made > SWEEP_EVERY]:
+                self._leave(leg)
         for leg in [leg for leg in self.legs if leg.out or not leg.slots]:
             leg.stalls += 1
             reason = ""
@@ -333,8 +342,24 @@
         """A leg has nothing open any more."""
         if leg in self.legs:
             self.idle[leg] = None
-            if self.draining and not self._unread(leg):
-                leg.last_words, leg.reason = True, "drained"
+            if self.draining and leg.answered and (self.pressing or not self._unread(leg)):
+                self._last(leg)
+
+    def _last(self, leg: Leg) -> None:
+        self.idle.pop(leg, None)
+        leg.last_words, leg.reason = True, "drained"
+
+    def _leave(self, leg: Leg) -> None:
+        """A leg takes no more commands, and ends when the answers to those it has are written."""
+        if not leg.last_words and leg.task is not None:  # else it may be reading out what still comes
+            self._last(leg)
+            self.loop.resume(leg.task, TICK)
+
+    def pong(self) -> bytes:
+        """The answer to a front that asks whether callers may be sent here."""
+        if self.evacuated:
+            return resp.error("evacuated")
+        return resp.PONG if self.ready else resp.error("starting")
 
     def closed(self, leg: Leg) -> None:
         """The end of a leg: its one log line."""
@@ -351,15 +376,41 @@
             if leg.task is not None:
                 self.loop.end(leg.task)
 
-    def drain(self) -> None:
+    def stop(self) -> None:
         """No new legs; each leg ends when it has nothing open."""
-        self.draining = True
         if self.listener is not None:
             self._accept()  # what the kernel has taken in already would be reset with the listener
             self.loop.end(self.listener)
             self.listener = None
+        self._drain()
+
+    def evacuate(self, wanted: bool) -> None:
+        """Fronts are told to send nobody, and legs end as in a drain, new ones too; or that is over."""
+        if wanted and not self.evacuated:
+            self.evacuated = True
+            self._drain()
+        elif not wanted and self.evacuated:
+            self.evacuated = False
+            if self.listener is not None:
+                self.draining = self.pressing = False
+                self.drains += 1
+
+    def _drain(self) -> None:
+        self.draining = True
+        self.drains += 1
+        self.loop.call_later(PRESS, self._press, self.drains)
         for leg in list(self.idle):
-            self._end(leg, "drained")
+            # A new one that has asked nothing yet has come to ask: its command is under way.
+            if leg.answered and not self._unread(leg):
+                self._leave(leg)
+
+    def _press(self, drain: int) -> None:
+        """Whoever asks on and on, or has come and not asked, has had its time."""
+        if not self.draining or drain != self.drains:
+            return
+        self.pressing = True
+        for leg in list(self.legs):
+            self._leave(leg)
 
 
 def encode_final(final: Final) -> bytes:
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -66,6 +66,7 @@
         self.serial = 0
         self.round = 0
         self.stopped = False
+        self.first: set[int] = set()  # descriptors whose events don't wait for the others of a round
         self.polled = time.monotonic()
         # The earliest moment at which what is being read now can have come: the loop's own lateness is taken
         # off what a caller has left.
@@ -183,6 +184,8 @@
         else:
             events = self.epoll.poll(wait, 256)
             self.heard = self.polled = time.monotonic()
+        if self.first and len(events) > 1:
+            events.sort(key=lambda event: event[0] not in self.first)
         self.round += 1
         tasks = self.tasks
         for fd, ready in events:
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -23,7 +23,7 @@
 class Errand:
     """Something to ask of a next hop once; ended is called once, unless it is given up."""
 
-    __slots__ = ("begun", "connection", "decode", "encode", "ended", "whole")
+    __slots__ = ("begun", "connection", "counted", "decode", "encode", "ended", "whole")
 
     def __init__(
         self,
@@ -33,6 +33,7 @@
     ) -> None:
         self.encode, self.decode, self.ended = encode, decode, ended
         self.connection: Connection | None = None
+        self.counted = False  # a branch, not a probe
         self.begun = False  # its first byte may be written
         self.whole = False  # its last one is
 
@@ -200,7 +201,9 @@
             if not errand.begun:
                 errand.begun = True
                 stream.write(errand.encode())
-            errand.whole = not stream.left
+            if not stream.left:
+                errand.whole = True
+                self.side.forwards += errand.counted
         self._arm()
 
     def _arm(self) -> None:
@@ -230,6 +233,7 @@
         self.admission: Admission | None = None
         self.hops: dict[str, Hop] = {}
         self.connections = 0
+        self.forwards = 0  # branches whose command was written whole
         loop.call_later(1.0, self._sweep)
 
     # The route set.
@@ -291,6 +295,7 @@
             self.exchange.branch_ended(branch, result)
 
         branch.carrier = Errand(encode, read_answer, ended)
+        branch.carrier.counted = True
         self._carry(branch.hop, branch.carrier)
 
     def give_up(self, branch: Branch) -> bool:
--- /dev/null
+++ b/standflow/ops/server.py
@@ -0,0 +1,189 @@
+"""The operators' listener: HTTP/1.1 through h11, one call a connection. It decides nothing.
+
+Its descriptors are served first in each round of the loop, and its calls are few and small, so that an answer
+does not wait behind the callers' work. A connection without a whole call holds its place for a few seconds at
+most, and gives way, the oldest first, to one that comes after it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections import OrderedDict
+from collections.abc import Callable
+
+import h11
+
+from standflow.net.loop import IN, OUT, TICK, Coroutine, Loop, Task, broken
+from standflow.ops.calls import Answer
+
+MOST_CALLS = 32  # connections at once
+DESCRIPTORS = MOST_CALLS + 2  # with the listener, and one that is accepted before another ends
+MOST_ACCEPTED = 16  # in a round
+PATIENCE = 5.0  # seconds in which a call has come whole
+LINGER = 0.5  # seconds for the answer to arrive before the connection is closed over what was not read
+MOST_HEAD = 8192  # bytes
+MOST_BODY = 65536  # bytes; no call needs any
+READ_SIZE = 16384
+
+
+class Server:
+    """Accepts connections and answers each one call."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Callable[[str], None],
+        address: tuple[str, int],
+        answer: Callable[[str, str], Answer],
+    ) -> None:
+        """`answer`: a method and a target in, what to say out. OSError where the address can't be had."""
+        self.loop, self.log, self.answer = loop, log, answer
+        self.calls: OrderedDict[Task, None] = OrderedDict()  # the oldest first
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind(address)
+            self.sock.listen(64)
+        except OSError:
+            self.sock.close()
+            raise
+        self.address: tuple[str, int] = self.sock.getsockname()
+        loop.first.add(self.sock.fileno())
+        self.listener = loop.spawn(self.sock.fileno(), self._listen())
+
+    def close(self) -> None:
+        """Ends all of it at once."""
+        for task in [self.listener, *self.calls]:
+            self.loop.end(task)
+
+    def _listen(self) -> Coroutine[None]:
+        number = self.sock.fileno()
+        try:
+            while True:
+                yield IN
+                for _ in range(MOST_ACCEPTED):
+                    if not self._accept():
+                        break
+        finally:
+            self.loop.first.discard(number)
+            self.sock.close()
+
+    def _accept(self) -> bool:
+        while len(self.calls) >= MOST_CALLS:
+            self.loop.end(next(iter(self.calls)))
+        try:
+            sock, _ = self.sock.accept()
+        except ConnectionError:
+            return True
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            self.log(f"ops: accept: {error}")
+            if not self.calls:
+                return False
+            self.loop.end(next(iter(self.calls)))
+            return True
+        sock.setblocking(False)
+        self.loop.first.add(sock.fileno())
+        call = Call(self, sock)
+        task = call.task = self.loop.spawn(sock.fileno(), call.live())
+        if not call.over:
+            self.calls[task] = None
+        return True
+
+
+class Call:
+    """One connection and the one call on it."""
+
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server, self.sock = server, sock
+        self.task: Task | None = None
+        self.over = False
+        self.made = server.loop.now()
+        self.what = "-"
+
+    def live(self) -> Coroutine[None]:
+        """Its whole life; it leaves one line in the log."""
+        number, reason = self.sock.fileno(), "cap"
+        try:
+            reason = yield from self._serve()
+        except OSError as error:
+            reason = broken(error)
+        finally:
+            self.over = True
+            if self.task is not None:
+                self.server.calls.pop(self.task, None)
+            self.server.loop.first.discard(number)
+            self.sock.close()
+            age = self.server.loop.now() - self.made
+            self.server.log(f"end ops {reason} {self.what} age={age:.2f}")
+
+    def _serve(self) -> Coroutine[str]:
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        end, size = self.made + PATIENCE, 0
+        request: h11.Request | None = None
+        while True:
+            try:
+                event = http.next_event()
+            except h11.RemoteProtocolError as error:
+                return (yield from self._say(http, Answer(error.error_status_hint, f"{error}\n"), "bad_http"))
+            if event is h11.NEED_DATA:
+                if http.they_are_waiting_for_100_continue:
+                    self.sock.send(http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                data = yield from self._read(end)
+                if data is None:
+                    return (yield from self._say(http, Answer(408, "no whole call in time\n"), "silent"))
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MOST_BODY:
+                    return (yield from self._say(http, Answer(413, "too large\n"), "too_large"))
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                method, target = request.method.decode("ascii"), request.target.decode("latin-1")
+                self.what = f"{method} {target[:80]!r}"
+                return (yield from self._say(http, self.server.answer(method, target), "answered"))
+            else:
+                return "peer_closed"
+
+    def _read(self, end: float) -> Coroutine[bytes | None]:
+        """What has come, empty at the end of it; None where nothing comes in time."""
+        loop = self.server.loop
+        while True:
+            with contextlib.suppress(BlockingIOError):
+                return self.sock.recv(READ_SIZE)
+            left = end - loop.now()
+            if left <= 0 or (yield from loop.wait(IN, left)) == TICK:
+                return None
+
+    def _say(self, http: h11.Connection, answer: Answer, reason: str) -> Coroutine[str]:
+        body, loop = answer.text.encode(), self.server.loop
+        headers = [
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Content-Length", f"{len(body)}"),
+            ("Connection", "close"),
+        ]
+        if answer.allow:
+            headers.append(("Allow", answer.allow))
+        response = h11.Response(status_code=answer.status, headers=headers)
+        if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return reason
+        parts = (http.send(response), http.send(h11.Data(data=body)), http.send(h11.EndOfMessage()))
+        out = memoryview(b"".join(part or b"" for part in parts))
+        end = loop.now() + PATIENCE
+        while out:
+            try:
+                out = out[self.sock.send(out) :]
+            except BlockingIOError:
+                if (yield from loop.wait(OUT, max(0.0, end - loop.now()))) == TICK:
+                    return "slow_reader"
+        self.what += f" {answer.status}"
+        # Closing over unread bytes would take the answer back.
+        with contextlib.suppress(OSError):  # it may be gone already
+            self.sock.shutdown(socket.SHUT_WR)
+            end = loop.now() + LINGER
+            while (yield from self._read(end)):
+                continue
+        return reason
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,306 @@
+"""The operators' calls, the overlay of next hops out by hand, and an ingress that is emptied."""
+
+from __future__ import annotations
+
+import json
+import select
+import socket
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from standflow.exchange import Ends, Phase, Route, RouteSet
+from standflow.ops import figures, server
+from standflow.ops.calls import Calls
+from standflow.ops.overlay import MOST_OUT, Overlay
+from tests.wire import LIMIT, Program, command, config, listener, member, program, read_until
+
+VALUE = b"*3\r\n$5\r\nva\r\nl\r\n$-1\r\n$-1\r\n"
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+def at(running: Program) -> tuple[str, int]:
+    host, port = running.logged(r"ops n0 on ([\d.]+):(\d+)").groups()
+    return host, int(port)
+
+
+def dial(running: Program) -> socket.socket:
+    sock = socket.create_connection(at(running), LIMIT)
+    sock.settimeout(LIMIT)
+    return sock
+
+
+def ask(running: Program, method: str, path: str) -> tuple[int, str]:
+    """One call over HTTP: the status and the text."""
+    with dial(running) as sock:
+        sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: n0\r\n\r\n".encode())
+        data = b""
+        while more := sock.recv(65536):
+            data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body.decode()
+
+
+def shown(running: Program) -> dict[str, int]:
+    lines = ask(running, "GET", "/api/telemetry")[1].split()
+    return {name: int(value) for name, value in (line.split("=") for line in lines)}
+
+
+def with_ops(**changes: Any) -> dict[str, Any]:
+    return config(ops="127.0.0.1:0", **changes)
+
+
+def serve(caller: socket.socket, at_hop: socket.socket, ident: str) -> None:
+    caller.sendall(command(ident))
+    read_until(at_hop, b"first=0\r\n")
+    at_hop.sendall(VALUE)
+    assert read_until(caller, b"l\r\n").startswith(b"$5")
+
+
+class Staff:
+    """Says yes to all and remembers what was asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+
+    def __getattr__(self, name: str) -> Any:
+        def call(*args: str) -> str:
+            self.asked.append(" ".join((name, *args)))
+            return ""
+
+        return call
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status", "asked"),
+    [
+        ("GET", "/api/ready", 200, "ready"),
+        ("POST", "/api/exclude/s-1", 200, "exclude s-1"),
+        ("POST", "/api/include/s%2D1", 200, "include s-1"),
+        ("POST", "/api/ready", 405, None),
+        ("GET", "/api/exclude/s-1", 405, None),
+        ("GET", "/api/evacuate", 405, None),
+        ("POST", "/api/exclude/", 404, None),
+        ("POST", "/api/exclude/%ff", 404, None),
+        ("POST", "/api/exclude/a%0ab", 404, None),
+        ("POST", "/api/exclude/" + "a" * 300, 404, None),
+        ("GET", "/", 404, None),
+    ],
+)
+def test_each_call_by_its_method_and_path(method: str, target: str, status: int, asked: str | None) -> None:
+    staff = Staff()
+    assert Calls(staff).answer(method, target).status == status
+    assert staff.asked == ([] if asked is None else [asked])
+
+
+def test_the_figures_text_has_one_figure_a_line() -> None:
+    ends = {"view": Ends(9, 4, 2, 1, 1), "change": Ends()}
+    text = figures.text(figures.Figures(ends, 7, 1, 5, 2, 1, 0))
+    assert text.startswith("results.change.succeeded=0\nresults.change.declined=0\n")
+    assert "results.view.succeeded=4\nresults.view.declined=2\nresults.view.aborted=1\nforwards=7\n" in text
+    assert ends["view"].open == 1
+
+
+def route(hop: str, phase: Phase = Phase.SERVING, up: float | None = None) -> Route:
+    return Route(hop, ("127.0.0.1", 1), "z", "k", 0, phase, 1.0, up)
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("say"), st.sampled_from("abc"), st.booleans()),
+        st.tuples(st.just("told"), st.sampled_from("abc"), st.sampled_from(list(Phase))),
+        st.tuples(st.just("whole"), st.sets(st.sampled_from("abc")), st.just(Phase.SERVING)),
+    ),
+    max_size=30,
+)
+
+
+@given(STEPS)
+def test_what_is_shown_is_the_truth_of_now_with_what_is_out_laid_over(steps: list[Any]) -> None:
+    overlay, truth, out, ever = Overlay(), dict[str, Phase](), set[str](), set[str]()
+    seen: dict[str, Phase] = {}
+
+    def take(routes: RouteSet) -> None:
+        if routes.complete:
+            seen.clear()
+        for one in routes.routes:
+            seen.pop(one.hop, None)
+            if one.phase is not Phase.GONE:
+                seen[one.hop] = one.phase
+
+    for now, (step, what, how) in enumerate(steps, 1):
+        if step == "say":
+            assert bool(overlay.say(what, how, float(now))) == (what not in ever)
+            if what in ever:
+                (out.add if how else out.discard)(what)
+            if (change := overlay.change(what)) is not None:
+                take(change)
+        elif step == "told":
+            take(overlay.told(RouteSet(now, False, (route(what, how),))))
+            truth.pop(what, None)
+            if how is not Phase.GONE:
+                truth[what] = how
+                ever.add(what)
+        else:
+            take(overlay.told(RouteSet(now, True, tuple(route(hop) for hop in sorted(what)))))
+            truth = dict.fromkeys(what, Phase.SERVING)
+            ever |= what
+        assert seen == {hop: Phase.DRAINING if hop in out else phase for hop, phase in truth.items()}
+        assert overlay.listed_out() == out & truth.keys()
+
+
+def test_back_by_hand_is_cold_from_then_until_discovery_tells_of_the_restart() -> None:
+    overlay = Overlay()
+    overlay.told(RouteSet(1, True, (route("a", up=5.0),)))
+    assert overlay.say("a", True, 100.0) == ""
+    assert overlay.say("a", True, 101.0) == ""  # twice is once
+    overlay.say("a", False, 110.0)
+    late = RouteSet(2, True, (route("a", up=5.0),))
+    assert overlay.told(late).routes[0].up_since == 110.0
+    assert overlay.told(replace(late, routes=(route("a", up=104.0),))).routes[0].up_since == 104.0
+    assert overlay.told(late).routes[0].up_since == 5.0  # its word holds from then on
+
+
+def test_no_more_than_so_many_are_out() -> None:
+    overlay = Overlay()
+    overlay.told(RouteSet(1, True, tuple(route(f"s{n}") for n in range(MOST_OUT + 1))))
+    faults = [overlay.say(f"s{n}", True, float(n)) for n in range(MOST_OUT + 1)]
+    assert [n for n, fault in enumerate(faults) if fault] == [MOST_OUT]
+
+
+def test_a_next_hop_out_by_hand_gets_nothing_and_is_used_again_when_back(tmp_path: Path) -> None:
+    with listener() as hop:
+        known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
+        with program(tmp_path, with_ops(known=known)) as running:
+            caller = running.call()
+            caller.sendall(command("aa01"))
+            first = hop.accept()[0]
+            first.settimeout(LIMIT)
+            read_until(first, b"first=0\r\n")
+            assert ask(running, "POST", "/api/exclude/s-2") == (404, "s-2 was never listed\n")
+            assert ask(running, "POST", "/api/exclude/s-1") == (200, "yes\n")
+            first.sendall(VALUE)  # what is open may finish
+            assert read_until(caller, b"l\r\n").startswith(b"$5")
+            assert first.recv(10) == b""  # and the connection is not kept
+            caller.sendall(command("aa02"))
+            assert read_until(caller, b"\r\n").startswith(b"-BUSY ")
+            figures = shown(running)
+            assert (figures["discovered"], figures["ejected"], figures["forwards"]) == (1, 1, 1)
+            assert figures["results.look.succeeded"] == figures["results.look.declined"] == 1
+            assert ask(running, "POST", "/api/include/s-1")[0] == 200
+            hop.settimeout(0.05)
+            for turn in range(200):  # it is cold: credit for it grows from nought
+                caller.sendall(command(f"ab{turn}"))
+                try:
+                    again = hop.accept()[0]
+                    break
+                except TimeoutError:
+                    assert read_until(caller, b"\r\n").startswith(b"-BUSY ")
+            again.settimeout(LIMIT)
+            read_until(again, b"first=0\r\n")
+            again.sendall(VALUE)
+            assert read_until(caller, b"l\r\n").startswith(b"$5")
+            assert shown(running)["ejected"] == 0
+
+
+def test_calls_are_answered_while_many_connections_hold_half_a_call(tmp_path: Path) -> None:
+    with program(tmp_path, with_ops()) as running:
+        running.logged("ready n0")
+        held = [dial(running) for _ in range(2 * server.MOST_CALLS)]
+        for sock in held:
+            sock.sendall(b"GET /api/ready HT")
+        assert ask(running, "GET", "/api/ready") == (200, "yes\n")
+        running.logged("end ops cap")
+        for sent, status in ((b"nonsense\r\n\r\n", 400), (b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", 404)):
+            with dial(running) as sock:
+                sock.sendall(sent)
+                assert int(sock.recv(100).split()[1]) == status
+        with dial(running) as sock:
+            sock.sendall(
+                b"POST /api/rejoin HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n" + b"x" * 200_000
+            )
+            assert int(sock.recv(100).split()[1]) == 413
+        for sock in held:
+            sock.close()
+
+
+def test_an_emptied_ingress_says_no_serves_what_comes_and_ends_each_leg(tmp_path: Path) -> None:
+    with listener() as hop:
+        known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
+        with program(tmp_path, with_ops(known=known)) as running:
+            idle, busy = running.call(), running.call()
+            idle.sendall(PING)
+            assert read_until(idle, b"\r\n") == b"+PONG\r\n"
+            busy.sendall(command("aa01"))
+            at_hop = hop.accept()[0]
+            at_hop.settimeout(LIMIT)
+            read_until(at_hop, b"first=0\r\n")
+            for _ in range(2):
+                assert ask(running, "POST", "/api/evacuate") == (200, "yes\n")
+            assert idle.recv(10) == b""
+            late = running.call()
+            late.sendall(PING)
+            assert read_until(late, b"\r\n") == b"-ERR evacuated\r\n"
+            assert late.recv(10) == b""
+            busy.sendall(command("aa02"))  # taken while its leg has something open
+            second = hop.accept()[0]
+            second.settimeout(LIMIT)
+            read_until(second, b"first=0\r\n")
+            second.sendall(VALUE)
+            at_hop.sendall(VALUE)
+            assert read_until(busy, b"l\r\n$5\r\nva\r\nl\r\n")
+            assert busy.recv(10) == b""
+            silent = running.call()
+            assert silent.recv(10) == b""  # whoever asks nothing is not kept
+            assert ask(running, "GET", "/api/ready")[0] == 200
+            assert ask(running, "POST", "/api/rejoin") == (200, "yes\n")
+            back = running.call()
+            back.sendall(PING)
+            assert read_until(back, b"\r\n") == b"+PONG\r\n"
+            serve(back, at_hop, "aa03")
+            running.logged("(?:end caller drained(?:.|\n)*){4}")
+
+
+def test_a_leg_that_asks_on_and_on_is_ended_between_two_commands(tmp_path: Path) -> None:
+    with listener() as hop:
+        known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
+        with program(tmp_path, with_ops(known=known)) as running:
+            caller, answered = running.call(), 0
+            at_hop: socket.socket | None = None
+            caller.sendall(command("a0"))
+            ask(running, "POST", "/api/evacuate")
+            while True:
+                if at_hop is None:
+                    at_hop = hop.accept()[0]
+                    at_hop.settimeout(LIMIT)
+                read_until(at_hop, b"first=0\r\n")
+                following = command(f"a{answered + 1}")
+                caller.sendall(following[:20])  # before each answer the next command has begun
+                at_hop.sendall(VALUE)
+                assert read_until(caller, b"l\r\n") == b"$5\r\nva\r\nl\r\n"
+                answered += 1
+                if select.select([caller], [], [], 0.1)[0]:
+                    break
+                caller.sendall(following[20:])
+            assert caller.recv(10) == b""
+            assert answered > 1
+            assert running.logged(rf"end caller drained answered={answered} open=0")
+
+
+def test_without_a_place_for_them_nothing_of_the_calls_is_imported() -> None:
+    code = "import sys, standflow.__main__; print([m for m in sys.modules if 'standflow.ops' in m])"
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout == b"[]\n"
+
+
+def test_a_place_that_is_no_address_is_named(tmp_path: Path) -> None:
+    raw = with_ops() | {"ops": "nowhere"}
+    with program(tmp_path, json.dumps(raw)) as running:
+        assert running.process.wait(LIMIT) == 2
+        assert running.process.stderr is not None
+        assert b"standflow: ops: 'nowhere'" in running.process.stderr.read()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -195,7 +195,7 @@
     ingress.callers.ready = True
     before = loop.now()
     ingress.stop()
-    assert [when for when, _, timer in loop.timers if timer.call == ingress.callers.drain][0] >= before + 0.4
+    assert [when for when, _, timer in loop.timers if timer.call == ingress.callers.stop][0] >= before + 0.4
     with socket.create_connection(ingress.callers.address) as late:
         late.settimeout(LIMIT)
         late.sendall(b"*1\r\n$4\r\nPING\r\n")
