Classes and attempts change in service, and a broken file at SIGHUP changes nothing

The cause, by the log: files turned down here, one with DeadlineUs -5 and one cut off, name other addresses of discovery; the reload in __main__ took those addresses from a file whose classes were broken, the watch moved to where nobody tells anything, and drains were missed. The same lines (RESTART_KEYS) left new classes out altogether.

tests/test_reload.py fails without each part: a file cut off at every seventh byte, each key taken out in turn, what is open of a dropped class.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -30,11 +30,8 @@
 
 class Gateway(Kept):
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        super().__init__()
-        self.settings = settings
+        super().__init__(settings)
         self.random = random.Random(seed)
-        self.classes = {kind.name: kind for kind in settings.classes}
-        self.plans = {plan.name: plan for plan in settings.plans}
         self.base = {kind.name: kind.aim / 8 for kind in settings.classes}  # usual latency, learnt
         self.limit = FIRST_LIMIT
         # neighbours by number serve the same customers: a step without common divisor sets them apart
@@ -50,7 +47,8 @@
             i.AttemptEnded: self._attempt_ended,
             i.TimerFired: self._timer,
             i.RequestGone: lambda event: self.requests.pop(event.request, None),
-            i.StreamStarted: lambda event: self.requests.pop(event.request, None),
+            i.StreamStarted: self._stream_started,
+            i.Retuned: self._retuned,
             i.PeerMessage: self._peer_message,
             i.UseWitnessed: self._witnessed,
         }
@@ -75,10 +73,25 @@
         if isinstance(event, i.Started):
             self.actions.append(i.SetTimer(self.epoch, 0))  # handle 0 is the epoch
 
+    def _retuned(self, event: i.Retuned) -> None:
+        """What is open keeps its own class, and what was learnt stays as long as something needs it."""
+        self.settings, self.usual_left = event.settings, {}
+        self.classes = {kind.name: kind for kind in event.settings.classes}
+        fresh = {kind.name: kind.aim / 8 for kind in event.settings.classes}
+        needed = fresh.keys() | self.used()
+        self.base = fresh | {name: usual for name, usual in self.base.items() if name in needed}
+
+    def _stream_started(self, event: i.StreamStarted) -> None:
+        """The answer belongs to the client from now on, and its backend answers."""
+        self.requests.pop(event.request, None)
+        if attempt := self.open.get((event.request, event.attempt)):
+            attempt.backend.pending.pop((event.request, event.attempt), None)
+            attempt.backend.answered = self.now
+
     def _arrive(self, event: i.RequestArrived) -> None:
         kind, plan = self.classes[event.class_name], self.plans[event.plan]
         key = hashlib.blake2b(f"{plan.name} {event.customer}".encode(), digest_size=5).digest()
-        quota = self._quota_of(key, plan, event.ring_first, event.ring_size)
+        quota = self.quota_of(key, plan, event.ring_first, event.ring_size)
         self._drain(quota)
         quota.used = self.now
         late = self._late(kind, event.time_left)
@@ -89,7 +102,7 @@
         if self.long_ring and quota.size > 1 and plan.rate:
             self._ask(request)
         else:
-            others = self._members(quota, quota.place)[1:]
+            others = self.members(quota, quota.place)[1:]
             heard, read = sum(map(self._answers, others)), self.now - quota.witnessed
             told = heard > 0 or not others or read < WITNESSED_FOR
             quota.silent = len(others) - heard if read < WITNESSED_FOR else 0
@@ -206,7 +219,7 @@
     def _choose(self, request: Request) -> Backend | None:
         near = self._nearest()
         pressed = self._may_refuse(request) and self._pressed(request, near)
-        if pressed and request.spare or len(request.attempts) == self.settings.max_attempts:
+        if pressed and request.spare or len(request.attempts) >= self.settings.max_attempts:
             return None
         usable = [b for b in near if self._may_send(request, b) and self._cold_room(request, b)]
         if pressed:  # a cold one has a limit of its own
@@ -250,8 +263,9 @@
         out = sum(self.now - attempt.sent < 5 * self.base[attempt.kind.name] for attempt in pending)
         self.busy += min(1.0, max(0.1, room / 10)) * (out - self.busy)
         # a late retry would make the others late too; what earns little for its work yields to the rest
-        earns = {k.name: k.worth / self.base[k.name] for k in self.classes.values()}
-        part = 0.4 if request.late else 0.7 + 0.3 * earns[request.kind.name] / max(earns.values())
+        kinds = (request.kind, *self.classes.values())  # its own may be one that was dropped
+        earns = [k.worth / self.base[k.name] for k in kinds]
+        part = 0.4 if request.late else 0.7 + 0.3 * earns[0] / max(earns)
         # where all are suspected no room is known: only trials tell that they are back
         return bool(fit) and self.busy >= room * (SPARE if request.spare else part)
 
@@ -344,17 +358,6 @@
         begin = self.place * len(ring) // self.settings.gateways
         return ring[begin:] + ring[:begin]
 
-    def _quota_of(self, key: bytes, plan: i.Plan, first: int, size: int) -> Quota:
-        if key not in self.quotas:
-            place = (self.settings.number - first) % self.settings.gateways
-            self.quotas[key] = Quota(key, plan, first, size, place, self.now, self.now, {place: 0})
-        return self.quotas[key]
-
-    def _members(self, quota: Quota, place: int) -> list[int]:
-        """In the ring's order from a place on; it is that of the numbers, wherever its set begins."""
-        places = ((place + step) % quota.size for step in range(quota.size))
-        return [(quota.first + p) % self.settings.gateways for p in places]
-
     def _drain(self, quota: Quota) -> None:
         """The window slides: the total drains at the rate, each part in its proportion, alone an even one."""
         passed, quota.at = self.now - quota.at, self.now
@@ -398,17 +401,17 @@
         for quota in self._fullest(self.telling) if due else ():
             self._tell(quota, due)
         for number, entries in due.items():
-            self._send_peer(number, entries)
+            self.actions.append(i.TellPeer(number, seal(entries)))
 
     def _fullest(self, quotas: dict[bytes, Quota]) -> list[Quota]:
-        for quota in (most := heapq.nlargest(MOST, quotas.values(), key=self._fullness)):
+        for quota in (most := heapq.nlargest(MOST, quotas.values(), key=lambda q: q.fullness)):
             self._drain(quota)
-        return sorted(most, key=self._fullness, reverse=True)
+        return sorted(most, key=lambda q: q.fullness, reverse=True)
 
     def _note(self) -> None:
         """What a second witness is to know of this gateway's use; of what has drained, no more after that."""
         for quota in self._fullest(self.touched):
-            level, full = quota.own / quota.plan.burst, self._fullness(quota)
+            level, full = quota.own / quota.plan.burst, quota.fullness
             count = quota.counts[quota.place]
             self.actions.append(i.UseNoted(quota.key, quota.size, quota.place, count, level, full))
             if quota.own + quota.others < 1 / SCALE:
@@ -424,12 +427,9 @@
             if (event.count - quota.counts.get(event.place, event.count)) & 0xFFFF <= 0x7FFF:
                 self._merge(quota, event.place, event.count, round(event.level * quota.plan.burst * SCALE))
 
-    def _fullness(self, quota: Quota) -> float:
-        return (quota.own + quota.others) / quota.plan.burst
-
     def _tell(self, quota: Quota, due: dict[int, bytes]) -> None:
         """Adds a customer's untold places to the messages for its successor, as far as they fit."""
-        following, level = self._members(quota, quota.place)[1:], quota.own + quota.others
+        following, level = self.members(quota, quota.place)[1:], quota.own + quota.others
         successor = next((n for n in following if self._answers(n)), following[0])
         for place, times in sorted(quota.untold.items()):
             owner = (quota.first + place) % self.settings.gateways
@@ -454,9 +454,6 @@
         plan, told = self.settings.plans.index(quota.plan), min(round(level * SCALE), 0xFFFF)
         return ENTRY.pack(quota.key, plan, what, quota.first, quota.size, place, count, told, units)
 
-    def _send_peer(self, number: int, entries: bytes) -> None:
-        self.actions.append(i.TellPeer(number, seal(entries)))
-
     def _peer_message(self, event: i.PeerMessage) -> None:
         entries = opened(event.content)
         if entries is not None and event.sender in self.peers:
@@ -469,7 +466,7 @@
         gateways, plans = self.settings.gateways, self.settings.plans
         places = [(number - entry.first) % gateways for number in (self.settings.number, sender)]
         if entry.plan < len(plans) and max(*places, entry.place) < entry.size <= gateways:
-            quota = self._quota_of(entry.key, plans[entry.plan], entry.first, entry.size)
+            quota = self.quota_of(entry.key, plans[entry.plan], entry.first, entry.size)
             self._drain(quota)
             quota.used = self.now
             if (quota.first, quota.size) != (entry.first, entry.size) or not quota.plan.rate:
@@ -508,14 +505,15 @@
             self._admit(request, False)
         else:
             # the keepers are spread by the customer's key; one that answers nothing is skipped
-            members = self._members(quota, int.from_bytes(quota.key, "big") % quota.size)[:6]
+            members = self.members(quota, int.from_bytes(quota.key, "big") % quota.size)[:6]
             keepers = ([n for n in members if n == number or self._answers(n)] or members)[:2]
             quota.owing = [n for n in keepers if n != number]
             quota.asking, quota.asked, quota.fits, quota.told = request, self.now, True, number in keepers
             units = round(request.units * SCALE)
             count, level = (quota.counts[quota.place] + units) & 0xFFFF, quota.own + request.units
             for keeper in quota.owing:
-                self._send_peer(keeper, self._entry(quota, ASK, quota.place, count, level, units))
+                entry = self._entry(quota, ASK, quota.place, count, level, units)
+                self.actions.append(i.TellPeer(keeper, seal(entry)))
             self._set_timer(2 * self.answer_time + 2 * self.settings.tick, request)
 
     def _asked(self, quota: Quota, sender: int, entry: Entry) -> None:
@@ -530,7 +528,7 @@
             quota.others += more
             quota.counts[place] = entry.count
         total = self._entry(quota, TOTAL, place, quota.counts[place], quota.own + quota.others)
-        self._send_peer(sender, total)
+        self.actions.append(i.TellPeer(sender, seal(total)))
 
     def _total(self, quota: Quota, sender: int, entry: Entry) -> None:
         """The fuller of the totals holds: a keeper that started lately misses some use."""
--- a/hoistfold/interface.py
+++ b/hoistfold/interface.py
@@ -165,6 +165,13 @@
     """The gateway begins, knowing nothing."""
 
 
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """New settings: classes and the number of attempts may differ. What is open keeps its own class."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class BackendsListed:
     """Discovery tells of backends."""
@@ -274,6 +281,7 @@
 
 Event = (
     Started
+    | Retuned
     | BackendsListed
     | ListFailed
     | RequestArrived
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -103,6 +103,11 @@
     alone: bool = False  # nobody at all was heard of when it was last asked for
     witnessed: float = -math.inf  # when the second witness told of another member last
 
+    @property
+    def fullness(self) -> float:
+        """What is used of the window, as a part of the burst."""
+        return (self.own + self.others) / self.plan.burst
+
 
 @dataclass(slots=True, frozen=True)
 class Entry:
@@ -128,9 +133,12 @@
 
 
 class Kept:
-    """The tables that a gateway starts with, all empty."""
+    """The tables that a gateway starts with, all empty, and what is read from them without a decision."""
 
-    def __init__(self) -> None:
+    def __init__(self, settings: i.Settings) -> None:
+        self.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.plans = {plan.name: plan for plan in settings.plans}
         self.now = 0.0
         self.actions: list[i.Action] = []
         self.backends: dict[str, Backend] = {}
@@ -151,6 +159,23 @@
         self.sweep_at = 0.0
         self.answer_time = 0.05  # seconds until a total asked for is back, learnt
 
+    def quota_of(self, key: bytes, plan: i.Plan, first: int, size: int) -> Quota:
+        """A customer's quota, a new one where there is none."""
+        if key not in self.quotas:
+            place = (self.settings.number - first) % self.settings.gateways
+            self.quotas[key] = Quota(key, plan, first, size, place, self.now, self.now, {place: 0})
+        return self.quotas[key]
+
+    def members(self, quota: Quota, place: int) -> list[int]:
+        """In the ring's order from a place on; it is that of the numbers, wherever its set begins."""
+        places = ((place + step) % quota.size for step in range(quota.size))
+        return [(quota.first + p) % self.settings.gateways for p in places]
+
+    def used(self) -> set[str]:
+        """The classes of what is open or still out."""
+        requests = {request.kind.name for request in self.requests.values()}
+        return requests | {attempt.kind.name for attempt in self.open.values()}
+
     def avoided(self) -> set[str]:
         """The backends that are suspected; what merely lies outside this gateway's reach is not."""
         return {name for name, backend in self.backends.items() if backend.suspect_since is not None}
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -12,7 +12,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+from hoistfold.interface import Settings
 from standflow.config import Config, ConfigError, load
+from standflow.config.reload import missing
 from standflow.driver import Driver
 from standflow.exchange import Exchange, RouteSet
 from standflow.log import Log
@@ -47,6 +49,7 @@
     "handshakes",
     "witness",
 )
+UNTIL_KNOWN = 1.0  # seconds in which callers learn of other classes; until then both are taken
 COME_BACK = 0.1  # seconds after which a caller turned away by no decision may come again
 
 
@@ -141,6 +144,7 @@
             )
         self.stopping = False
         self.applied = self.rejected = 0  # files at SIGHUP
+        self.retuned = 0
         self.ops = self._make_ops()
 
     def _make_ops(self) -> Operations | None:
@@ -260,13 +264,26 @@
         """SIGHUP: reads the configuration anew; what can't be used is named, and all stays as it was."""
         try:
             config = load(os.environ, self.log)
+            if key := missing(self.config.keys, config.keys):
+                raise ConfigError(f"{key}: is missing; the file in force has it")
         except ConfigError as error:
             self.rejected += 1
             self.log(f"reload: {error}; nothing was changed")
             return
         self.applied += 1
-        before, moved = self.config, False
-        self.config = replace(before, discovery=config.discovery, counter=config.counter)
+        before = self.config
+        moved = self._retune(config)
+        settings = replace(
+            before.settings, classes=config.settings.classes, max_attempts=config.settings.max_attempts
+        )
+        self.config = replace(
+            before,
+            discovery=config.discovery,
+            counter=config.counter,
+            settings=settings,
+            keys=config.keys,
+            longest_deadline=max(before.longest_deadline, config.longest_deadline),
+        )
         if self.routes is not None and config.discovery is not None:
             if config.discovery != before.discovery:
                 moved = True
@@ -285,10 +302,30 @@
         elif (self.tls is None) != (config.tls is None):
             self.log("reload: tls: takes a restart to switch on or off")
         for key in RESTART_KEYS:
-            if getattr(config, key) != getattr(before, key):
+            if getattr(config, key) != getattr(self.config, key):
                 self.log(f"reload: {key}: takes a restart to change; it stays as it was")
         self.log("reload: done" if moved else "reload: nothing to do: all is as it was")
 
+    def _retune(self, config: Config) -> bool:
+        """Takes up classes and the number of attempts; true where they are others."""
+        before, after = self.config.settings, config.settings
+        if (before.classes, before.max_attempts) == (after.classes, after.max_attempts):
+            return False
+        known = {kind.name: kind for kind in (*self.driver.settings.classes, *before.classes)}
+        settings = replace(before, classes=after.classes, max_attempts=after.max_attempts)
+        leaving = self.exchange.retune(config.classes, after.max_attempts)
+        dropped = tuple(known[name] for name in leaving if name not in config.classes)
+        self.driver.retune(replace(settings, classes=(*after.classes, *dropped)))
+        self.retuned += 1
+        self.loop.call_later(UNTIL_KNOWN, self._settled, self.retuned, settings)
+        self.log(f"reload: classes {' '.join(sorted(config.classes))}, attempts {after.max_attempts}")
+        return True
+
+    def _settled(self, serial: int, settings: Settings) -> None:
+        if serial == self.retuned:
+            self.exchange.settled()
+            self.driver.retune(settings)
+
     def stop(self) -> None:
         """SIGTERM: goes on accepting a little, then ends each leg when it has nothing open."""
         if not self.stopping:
@@ -331,7 +368,7 @@
     def wait() -> Coroutine[None]:
         while True:
             yield IN
-            for number in sorted(set(os.read(reader, 64))):
+            for number in sorted(os.read(reader, 64)):  # each one counts: a file may have come between
                 loop.call_later(0.0, calls[number])  # a fault in one of them must not end this coroutine
 
     loop.spawn(reader, wait())
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from hoistfold import interface as i
 from standflow.exchange import RouteSet
@@ -96,6 +97,7 @@
     tls: TlsOptions | None = None
     handshakes: HandshakeOptions | None = None
     witness: WitnessOptions | None = None
+    keys: Any = None  # of the platform's JSON, as reload.shape has them
     max_unread: int = 32 * 1024 * 1024  # bytes that slow callers together may leave unread
 
     @property
--- a/standflow/config/operators.py
+++ b/standflow/config/operators.py
@@ -18,6 +18,7 @@
 from standflow.config.model import Config, ConfigError, HandshakeOptions, NameRule, TlsOptions, WitnessOptions
 from standflow.config.platform import parse as parse_platform
 from standflow.config.platform import read as read_platform
+from standflow.config.reload import shape
 from standflow.config.schema import Block, Given, Reader, is_host
 from standflow.config.text import FileFaultError, Statement, Word, read_file
 
@@ -80,9 +81,9 @@
     if json_path is not None:
         given = str(folder / json_path) if block.value("platform") else json_path
         raw = parse_platform({**environment, "EDGE_CONFIG": given})
-        over = True
+        over, keys = True, shape(raw)
     else:
-        raw, over = _empty(), False
+        raw, over, keys = _empty(), False, None
     static = block.value("discovery") == "off" and (block.has("discovery") or not over)
     _overlay(raw, block, over)
     raw.setdefault("seed", secrets.token_hex(8))
@@ -102,6 +103,7 @@
     )
     return replace(
         config,
+        keys=keys,
         tls=None if tls is None else _tls(tls, folder),
         handshakes=_handshakes(handshakes) if handshakes is not None and limited else None,
         witness=None if witness is None else _witness(witness),
--- a/standflow/config/platform.py
+++ b/standflow/config/platform.py
@@ -9,12 +9,14 @@
 import math
 import resource
 from collections.abc import Callable, Iterator, Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from hoistfold import interface as i
 from hoistfold.adapter import read_settings
 from standflow.config.model import Address, Config, ConfigError
+from standflow.config.reload import shape
 from standflow.exchange import RouteSet
 from standflow.net.routes import RouteError, read_address, read_routes
 
@@ -22,6 +24,7 @@
 OPS_SOCKETS = 34  # for the operators' calls: ops.server.DESCRIPTORS
 LEAST_SOCKETS = 16  # for callers and next hops
 MOST_INGRESSES = 10_000
+MOST_DEADLINE = 86_400e6  # microseconds
 SPARE_SOCKETS = 32  # for the log, the epoll, discovery, peers and what the interpreter opens
 
 
@@ -45,7 +48,8 @@
 
 def load(environment: Mapping[str, str], log: Callable[[str], None]) -> Config:
     """Reads what the environment points to; ConfigError names the key that is at fault."""
-    return read(parse(environment), log)
+    raw = parse(environment)
+    return replace(read(raw, log), keys=shape(raw))
 
 
 def parse(environment: Mapping[str, str]) -> dict[str, Any]:
@@ -125,6 +129,7 @@
         raise ConfigError(f"settings: {Section.last or error}: is missing or has an unknown value") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"settings: {Section.last}: {error}") from None
+    _classes(section)
     if not settings.classes:
         raise ConfigError("settings: Classes: is empty")
     if not settings.plans:
@@ -136,6 +141,17 @@
     return settings, zones
 
 
+def _classes(section: dict[str, Any]) -> None:
+    """What a typed setting alone would take: a text, a truth value, nought."""
+    names = [raw["Name"] for raw in section["Classes"]]
+    for raw in section["Classes"]:
+        if not isinstance(raw["Name"], str) or not raw["Name"] or names.count(raw["Name"]) > 1:
+            raise ConfigError(f"settings: Classes: {raw['Name']!r} is no name, or stands twice")
+        for key in ("AimUs", "DeadlineUs"):
+            _number(raw, key, f"settings.Classes.{raw['Name']}.{key}", 1, MOST_DEADLINE)
+    _number(section["Caps"], "TryLimit", "settings.Caps.TryLimit", 1, 1e6)
+
+
 def _text(raw: dict[str, Any], key: str) -> str:
     value = raw.get(key)
     if not isinstance(value, str) or not value:
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -152,6 +152,11 @@
         )
         self.feed(i.BackendsListed(whole if routes.complete else i.ListKind.CHANGES, entries))
 
+    def retune(self, settings: i.Settings) -> None:
+        """Retuned."""
+        self.settings = settings
+        self.feed(i.Retuned(settings))
+
     def use_told(self, key: bytes, place: int, count: int, level: float) -> None:
         """UseWitnessed."""
         self.feed(i.UseWitnessed(key, place, count, level))
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -156,11 +156,20 @@
 class Transaction:
     """One request and the single final answer that it is owed."""
 
-    __slots__ = ("branches", "deadline", "guard", "name", "open", "out", "reply", "request", "safe")
+    __slots__ = (
+        "branches", "deadline", "guard", "max_branches", "name", "open", "out", "reply", "request", "safe",
+    )  # fmt: skip
 
     def __init__(
-        self, name: str, request: Request, safe: bool, deadline: float, reply: Callable[[Final], None]
+        self,
+        name: str,
+        request: Request,
+        safe: bool,
+        deadline: float,
+        reply: Callable[[Final], None],
+        max_branches: int,
     ) -> None:
+        self.max_branches = max_branches
         self.name, self.request, self.safe, self.deadline, self.reply = name, request, safe, deadline, reply
         self.branches: list[Branch] = []
         self.open = True
@@ -218,7 +227,8 @@
         tick: float = GUARD,
     ) -> None:
         self.loop, self.log, self.tally, self.branch_counted = loop, log, tally, branch_counted
-        self.classes, self.plans = classes, plans  # classes: by name, true where safe to repeat
+        self.classes, self.plans = dict(classes), plans  # classes: by name, true where safe to repeat
+        self.leaving: dict[str, bool] = {}  # as classes were until lately: callers may not know yet
         self.max_branches, self.max_open = max_branches, max_open
         self.ingresses, self.number, self.max_units = ingresses, number, max_units
         # The module decides two ticks before the deadline: with a short tick the guard would come before it.
@@ -236,7 +246,7 @@
 
     def open(self, request: Request, heard: float, reply: Callable[[Final], None]) -> Transaction:
         """Takes in a request that came at a time of the loop's clock; reply is called once, maybe at once."""
-        if request.class_name not in self.classes:
+        if not (said := self.effects(request.class_name)):
             raise UnacceptableError("unknown class")
         if request.plan not in self.plans:
             raise UnacceptableError("unknown plan")
@@ -254,7 +264,7 @@
         self.serial += 1
         name = f"{self.serial}"
         deadline = heard + request.patience
-        transaction = Transaction(name, request, self.classes[request.class_name], deadline, reply)
+        transaction = Transaction(name, request, all(said), deadline, reply, self.max_branches)
         self.open_count += 1
         if self.open_count > self.max_open:
             self._conclude(transaction, Refused(self.come_back))
@@ -267,6 +277,27 @@
         self.decisions.transaction_opened(transaction)
         return transaction
 
+    def effects(self, class_name: str) -> set[bool]:
+        """What holds of a class, true where it is safe to repeat: one thing, or two while it changes."""
+        return {where[class_name] for where in (self.classes, self.leaving) if class_name in where}
+
+    def retune(self, classes: Mapping[str, bool], max_branches: int) -> dict[str, bool]:
+        """Other classes and another number of branches hold for what comes from now on.
+
+        Classes that were dropped, or have another effect, are taken as they were too until `settled`; they
+        are returned. What is open keeps its class, and the smaller number of branches.
+        """
+        before = self.classes | self.leaving
+        self.classes, self.max_branches = dict(classes), max_branches
+        self.leaving = {name: safe for name, safe in before.items() if self.classes.get(name) is not safe}
+        for name in classes:
+            self.ends.setdefault(name, Ends())
+        return self.leaving
+
+    def settled(self) -> None:
+        """The classes before the last `retune` are over."""
+        self.leaving = {}
+
     def caller_gone(self, transaction: Transaction) -> None:
         """The caller has left: nothing is owed any more, its branches run on as the module sees fit."""
         if transaction.open:
@@ -287,9 +318,10 @@
         now = self.loop.now()
         limit = transaction.deadline if timeout is None else min(transaction.deadline, now + timeout)
         branch = Branch(transaction, len(transaction.branches), hop, now, limit)
+        most = min(transaction.max_branches, self.max_branches)
         harmful = not transaction.safe and any(b.may_have_run for b in transaction.branches)
         transaction.branches.append(branch)
-        if not transaction.open or limit <= now or branch.number >= self.max_branches or harmful:
+        if not transaction.open or limit <= now or branch.number >= most or harmful:
             # A rule that the module has to keep as well; a second effect can't be taken back.
             branch.ended = Outcome.MOOT
             self.decisions.branch_ended(branch, Result(Outcome.MOOT), 0.0, not transaction.open)
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -149,7 +149,7 @@
 
     def _open(self, slot: Slot, ask: resp.Ask) -> None:
         exchange = self.side.exchange
-        if exchange.classes.get(ask.class_name, ask.safe) != ask.safe:
+        if (said := exchange.effects(ask.class_name)) and ask.safe not in said:
             raise resp.CommandError("the class goes with the other command")
         request = Request(
             ask.class_name,
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,174 @@
+"""New settings in service: what is taken of a file, and what then holds for what is open and what comes."""
+
+from __future__ import annotations
+
+import json
+import signal
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from hoistfold import interface as i
+from standflow.config import load
+from standflow.config.model import ConfigError
+from standflow.config.reload import missing, shape
+from standflow.exchange import Branch, Outcome, Request, Result, UnacceptableError
+from tests.test_legs import Recorder
+from tests.test_ops import VALUE, shown, with_ops
+from tests.wire import LIMIT, command, config, listener, member, program, read_until
+from tests.world import ended, request, sends, settings, started
+
+
+def changed(raw: dict[str, Any], **keys: Any) -> dict[str, Any]:
+    """The same with other values in the first class."""
+    text = json.loads(json.dumps(raw))
+    text["settings"]["Classes"][0] |= keys
+    return dict(text)
+
+
+def loaded(path: Path, text: str) -> Any:
+    path.write_text(text)
+    return load({"EDGE_CONFIG": str(path)}, lambda line: None)
+
+
+@pytest.mark.parametrize("key", ["AimUs", "DeadlineUs"])
+@pytest.mark.parametrize("value", [0, -5, "1500000", True, None, float("nan"), float("inf"), [1]])
+def test_a_time_that_is_no_positive_number_is_named(tmp_path: Path, key: str, value: Any) -> None:
+    with pytest.raises(ConfigError, match=key):
+        loaded(tmp_path / "c", json.dumps(changed(config(), **{key: value})))
+
+
+@pytest.mark.parametrize("value", [0, -1, "5", False, None, float("inf")])
+def test_attempts_that_are_no_positive_number_are_named(tmp_path: Path, value: Any) -> None:
+    raw = config()
+    raw["settings"]["Caps"]["TryLimit"] = value
+    with pytest.raises(ConfigError, match="TryLimit"):
+        loaded(tmp_path / "c", json.dumps(raw))
+
+
+def test_a_file_cut_off_at_any_byte_is_rejected_and_so_is_one_without_a_key(tmp_path: Path) -> None:
+    text = json.dumps(config())
+    for end in range(0, len(text), 7):
+        with pytest.raises(ConfigError):
+            loaded(tmp_path / "c", text[:end])
+    before = loaded(tmp_path / "c", text).keys
+
+    def paths(value: Any, path: tuple[Any, ...] = ()) -> Any:
+        for key in value if isinstance(value, dict) else range(len(value) if isinstance(value, list) else 0):
+            if isinstance(value, dict):
+                yield (*path, key)
+            yield from paths(value[key], (*path, key))
+
+    for path in paths(json.loads(text)):
+        raw = json.loads(text)
+        inner = raw
+        for step in path[:-1]:
+            inner = inner[step]
+        del inner[path[-1]]
+        if path[0] != "known":
+            assert missing(before, shape(raw)).endswith(str(path[-1]))
+    raw = config()
+    raw["settings"]["Classes"].pop()
+    raw["new"] = 1
+    assert missing(before, shape(raw)) == ""
+
+
+class Silent:
+    """A next-hop side that takes branches and says nothing of them."""
+
+    def start(self, branch: Branch) -> None: ...
+
+    def give_up(self, branch: Branch) -> bool:
+        return True
+
+
+def ask(at: Recorder, kind: str, finals: list[object]) -> Any:
+    return at.exchange.open(Request(kind, "plain", "7", 5.0, 1.0, 1, 0, None), at.loop.now(), finals.append)
+
+
+def test_what_is_open_keeps_its_class_and_the_smaller_number_of_attempts() -> None:
+    at, finals = Recorder(), list[object]()
+    at.exchange.next_hops = Silent()
+    at.exchange.retune({"look": True, "change": False}, 3)
+    at.exchange.settled()
+    safe, unsafe = ask(at, "look", finals), ask(at, "change", finals)
+    assert at.exchange.retune({"look": False, "new": True}, 9) == {"look": True, "change": False}
+    assert at.exchange.effects("look") == {True, False}
+    late = ask(at, "look", finals)  # its caller may know the file or not
+    at.exchange.settled()
+    assert (safe.safe, unsafe.safe, late.safe, ask(at, "new", finals).safe) == (True, False, False, True)
+    with pytest.raises(UnacceptableError, match="unknown class"):
+        ask(at, "change", finals)
+    for transaction, sent in ((safe, 3), (unsafe, 1)):
+        for _ in range(5):
+            branch = at.exchange.send(transaction.name, "s-1", None)
+            assert branch is not None
+            if branch.ended is None:
+                at.exchange.branch_ended(branch, Result(Outcome.TIMEOUT))
+        assert sum(b.ended is Outcome.TIMEOUT for b in transaction.branches) == sent
+    at.close()
+
+
+def kinds(*names: str, **changes: Any) -> tuple[i.RequestClass, ...]:
+    first = settings().classes[0]
+    return tuple(replace(first, name=name, **changes) for name in names)
+
+
+def test_the_module_goes_on_with_what_is_open_of_a_class_that_was_dropped() -> None:
+    gateway = started(max_attempts=5)
+    first = sends(gateway.handle(1.0, request("r1")))[0]
+    gateway.handle(1.0, i.Retuned(settings(classes=kinds("new"), max_attempts=1)))
+    again = gateway.handle(1.1, ended(first, i.Outcome.CONNECT_FAILED))
+    assert not sends(again)  # five were allowed, and one is now
+    assert any(isinstance(action, i.Refuse) for action in again)
+    assert sends(gateway.handle(1.2, request("r2", class_name="new")))
+    assert set(gateway.base) == {"read", "new"} | set(gateway.base) & {"write"}
+    gateway.handle(1.3, i.Retuned(settings(classes=kinds("new"))))
+    assert set(gateway.base) == {"new"}
+
+
+def test_a_file_is_taken_whole_or_not_at_all_and_counted(tmp_path: Path) -> None:
+    with listener() as hop:
+        known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
+        raw = with_ops(known=known)
+        with program(tmp_path, raw) as running:
+            caller = running.call()
+            path = tmp_path / "config.json"
+
+            def reload(text: str, word: str) -> None:
+                path.write_text(text)
+                running.process.send_signal(signal.SIGHUP)
+                running.logged(word)
+
+            def answer(kind: str, name: str = "Q.ASK", ident: str = "aa01") -> bytes:
+                caller.sendall(command(ident, name, kind))
+                return read_until(caller, b"\r\n")
+
+            broken = changed(raw, DeadlineUs=0)
+            broken["settings"]["Classes"].append(raw["settings"]["Classes"][0] | {"Name": "new"})
+            reload(json.dumps(broken), "reload: settings.Classes.look.DeadlineUs: .*; nothing was changed")
+            assert answer("new") == b"-ERR unknown class\r\n"
+            good = changed(raw)
+            good["settings"]["Classes"].append(raw["settings"]["Classes"][0] | {"Name": "new"})
+            del good["settings"]["Classes"][1]
+            reload(json.dumps(good), "reload: done")
+            caller.sendall(command("aa02", "Q.DO", "change"))  # its caller has not heard of the file
+            at_hop = hop.accept()[0]
+            at_hop.settimeout(LIMIT)
+            read_until(at_hop, b"first=0\r\n")
+            at_hop.sendall(VALUE)
+            assert read_until(caller, b"l\r\n").startswith(b"$5")
+            caller.sendall(command("aa03", "Q.ASK", "new"))
+            read_until(at_hop, b"first=0\r\n")
+            at_hop.sendall(VALUE)
+            assert read_until(caller, b"l\r\n").startswith(b"$5")
+            over = command("aa04", "Q.DO", "change").replace(b"units=1", b"units=9")  # never sent on
+            while True:
+                caller.sendall(over)
+                if read_until(caller, b"\r\n") == b"-ERR unknown class\r\n":
+                    break
+            figures = shown(running)
+            assert (figures["sighup_applied"], figures["sighup_rejected"]) == (1, 1)
+            assert figures["results.new.succeeded"] == figures["results.change.succeeded"] == 1
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -14,8 +14,8 @@
 
 def keepers_of(ring: LongRing) -> list[int]:
     """The two that keep the total of the common customer."""
-    quota = ring.live[255]._quota_of(key_of("basic c1"), BASIC, 250, 100)
-    return ring.live[255]._members(quota, int.from_bytes(quota.key, "big") % 100)[:2]
+    quota = ring.live[255].quota_of(key_of("basic c1"), BASIC, 250, 100)
+    return ring.live[255].members(quota, int.from_bytes(quota.key, "big") % 100)[:2]
 
 
 def admitted(pair: Pair, number: int, tries: int, name: str = "x") -> int:
