A second process takes over the passed socket, what is known, and the voice on the ring

The change: EDGE_PASSED_SOCKET in config and CallerSide (adopted, never shut down, accepting from the yes on and until SIGTERM), standflow/upgrade/ (files, roles, handover), hoistfold/handover.py (what one module knows, for another), datagrams with SO_REUSEADDR, bound at the yes. Next-hop connections are halved while two processes live.

tests/test_upgrade.py: real processes under load, roles as a model with random deaths, files cut and flipped at each byte; without export, the silence on the ring or the later word's rule its tests fail.

--- /dev/null
+++ b/hoistfold/handover.py
@@ -0,0 +1,116 @@
+"""What one gateway knows, for another that takes its place, as plain values. Decides nothing.
+
+Times are of the clock that the gateway is handed, in seconds; both must read the same one.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import Any
+
+from hoistfold.brain import SCALE, TWICE, Gateway
+from hoistfold.state import Quota
+
+MOST_QUOTAS = 5000  # customers handed on, the fullest
+SHUT = -1e9  # credit at cold backends of one that has handed it on
+
+
+def export(gateway: Gateway) -> dict[str, Any]:
+    """All that is worth handing on. The credit at cold backends is handed on too, and not kept."""
+    most = heapq.nlargest(MOST_QUOTAS, gateway.quotas.values(), key=lambda quota: quota.fullness)
+    backends = {
+        name: [
+            *(b.cold_since, b.stretch, b.judged, b.suspect_since, b.next_trial, b.pause, b.resets),
+            *(max(0.0, b.cold_credit), b.cold_at),
+        ]
+        for name, b in gateway.backends.items()
+    }
+    for backend in gateway.backends.values():
+        backend.cold_credit = SHUT
+    return {
+        "quotas": [
+            [*_name(q), q.at, q.own, q.others, q.others_rate, [list(pair) for pair in q.counts.items()]]
+            for q in most
+        ],
+        "heard": {str(n): peer.heard for n, peer in gateway.peers.items() if peer.heard > 0},
+        "backends": {name: [_finite(value) for value in values] for name, values in backends.items()},
+        "base": gateway.base,
+        "limit": gateway.limit,
+        "busy": gateway.busy,
+    }
+
+
+def absorb(gateway: Gateway, told: dict[str, Any]) -> None:
+    """Takes in what another one exported; what fits nothing here is passed over."""
+    for key, plan, first, size, at, own, others, rate, counts in told["quotas"]:
+        quota = _quota(gateway, key, plan, first, size)
+        if quota is not None:
+            quota.at, quota.used = float(at), float(at)
+            quota.own, quota.others, quota.others_rate = float(own), float(others), float(rate)
+            quota.counts = {int(place): int(count) & 0xFFFF for place, count in counts}
+            quota.counts.setdefault(quota.place, 0)
+            if not quota.own + quota.others >= 0:
+                raise ValueError("a level is no number")
+    for number, heard in told["heard"].items():
+        if int(number) in gateway.peers:
+            gateway.peers[int(number)].heard = float(heard)
+    for name, values in told["backends"].items():
+        backend = gateway.backends.get(name)
+        if backend is not None and (values[0] is None or backend.cold_since <= values[0]):
+            _, stretch, judged, since, trial, pause, resets, credit, cold_at = values
+            backend.stretch, backend.judged = float(stretch), float(judged)
+            backend.suspect_since = None if since is None else float(since)
+            backend.next_trial, backend.pause, backend.resets = float(trial), float(pause), int(resets)
+            backend.cold_credit, backend.cold_at = float(credit), float(cold_at)
+    gateway.base |= {name: float(told["base"][name]) for name in gateway.base if name in told["base"]}
+    gateway.limit, gateway.busy = float(told["limit"]), float(told["busy"])
+
+
+def resume(gateway: Gateway) -> None:
+    """What was handed on is this one's again: the other is gone."""
+    for backend in gateway.backends.values():
+        backend.cold_credit = max(0.0, backend.cold_credit)
+
+
+def counts(gateway: Gateway) -> dict[bytes, int]:
+    """The running count of own use, by customer, to be compared with later."""
+    return {key: quota.counts[quota.place] for key, quota in gateway.quotas.items()}
+
+
+def spent(gateway: Gateway, before: dict[bytes, int]) -> list[list[Any]]:
+    """What was let through since then, by customer, in the fractions that counts are of."""
+    rows = []
+    for key, quota in gateway.quotas.items():
+        more = (quota.counts[quota.place] - before.get(key, 0)) & 0xFFFF
+        if more:
+            rows.append([*_name(quota), more])
+    return rows
+
+
+def add(gateway: Gateway, now: float, key: str, plan: str, first: int, size: int, more: int) -> None:
+    """Adds what the other one let through to this one's own use: the ring is told of the sum."""
+    quota = _quota(gateway, key, plan, first, size)
+    if quota is not None and 0 < more <= 0x7FFF:
+        gateway.now = now
+        gateway._drain(quota)
+        quota.used = now
+        quota.own += more / SCALE
+        quota.counts[quota.place] = (quota.counts[quota.place] + more) & 0xFFFF
+        gateway._news(quota, quota.place, TWICE)
+
+
+def _name(quota: Quota) -> tuple[str, str, int, int]:
+    return quota.key.hex(), quota.plan.name, quota.first, quota.size
+
+
+def _quota(gateway: Gateway, key: str, plan: str, first: int, size: int) -> Quota | None:
+    gateways = gateway.settings.gateways
+    place = (gateway.settings.number - int(first)) % gateways
+    if plan not in gateway.plans or not place < int(size) <= gateways or not 0 <= int(first) < gateways:
+        return None
+    return gateway.quota_of(bytes.fromhex(key), gateway.plans[plan], int(first), int(size))
+
+
+def _finite(value: float | None) -> float | None:
+    return value if value is not None and math.isfinite(value) else None
--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -31,6 +31,7 @@
     from standflow.handshakes.keeper import Keeper
     from standflow.ops.operations import Operations
     from standflow.tls.streams import TlsStreams
+    from standflow.upgrade.handover import Handover
 
 READY_AT_LATEST = 0.25  # seconds that a restarted ingress waits for discovery, its saved list being stale
 ACCEPT_ON = 0.5  # seconds of accepting after SIGTERM: new connections keep coming so long
@@ -126,26 +127,64 @@
         self.exchange.decisions = self.driver
         self.keeper = self._make_keeper()
         self.witness = self._make_witness()
+        self.speaks = True  # on the ring: of two processes of one ingress one alone does
+        if config.passed is None:
+            self._listen_to_peers()
+        with named("listen" if config.passed is None else "EDGE_PASSED_SOCKET"):
+            self.callers = CallerSide(
+                loop, log, self.exchange, config.listen, config.max_legs, config.max_unread, config.passed
+            )
+        self.stopping = False
+        self.applied = self.rejected = 0  # files at SIGHUP
+        self.retuned = 0
+        self.ops = self._make_ops()
+        self.handover = self._make_handover()
+
+    def _listen_to_peers(self) -> None:
+        config = self.config
         if config.peer_listen is not None:
             with named("peer_listen"):
                 self.peers = Peers(
-                    loop,
-                    log,
+                    self.loop,
+                    self.log,
                     config.peer_listen,
                     config.peers,
                     config.peers_all,
-                    settings.number,
+                    config.settings.number,
                     self.driver.peer_told,
                     self.tally,
+                    shared=config.passed is not None,
                 )
-        with named("listen"):
-            self.callers = CallerSide(
-                loop, log, self.exchange, config.listen, config.max_legs, config.max_unread
-            )
-        self.stopping = False
-        self.applied = self.rejected = 0  # files at SIGHUP
-        self.retuned = 0
-        self.ops = self._make_ops()
+
+    def _make_handover(self) -> Handover | None:
+        """The meeting with other processes of this ingress, where the platform holds the listening socket."""
+        if self.config.passed is None or self.config.folder is None:
+            return None
+        from standflow.upgrade.handover import Handover, Parts
+
+        driver, callers, ops = self.driver, self.callers, self.ops
+        parts = Parts(
+            export=driver.export,
+            absorb=driver.absorb,
+            spent=driver.spent,
+            add=driver.add,
+            resume=driver.resume,
+            speak=self._speak,
+            crowd=self._crowd,
+            overlay=None if ops is None else ops.overlay,
+            heard=lambda hop: None if ops is None else ops.heard(hop),
+            evacuated=lambda: (callers.evacuated, callers.evacuated_at),
+            evacuate=callers.evacuate,
+        )
+        return Handover(self.loop, self.log, self.config.folder, self.config.name, parts)
+
+    def _speak(self, wanted: bool) -> None:
+        self.speaks = wanted
+
+    def _crowd(self, another: bool) -> None:
+        """Two processes of one ingress have its descriptors between them."""
+        most = self.config.max_connections
+        self.next_hops.max_connections = most // 2 if another else most
 
     def _make_ops(self) -> Operations | None:
         """The operators' calls, where the platform gives them a place."""
@@ -230,8 +269,20 @@
         self.loop.call_later(EVERY * random.Random(self.config.seed).random(), self.tally.serve)
 
     def _ready(self) -> None:
+        if self.handover is not None:
+            self.handover.ask(self._begin)
+        else:
+            self._begin()
+
+    def _begin(self) -> None:
+        """Callers are served from now on."""
         if not self.callers.ready:
-            self.callers.ready = True
+            if self.config.passed is not None:
+                try:
+                    self._listen_to_peers()
+                except ConfigError as error:  # the ring does without this ingress
+                    self.log(f"fault: {error}")
+            self.callers.open()
             self.log(f"ready {self.config.name} on {self.callers.address[0]}:{self.callers.address[1]}")
 
     def _routes_told(self, routes: RouteSet) -> None:
@@ -257,7 +308,7 @@
             self.routes.fetch()
 
     def _tell(self, peer: int | None, content: bytes) -> None:
-        if self.peers is not None:
+        if self.peers is not None and self.speaks:
             self.peers.tell(peer, content)
 
     def reload(self) -> None:
@@ -331,7 +382,7 @@
         if not self.stopping:
             self.stopping = True
             self.log("stopping")
-            self.loop.call_later(ACCEPT_ON, self.callers.stop)
+            self.loop.call_later(0.0 if self.callers.shared else ACCEPT_ON, self.callers.stop)
             longest = max(LONGEST_WAIT, self.config.longest_deadline)
             self.loop.call_later(longest + LAST_MOMENT, self.loop.stop)
             self._stop_when_done()
@@ -343,6 +394,8 @@
         self.next_hops.close()
         if self.ops is not None:
             self.ops.close()
+        if self.handover is not None:
+            self.handover.close()
         if self.tls is not None:
             self.tls.tell_counts()
         if self.witness is not None:
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -77,6 +77,8 @@
     name: str
     listen: Address
     ops: Address | None  # where operators call; None: nowhere
+    passed: int | None  # the descriptor of a listening socket that the platform holds
+    folder: str | None  # where the processes of this ingress meet, with such a socket
     discovery: Address | None  # None: `known` holds for good
     counter: Address | None
     peer_listen: Address | None
--- a/standflow/config/platform.py
+++ b/standflow/config/platform.py
@@ -65,11 +65,15 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: no JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"EDGE_CONFIG: {path}: no JSON object")
+    for key in ("passed", "folder"):  # of the environment alone
+        raw.pop(key, None)
     for key in ("name", "listen", "discovery"):
         if key not in raw and f"EDGE_{key.upper()}" in environment:
             raw[key] = environment[f"EDGE_{key.upper()}"]
     if environment.get("EDGE_OPS"):  # two processes of one ingress may share the file, but not this address
         raw["ops"] = environment["EDGE_OPS"]
+    if passed := environment.get("EDGE_PASSED_SOCKET"):
+        raw["passed"], raw["folder"] = passed, environment.get("TMPDIR")
     return raw
 
 
@@ -95,6 +99,8 @@
         name=_text(raw, "name"),
         listen=_required(raw, "listen"),
         ops=ops,
+        passed=_passed(raw),
+        folder=raw.get("folder") if raw.get("passed") else None,
         discovery=None if static else _required(raw, "discovery"),
         counter=_address(raw, "counter", optional=True),
         peer_listen=peer_listen,
@@ -185,6 +191,15 @@
             raise ConfigError(f"peers[{number}]: {error}") from None
 
 
+def _passed(raw: dict[str, Any]) -> int | None:
+    text = raw.get("passed")
+    if text is None:
+        return None
+    if not isinstance(text, str) or not text.isdigit() or int(text) > 1 << 20:
+        raise ConfigError(f"EDGE_PASSED_SOCKET: {text!r} is no descriptor")
+    return int(text)
+
+
 def _seed(raw: dict[str, Any]) -> int:
     try:
         return int(_text(raw, "seed"), 16)
--- a/standflow/config/reload.py
+++ b/standflow/config/reload.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-LOOSE = frozenset(("known",))  # what may come and go
+LOOSE = frozenset(("known", "passed", "folder"))  # what may come and go, or is no key of the file
 
 
 def shape(raw: Any) -> Any:
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -51,6 +51,7 @@
         self.module = Gateway(settings, seed)
         # key, size, place, count, level, fullness: where a second witness takes notes, it stands here
         self.noted: Callable[[bytes, int, int, int, float, float], None] = lambda *note: None
+        self.handed: dict[bytes, int] = {}  # counts of own use when they were exported
         self.events: deque[tuple[i.Event, Transaction | None]] = deque()
         self.busy = False
         self.carry: dict[type[i.Action], Callable[[Any], object]] = {
@@ -165,6 +166,38 @@
         """When a sound message of each other ingress came last, of the loop's clock."""
         return [peer.heard - self.offset for peer in self.module.peers.values()]
 
+    def export(self) -> dict[str, Any]:
+        """What the module knows, for another process of this ingress."""
+        from hoistfold import handover
+
+        told = handover.export(self.module)
+        self.handed = handover.counts(self.module)
+        return told
+
+    def absorb(self, told: dict[str, Any]) -> None:
+        """Takes in what another process's module knew; ValueError, KeyError or TypeError where it can't."""
+        from hoistfold import handover
+
+        handover.absorb(self.module, told)
+
+    def spent(self) -> list[list[Any]]:
+        """Use since `export`."""
+        from hoistfold import handover
+
+        return handover.spent(self.module, self.handed)
+
+    def add(self, use: list[Any]) -> None:
+        """Use by another process of this ingress, a row of its `spent`."""
+        from hoistfold import handover
+
+        handover.add(self.module, self.loop.now() + self.offset, *use)
+
+    def resume(self) -> None:
+        """The other process is gone."""
+        from hoistfold import handover
+
+        handover.resume(self.module)
+
     def avoided(self) -> set[str]:
         """The next hops that the module avoids now."""
         return self.module.avoided()
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
@@ -223,22 +224,25 @@
         address: tuple[str, int],
         max_legs: int,
         max_unread: int = MAX_UNREAD,
+        passed: int | None = None,
     ) -> None:
+        """`passed`: a listening socket that other processes hold too; nothing is accepted before `ready`.
+        OSError where the address, or that descriptor, can't be listened at.
+        """
         self.loop, self.log, self.exchange, self.max_legs = loop, log, exchange, max_legs
         self.max_unread = max_unread
         self.ready = False
         self.draining = False  # each leg ends when it has nothing open
         self.pressing = False  # and takes no command more
         self.evacuated = False  # by an operator: no front should send callers
+        self.evacuated_at = 0.0
         self.drains = 0
         self.legs: set[Leg] = set()
         self.idle: OrderedDict[Leg, None] = OrderedDict()  # legs with nothing open, the longest idle first
         self.unread = 0  # bytes written by no leg yet
-        self.paused = False
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(1024)
+        self.shared = passed is not None
+        self.paused = self.shared
+        self.sock = listening(address) if passed is None else adopted(passed)
         self.address: tuple[str, int] = self.sock.getsockname()
         self.listener: Task | None = loop.spawn(self.sock.fileno(), self._listen())
         loop.call_later(SWEEP_EVERY, self._sweep)
@@ -376,16 +380,27 @@
             if leg.task is not None:
                 self.loop.end(leg.task)
 
+    def open(self) -> None:
+        """From now on callers are served."""
+        self.ready = True
+        if self.shared:
+            self._unpause()
+
     def stop(self) -> None:
         """No new legs; each leg ends when it has nothing open."""
         if self.listener is not None:
-            self._accept()  # what the kernel has taken in already would be reset with the listener
+            if not self.shared:
+                self._accept()  # what the kernel has taken in already would be reset with the listener
             self.loop.end(self.listener)
             self.listener = None
         self._drain()
 
-    def evacuate(self, wanted: bool) -> None:
-        """Fronts are told to send nobody, and legs end as in a drain, new ones too; or that is over."""
+    def evacuate(self, wanted: bool, at: float) -> None:
+        """Fronts are told to send nobody, and legs end as in a drain, new ones too; or that is over.
+
+        `at`: when it was said, Unix time in seconds.
+        """
+        self.evacuated_at = at
         if wanted and not self.evacuated:
             self.evacuated = True
             self._drain()
@@ -413,6 +428,29 @@
             self._leave(leg)
 
 
+def listening(address: tuple[str, int]) -> socket.socket:
+    """A listener of this process's own."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(1024)
+    return sock
+
+
+def adopted(number: int) -> socket.socket:
+    """A listener that was inherited. It is never shut down: what waits in it belongs to others too."""
+    sock = socket.socket(fileno=number)
+    if (
+        sock.family != socket.AF_INET
+        or sock.type != socket.SOCK_STREAM
+        or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    ):
+        sock.detach()
+        raise OSError(errno.EINVAL, "not a listening TCP socket")
+    sock.setblocking(False)
+    return sock
+
+
 def encode_final(final: Final) -> bytes:
     """A final answer on the wire."""
     if isinstance(final, Served):
--- a/standflow/net/peers.py
+++ b/standflow/net/peers.py
@@ -25,11 +25,17 @@
         own: int,
         told: Callable[[int, bytes], None],
         tally: Callable[[str], None] = lambda name: None,
+        shared: bool = False,
     ) -> None:
+        """`shared`: another process of this ingress may hold the address too. Then datagrams reach the one
+        that bound it last (Linux, SO_REUSEADDR on both), and the other again when that one is gone.
+        """
         self.log, self.peers, self.everyone, self.own, self.told = log, peers, everyone, own, told
         self.tally = tally
         self.numbers = {address: number for number, address in enumerate(peers)}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        if shared:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(listen)
         self.address: Address = self.sock.getsockname()
         loop.spawn(self.sock.fileno(), self._receive())
--- a/standflow/ops/operations.py
+++ b/standflow/ops/operations.py
@@ -69,7 +69,8 @@
         """See Operators."""
         if not self.ingress.callers.evacuated:
             self.log("ops: evacuated")
-        self.ingress.callers.evacuate(True)
+        self.ingress.callers.evacuate(True, time.time())
+        self._noted()
         return ""
 
     def rejoin(self) -> str:
@@ -78,7 +79,8 @@
             return "stopping"
         if self.ingress.callers.evacuated:
             self.log("ops: rejoined")
-        self.ingress.callers.evacuate(False)
+        self.ingress.callers.evacuate(False, time.time())
+        self._noted()
         return ""
 
     def _say(self, hop: str, out: bool) -> str:
@@ -86,11 +88,21 @@
         fault = self.overlay.say(hop, out, time.time())
         if not fault and was != out:
             self.log(f"ops: next hop {hop} {'out' if out else 'back'} by hand")
-            change = self.overlay.change(hop)
-            if change is not None:
-                self.show(change)
+            self.heard(hop)
+            self._noted()
         return fault
 
+    def heard(self, hop: str) -> None:
+        """A word on a next hop was taken in, said here or to another process: the ingress goes by it."""
+        change = self.overlay.change(hop)
+        if change is not None:
+            self.show(change)
+
+    def _noted(self) -> None:
+        """A word is kept for another process of this ingress before the yes is given."""
+        if self.ingress.handover is not None:
+            self.ingress.handover.write()
+
     def close(self) -> None:
         """Ends the listener."""
         self.server.close()
--- a/standflow/ops/overlay.py
+++ b/standflow/ops/overlay.py
@@ -21,6 +21,7 @@
 
     out: bool
     at: float
+    went: float = 0.0  # when it went out last; 0: never
 
 
 class Overlay:
@@ -64,7 +65,8 @@
         if out and not (word is not None and word.out) and len(self.out) >= MOST_OUT:
             return f"{MOST_OUT} next hops are out already"
         if word is None or word.out != out:
-            self.hear(hop, Word(out, now))
+            went = now if out else (0.0 if word is None else word.went)
+            self.hear(hop, Word(out, now, went))
         return ""
 
     def hear(self, hop: str, word: Word) -> bool:
@@ -72,10 +74,9 @@
         before = self.words.get(hop)
         if before is not None and before.at >= word.at:
             return False
-        if before is not None and before.out and not word.out:
-            self.returned[hop] = (before.at, word.at)
-        elif word.out:
-            self.returned.pop(hop, None)
+        self.returned.pop(hop, None)
+        if word.went and not word.out:
+            self.returned[hop] = (word.went, word.at)
         self.words[hop] = word
         self.words.move_to_end(hop)
         while len(self.words) > 2 * MOST_OUT:  # words back are of no more use after a while
--- /dev/null
+++ b/standflow/upgrade/files.py
@@ -0,0 +1,100 @@
+"""One file for each process of an ingress in a folder that they share: written whole, read with suspicion.
+
+A process writes its own file alone, by rename, behind a checksum. What is torn, foreign or huge is
+passed over.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import re
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+MOST_BYTES = 4 * 1024 * 1024
+MOST_FILES = 64  # looked at in the folder
+HEAD = re.compile(rb"standflow 1 ([0-9a-f]{8}) (\d{1,8})\n")
+
+
+def pack(value: dict[str, Any]) -> bytes:
+    """A file's bytes: a head with checksum and length, then JSON."""
+    body = json.dumps(value, separators=(",", ":")).encode()
+    return b"standflow 1 %08x %d\n" % (zlib.crc32(body), len(body)) + body
+
+
+def unpack(data: bytes) -> dict[str, Any]:
+    """What a file says; ValueError where it is not whole or not ours."""
+    head = HEAD.match(data[:64])
+    if head is None:
+        raise ValueError("not a file of ours")
+    body = data[head.end() :]
+    if len(body) != int(head[2]) or zlib.crc32(body) != int(head[1], 16):
+        raise ValueError("torn")
+    value = json.loads(body)
+    if not isinstance(value, dict):
+        raise ValueError("no object")
+    return value
+
+
+class Files:
+    """The folder, seen from one process with a `generation` of its own."""
+
+    def __init__(self, folder: str, name: str, generation: int, log: Callable[[str], None]) -> None:
+        self.folder, self.generation, self.log = Path(folder), generation, log
+        self.stem = "standflow-" + re.sub(r"[^A-Za-z0-9_-]", "_", name)[:64] + "-"
+        self.own = self.folder / f"{self.stem}{generation}.state"
+        self.known: dict[str, tuple[tuple[int, int], dict[str, Any] | None]] = {}
+
+    def write(self, value: dict[str, Any]) -> None:
+        """Writes this process's file; what can't be written is logged, and the ingress goes on."""
+        beside = self.own.with_suffix(".part")
+        try:
+            beside.write_bytes(pack(value))
+            os.replace(beside, self.own)
+        except OSError as error:
+            self.log(f"upgrade: {self.own.name}: {error.strerror}")
+
+    def others(self) -> dict[int, dict[str, Any]]:
+        """What the other processes' files say, by generation; each is read once for each time written."""
+        seen: dict[str, tuple[tuple[int, int], dict[str, Any] | None]] = {}
+        with contextlib.suppress(OSError), os.scandir(self.folder) as entries:
+            for entry in entries:
+                number = entry.name[len(self.stem) : -len(".state")]
+                fitting = entry.name.startswith(self.stem) and entry.name.endswith(".state")
+                if not fitting or not number.isdigit() or int(number) == self.generation:
+                    continue
+                if len(seen) >= MOST_FILES:
+                    break
+                with contextlib.suppress(OSError):
+                    status = entry.stat()
+                    mark = (status.st_mtime_ns, status.st_ino)
+                    before = self.known.get(entry.name)
+                    if before is not None and before[0] == mark:
+                        seen[entry.name] = before
+                    else:
+                        seen[entry.name] = (mark, self._read(entry.name, status.st_size))
+        self.known = seen
+        return {
+            int(name[len(self.stem) : -6]): value for name, (_, value) in seen.items() if value is not None
+        }
+
+    def remove(self, generation: int) -> None:
+        """Removes the file of a process that is over."""
+        with contextlib.suppress(OSError):
+            (self.folder / f"{self.stem}{generation}.state").unlink()
+
+    def _read(self, name: str, size: int) -> dict[str, Any] | None:
+        try:
+            if size > MOST_BYTES:
+                raise ValueError("too large")
+            value = unpack((self.folder / name).read_bytes()[: MOST_BYTES + 1])
+            if str(value.get("generation")) != name[len(self.stem) : -len(".state")]:
+                raise ValueError("another process's")
+            return value
+        except (OSError, ValueError, RecursionError) as error:
+            self.log(f"upgrade: {name} is passed over: {error}")
+            return None
--- /dev/null
+++ b/standflow/upgrade/handover.py
@@ -0,0 +1,160 @@
+"""Carries the replacing of a process out: reads the others' files, writes its own, and does its part."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from standflow.net.loop import Loop
+from standflow.ops.overlay import Overlay, Word
+from standflow.upgrade import roles
+from standflow.upgrade.files import Files
+from standflow.upgrade.roles import Role, Stage
+
+QUICK, SLOW = 0.03, 0.1  # seconds between looks while something goes on, and else
+BEAT = 0.5  # seconds between writes of a process that is alone
+OLD = 60.0  # seconds after which the file of a process that is over is removed
+MOST_WORDS = 2000
+
+
+@dataclass(slots=True)
+class Parts:
+    """What the handover asks of the ingress."""
+
+    export: Callable[[], dict[str, Any]]
+    absorb: Callable[[dict[str, Any]], None]
+    spent: Callable[[], list[list[Any]]]  # since the last export
+    add: Callable[[list[Any]], None]
+    resume: Callable[[], None]
+    speak: Callable[[bool], None]  # on the ring, or not
+    crowd: Callable[[bool], None]  # another process holds descriptors of the same ingress
+    overlay: Overlay | None
+    heard: Callable[[str], None]  # a word on a next hop, said to another process
+    evacuated: Callable[[], tuple[bool, float]]
+    evacuate: Callable[[bool, float], None]
+
+
+class Handover:
+    """One process's end of it. `begin` is called once, when this process may serve."""
+
+    def __init__(self, loop: Loop, log: Callable[[str], None], folder: str, name: str, parts: Parts) -> None:
+        self.loop, self.log, self.parts = loop, log, parts
+        generation = time.time_ns()
+        self.files = Files(folder, name, generation, log)
+        self.role = Role(generation)
+        self.begin: Callable[[], None] = lambda: None
+        self.told: dict[str, Any] | None = None  # what was exported to the newer process
+        self.taken: dict[tuple[int, str], int] = {}  # of an older one's use, by generation and customer
+        self.crowded = False
+        self.written = 0.0
+        self.closed = False
+        self._look()
+
+    def ask(self, begin: Callable[[], None]) -> None:
+        """This process can serve; `begin` follows when the one before has told what it knows."""
+        if self.role.stage is Stage.STARTING:
+            self.begin = begin
+            self.role.ask(time.time())
+            self.write()
+            self._look_once()
+
+    def write(self) -> None:
+        """Writes this process's file: its part, what operators said, and what it hands on."""
+        overlay = self.parts.overlay
+        words = (
+            []
+            if overlay is None
+            else [[hop, one.out, one.at, one.went] for hop, one in overlay.words.items()]
+        )
+        self.written = time.time()
+        value: dict[str, Any] = {
+            "generation": self.role.generation,
+            "at": self.written,
+            "stage": self.role.stage.value,
+            "handed_to": self.role.handed_to,
+            "words": words,
+            "evacuated": list(self.parts.evacuated()),
+        }
+        if self.role.stage is Stage.HANDED:
+            value["told"], value["spent"] = self.told, self.parts.spent()
+        self.files.write(value)
+
+    def close(self) -> None:
+        """The last word of this process. Its file stays where nobody has taken over what it says."""
+        self.closed = True
+        self.write()
+
+    def _look(self) -> None:
+        if self.closed:
+            return
+        self._look_once()
+        quick = self.crowded or self.role.stage in (Stage.ASKING, Stage.HANDED)
+        self.loop.call_later(QUICK if quick else SLOW, self._look)
+
+    def _look_once(self) -> None:
+        now, raw = time.time(), self.files.others()
+        seen = []
+        for generation, value in sorted(raw.items()):
+            try:
+                seen.append(roles.read(generation, value))
+                self._words(value)
+                if generation < self.role.generation and self.role.stage in (Stage.SERVING, Stage.HANDED):
+                    self._use(generation, value)
+                if now - seen[-1].at > OLD and generation < self.role.generation:
+                    self.files.remove(generation)
+                    self.taken = {key: units for key, units in self.taken.items() if key[0] != generation}
+            except (KeyError, TypeError, ValueError, OverflowError) as error:
+                self.log(f"upgrade: what process {generation} says is passed over: {error!r}")
+        alive = [one for one in seen if now - one.at < roles.LIVES]
+        if bool(alive) != self.crowded:
+            self.crowded = bool(alive)
+            self.parts.crowd(self.crowded)
+        self._do(self.role.step(seen, now), raw)
+        due = QUICK if self.role.stage is Stage.HANDED else BEAT
+        if now - self.written >= due:
+            self.write()
+
+    def _do(self, what: str, raw: dict[int, dict[str, Any]]) -> None:
+        if what == "take":
+            before = max(g for g, value in raw.items() if value.get("handed_to") == self.role.generation)
+            try:
+                self.parts.absorb(raw[before]["told"])
+                self.log("upgrade: took over what the process before knows")
+            except (KeyError, TypeError, ValueError, OverflowError) as error:
+                self.log(f"upgrade: what the process before knows is passed over: {error!r}")
+        if what in ("take", "begin"):
+            self.write()
+            self.begin()
+        elif what == "hand":
+            self.log("upgrade: a newer process can serve: told it what is known, silent on the ring")
+            self.parts.speak(False)
+            self.told = self.parts.export()
+            self.write()
+        elif what == "resume":
+            self.log("upgrade: the newer process is gone: on the ring again")
+            self.told = None
+            self.parts.resume()
+            self.parts.speak(True)
+
+    def _words(self, value: dict[str, Any]) -> None:
+        overlay = self.parts.overlay
+        for hop, out, at, went in value["words"][:MOST_WORDS] if overlay is not None else ():
+            if not isinstance(hop, str) or not isinstance(out, bool):
+                raise ValueError("a word is none")
+            if overlay is not None and overlay.hear(hop, Word(out, float(at), float(went))):
+                self.parts.heard(hop)
+        evacuated, at = value["evacuated"]
+        if float(at) > self.parts.evacuated()[1]:
+            self.parts.evacuate(bool(evacuated), float(at))
+
+    def _use(self, generation: int, value: dict[str, Any]) -> None:
+        """What an older process let through after it had told all, as far as it is new."""
+        if value["handed_to"] != self.role.generation:
+            return
+        for key, plan, first, size, units in value["spent"]:
+            more = int(units) - self.taken.get((generation, key), 0)
+            if more > 0:
+                self.taken[(generation, key)] = int(units)
+                self.parts.add([key, plan, first, size, more])
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,382 @@
+"""Two processes of one ingress: what they hand on, who does what, and that nobody is turned away."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hoistfold import handover
+from hoistfold import interface as i
+from lab.accept import Acceptor
+from standflow.net.loop import Loop
+from standflow.net.peers import Peers
+from standflow.upgrade import files as upgrade_files
+from standflow.upgrade.files import MOST_BYTES, Files, pack, unpack
+from standflow.upgrade.roles import LIVES, PATIENCE, Role, Seen, Stage
+from tests.test_ops import PING, VALUE, ask, with_ops
+from tests.wire import LIMIT, Program, command, config, member, program, read_until, turn_until
+from tests.world import Pair, request, sends, started
+
+# Files.
+
+
+def test_a_file_that_is_torn_foreign_or_huge_is_passed_over_and_the_rest_read(tmp_path: Path) -> None:
+    log: list[str] = []
+    one, other = Files(f"{tmp_path}", "n0", 5, log.append), Files(f"{tmp_path}", "n0", 7, log.append)
+    one.write({"generation": 5, "at": 1})
+    assert other.others() == {5: {"generation": 5, "at": 1}}
+    whole = pack({"generation": 6, "words": ["a" * 50]})
+    for cut in range(len(whole)):
+        with pytest.raises(ValueError, match="."):
+            unpack(whole[:cut])
+        with pytest.raises(ValueError, match="."):
+            unpack(whole[:cut] + bytes([whole[cut] ^ 1]) + whole[cut + 1 :])
+    stem = tmp_path / "standflow-n0-"
+    Path(f"{stem}6.state").write_bytes(whole[:-1])
+    Path(f"{stem}8.state").write_bytes(pack({"generation": 9}))
+    Path(f"{stem}10.state").write_bytes(b"x" * (MOST_BYTES + 1))
+    Path(f"{stem}x.state").write_bytes(whole)
+    (tmp_path / "standflow-n1-5.state").write_bytes(pack({"generation": 5}))
+    for _ in range(2):  # what is wrong is said once
+        assert list(other.others()) == [5]
+    assert [line.split(": ")[2] for line in log] in (
+        [*order] for order in _orders(["torn", "another process's", "too large"])
+    )
+    for number in range(upgrade_files.MOST_FILES + 5):
+        Path(f"{stem}{100 + number}.state").write_bytes(pack({"generation": 100 + number}))
+    assert len(other.others()) <= upgrade_files.MOST_FILES
+
+
+def _orders(words: list[str]) -> Iterator[list[str]]:
+    if not words:
+        yield []
+    for word in words:
+        for rest in _orders([one for one in words if one != word]):
+            yield [word, *rest]
+
+
+# Roles.
+
+
+@given(st.lists(st.tuples(st.sampled_from(["start", "able", "die", "wait"]), st.integers(0, 3)), max_size=40))
+def test_whoever_dies_when_one_live_process_that_can_serve_speaks(steps: list[tuple[str, int]]) -> None:
+    """The model: processes as files in one folder, each looked at after every step until nothing changes."""
+    now, roles, dead = 100.0, dict[int, Role](), set[int]()
+
+    def settle() -> None:
+        for _ in range(12):
+            for generation, role in roles.items():
+                if generation not in dead:
+                    seen = [
+                        Seen(g, now - (LIVES + 1) * (g in dead), r.stage, r.handed_to)
+                        for g, r in roles.items()
+                        if g != generation
+                    ]
+                    what = role.step(seen, now)
+                    if what == "take":
+                        assert any(s.handed_to == generation and s.stage is Stage.HANDED for s in seen)
+
+    for step, which in steps:
+        now += 0.1
+        live = [g for g in sorted(roles) if g not in dead]
+        if step == "start" and len(roles) < 8:
+            roles[len(roles) + 1] = Role(len(roles) + 1)
+        elif step == "able" and live:
+            role = roles[live[which % len(live)]]
+            if role.stage is Stage.STARTING:
+                role.ask(now)
+        elif step == "die" and live:
+            dead.add(live[which % len(live)])
+        elif step == "wait":
+            now += PATIENCE
+        settle()
+        now += PATIENCE + 0.1
+        settle()
+        able = [g for g, r in roles.items() if g not in dead and r.stage is not Stage.STARTING]
+        assert [g for g in able if roles[g].stage is Stage.SERVING] == able[-1:]
+
+
+def test_a_new_process_waits_for_the_one_before_it_but_not_for_ever() -> None:
+    role = Role(2)
+    role.ask(10.0)
+    before = Seen(1, 10.0, Stage.SERVING, 0)
+    assert role.step([before], 10.1) == ""
+    assert role.step([Seen(1, 10.0, Stage.SERVING, 0)], 10.2 + PATIENCE) == "begin"
+
+
+# What the module hands on.
+
+
+def test_use_is_counted_once_by_the_others_whoever_of_the_two_let_it_through() -> None:
+    pair = Pair()
+    pair.epochs(4)
+    for n in range(4):
+        assert pair.ask(0, f"a{n}")
+    pair.epochs(3)
+    old = pair.live[0]
+    told = json.loads(json.dumps(handover.export(old)))
+    before = handover.counts(old)
+    pair.restart(0)
+    new = pair.live[0]
+    handover.absorb(new, told)
+    key = next(iter(old.quotas))
+    assert new.quotas[key].own == pytest.approx(old.quotas[key].own)
+    assert new.quotas[key].others == pytest.approx(old.quotas[key].others)
+    actions = old.handle(pair.now, request("late", ring_size=2))  # the old one ends what it has
+    assert sends(actions)
+    (row,) = handover.spent(old, before)
+    handover.add(new, pair.now, *row)
+    pair.epochs(3)
+    own = new.quotas[key]
+    seen = pair.live[1].quotas[key]
+    assert own.counts[0] == old.quotas[key].counts[0] == seen.counts[0]  # no lap too many, none too few
+    assert seen.others == pytest.approx(own.own, abs=0.3)
+
+
+def test_suspicions_and_credit_at_cold_next_hops_go_with_it_and_come_back_when_the_new_one_is_gone() -> None:
+    old, new = started(), started()
+    for gateway in (old, new):
+        cold = i.BackendEntry("b1", "a", "std", 0, i.Availability.ACTIVE, 1.0, 5.0)
+        gateway.handle(5.0, i.BackendsListed(i.ListKind.CHANGES, (cold,)))
+    old.backends["b1"].cold_credit = 0.4
+    old.backends["b2"].suspect_since = 4.0
+    handover.absorb(new, json.loads(json.dumps(handover.export(old))))
+    assert new.backends["b1"].cold_credit == 0.4
+    assert new.avoided() == {"b2"}
+    served = [
+        s for n in range(200) for s in sends(old.handle(6.0 + n / 100, request(f"r{n}", customer=f"c{n}")))
+    ]
+    assert served
+    assert all(send.backend != "b1" for send in served)
+    handover.resume(old)
+    assert old.backends["b1"].cold_credit == 0.0
+
+
+@given(st.integers(0, 7), st.one_of(st.none(), st.integers(-3, 99), st.text(max_size=5), st.lists(st.none())))
+def test_what_is_unsound_in_a_row_changes_nothing_or_is_told(place: int, value: Any) -> None:
+    gateway = started(gateways=4, number=1)
+    row = ["0011223344", "basic", 1, 2, 0.0, 1.0, 1.0, 0.0, [[0, 4]]]
+    row[place] = value
+    told = {"quotas": [row], "heard": {}, "backends": {}, "base": {}, "limit": 8.0, "busy": 0.0}
+    try:
+        handover.absorb(gateway, told)
+    except (KeyError, TypeError, ValueError):
+        return
+    for quota in gateway.quotas.values():
+        assert quota.place < quota.size <= 4
+
+
+# The kernel, and descriptors.
+
+
+def test_datagrams_reach_the_process_that_bound_last_and_the_other_again_after_it() -> None:
+    got: list[tuple[str, bytes]] = []
+    loop = Loop(lambda line: None)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.bind(("127.0.0.1", 0))
+        peers = (sender.getsockname(), ("127.0.0.1", 1))
+        hear = [lambda number, content, who=who: got.append((who, content)) for who in ("old", "new")]
+        old = Peers(loop, print, ("127.0.0.1", 0), peers, None, 1, hear[0], shared=True)
+        sender.sendto(b"1", old.address)
+        turn_until(loop, lambda: len(got) == 1)
+        new = Peers(loop, print, old.address, peers, None, 1, hear[1], shared=True)
+        sender.sendto(b"2", old.address)
+        turn_until(loop, lambda: len(got) == 2)
+        loop.end(loop.tasks[new.sock.fileno()])
+        new.sock.close()
+        sender.sendto(b"3", old.address)
+        turn_until(loop, lambda: len(got) == 3)
+    assert got == [("old", b"1"), ("new", b"2"), ("old", b"3")]
+    loop.epoll.close()
+
+
+@pytest.mark.parametrize("number", ["x", "99", "0"])
+def test_a_descriptor_that_is_no_listener_is_named(tmp_path: Path, number: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config()))
+    env = os.environ | {"EDGE_CONFIG": f"{path}", "EDGE_PASSED_SOCKET": number}
+    ended = subprocess.run([sys.executable, "-m", "standflow"], env=env, capture_output=True, timeout=LIMIT)
+    assert ended.returncode == 2
+    assert ended.stderr.splitlines()[-1].startswith(b"standflow: EDGE_PASSED_SOCKET: ")
+
+
+# Real processes, under load.
+
+
+class Load:
+    """Callers that ask on new and kept connections all the while; whoever got no whole answer is noted."""
+
+    def __init__(self, address: tuple[str, int], callers: int = 4) -> None:
+        self.address, self.stopped = address, False
+        self.answered, self.unheard = [0] * callers, list[str]()
+        self.threads = [threading.Thread(target=self._ask, args=(n,)) for n in range(callers)]
+        for thread in self.threads:
+            thread.start()
+
+    def _ask(self, number: int) -> None:
+        chance, turn, sock = random.Random(number), 0, None
+        while not self.stopped:
+            turn += 1
+            fresh = sock is None
+            try:
+                if sock is None:
+                    sock = socket.create_connection(self.address, LIMIT)
+                    sock.settimeout(LIMIT)
+                sock.sendall(command(f"{number:x}a{turn:x}"))
+                got = sock.recv(100)
+                if got.endswith(b"\r\n"):
+                    self.answered[number] += 1
+                elif fresh or got:  # a kept one may be closed between two commands: it is asked anew
+                    self.unheard.append(f"{number}: {got!r}")
+            except OSError as error:
+                if fresh:
+                    self.unheard.append(f"{number}: {error!r}")
+                got = b""
+            if (not got or chance.random() < 0.5) and sock is not None:
+                sock.close()
+                sock = None
+            time.sleep(0.002)
+
+    def stop(self) -> None:
+        self.stopped = True
+        for thread in self.threads:
+            thread.join(LIMIT)
+
+
+def box(sock: socket.socket) -> None:
+    """A next hop that answers whatever comes."""
+    try:
+        while data := sock.recv(65536):
+            sock.sendall(VALUE * data.count(b"first=0\r\n"))
+    except OSError:
+        return
+
+
+@contextmanager
+def upgrading(folder: Path, **changes: Any) -> Iterator[tuple[Any, socket.socket, Load, Acceptor]]:
+    """A way to start one process after another, with callers all the while."""
+    box_at = Acceptor(box)
+    known = {"revision": 1, "complete": True, "members": [member(box_at.address)]}
+    raw = with_ops(known=known, **changes)
+    with socket.create_server(("127.0.0.1", 0), backlog=512) as door, ExitStack() as stack:
+
+        def start() -> Program:
+            running = stack.enter_context(program(folder, raw, door))
+            running.logged("ready n0")
+            return running
+
+        load = Load(door.getsockname())
+        try:
+            yield start, door, load, box_at
+        finally:
+            load.stop()
+            box_at.close()
+
+
+def over(running: Program) -> None:
+    running.terminate()
+    assert running.process.wait(LIMIT) == 0
+
+
+def test_two_upgrades_in_a_row_turn_nobody_away(tmp_path: Path) -> None:
+    with upgrading(tmp_path) as (start, door, load, _):
+        first = start()
+        time.sleep(0.3)
+        second = start()
+        second.logged("took over")
+        first.logged("silent on the ring")
+        over(first)
+        third = start()
+        third.logged("took over")
+        over(second)
+        before = list(load.answered)
+        time.sleep(0.3)
+        load.stop()
+        assert load.unheard == []
+        assert all(after > once > 0 for after, once in zip(load.answered, before, strict=True))
+
+
+def test_a_new_process_that_dies_before_its_yes_changes_nothing(tmp_path: Path) -> None:
+    with upgrading(tmp_path) as (start, door, load, _):
+        first = start()
+        with program(tmp_path, with_ops(), door) as second:
+            second.logged("starting n0")
+            second.process.kill()
+            second.process.wait(LIMIT)
+        time.sleep(0.2)
+        third = start()  # and the one before may end without a word
+        first.process.kill()
+        first.process.wait(LIMIT)
+        before = list(load.answered)
+        time.sleep(0.5)
+        load.stop()
+        assert all(after > once for after, once in zip(load.answered, before, strict=True))
+        assert ask(third, "GET", "/api/ready")[0] == 200
+
+
+def test_what_operators_said_holds_across_upgrades_whoever_was_told(tmp_path: Path) -> None:
+    with upgrading(tmp_path) as (start, door, load, _):
+        load.stop()
+        first = start()
+        assert ask(first, "POST", "/api/exclude/s-1")[0] == 200
+        assert ask(first, "POST", "/api/evacuate")[0] == 200
+        second = start()  # it can serve, though it is emptied
+        caller = second.process and socket.create_connection(door.getsockname(), LIMIT)
+        caller.settimeout(LIMIT)
+        caller.sendall(PING + command("aa01"))
+        assert read_until(caller, b"\r\n").startswith(b"-ERR evacuated\r\n")
+        assert ask(second, "POST", "/api/rejoin")[0] == 200
+        assert ask(second, "POST", "/api/include/s-1")[0] == 200
+        end = time.monotonic() + LIMIT
+        while "ejected=0" not in ask(first, "GET", "/api/telemetry")[1]:  # it hears what the newer was told
+            assert time.monotonic() < end
+        over(first)
+        third = start()
+        assert "ejected=0" in ask(third, "GET", "/api/telemetry")[1]
+        again = socket.create_connection(door.getsockname(), LIMIT)
+        again.settimeout(LIMIT)
+        again.sendall(PING)
+        assert read_until(again, b"\r\n") == b"+PONG\r\n"
+        for sock in (caller, again):
+            sock.close()
+
+
+def test_after_sighup_and_with_legs_that_stay_the_old_one_ends_and_loses_nothing(tmp_path: Path) -> None:
+    with upgrading(tmp_path) as (start, door, load, _):
+        first = start()
+        legs = [socket.create_connection(door.getsockname(), LIMIT) for _ in range(40)]
+        for leg in legs:
+            leg.settimeout(LIMIT)
+            leg.sendall(PING)
+            assert read_until(leg, b"\r\n") == b"+PONG\r\n"
+        first.process.send_signal(signal.SIGHUP)
+        second = start()
+        second.process.send_signal(signal.SIGHUP)
+        over(first)
+        for leg in legs:
+            assert leg.recv(10) == b""
+        load.stop()
+        assert load.unheard == []
+        second.logged("reload: nothing to do")
+
+
+def test_without_a_passed_socket_nothing_of_it_is_imported() -> None:
+    code = (
+        "import sys, standflow.__main__; print([m for m in sys.modules if 'upgrade' in m or 'handover' in m])"
+    )
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout == b"[]\n"
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -105,14 +105,19 @@
 
 
 @contextmanager
-def program(folder: Path, raw: Any) -> Iterator[Program]:
-    """Starts the program on a configuration, and ends it whatever happens."""
+def program(folder: Path, raw: Any, passed: socket.socket | None = None) -> Iterator[Program]:
+    """Starts the program on a configuration, and ends it whatever happens.
+
+    `passed`: a listening socket that it inherits; then processes of the same folder meet in it.
+    """
     path = folder / "config.json"
+    handed = {} if passed is None else {"EDGE_PASSED_SOCKET": f"{passed.fileno()}", "TMPDIR": f"{folder}"}
     path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
     process = subprocess.Popen(
         [sys.executable, "-m", "standflow"],
         cwd=ROOT,
-        env=os.environ | {"EDGE_CONFIG": str(path)},
+        env=os.environ | {"EDGE_CONFIG": str(path)} | handed,
+        pass_fds=() if passed is None else (passed.fileno(),),
         stderr=subprocess.PIPE,
     )
     try:
