Values above 64 KiB are passed on as they come, and long bodies wait for reserved room

The lines at fault: resp._reply and Buffer.command, which knew one limit of 64 KiB for all values, and NextHops, which gave the caller a value only when it had it whole.

The change: net/flow.py (the pipe), net/bodies.py (room for bodies), Buffer.long_reply and Buffer.rest, Connection._begin/_pour, Exchange.branch_began, StreamStarted told to the module, whose backend then counts as answering and holds no attempt of ours as pending. Streams write several buffers, so that a long body is not joined to its head. The budgets follow from memory_mb, which was not read so far; what slow callers may leave unread is now a quarter of it at most.

tests/test_long.py: models of the pipe and of the room, a value cut at any byte, six bodies of 4 MiB with 32 MB.

--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -19,6 +19,7 @@
 from standflow.exchange import Exchange, RouteSet
 from standflow.log import Log
 from standflow.net.caller import CallerSide
+from standflow.net.flow import Flows
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.nexthop import NextHops
 from standflow.net.peers import Peers
@@ -96,6 +97,7 @@
             config.idle_limit,
             config.drain_grace,
             config.max_connections,
+            flows=Flows(config.max_flows),
             **make,
         )
         self.exchange.next_hops = self.next_hops
@@ -132,7 +134,14 @@
             self._listen_to_peers()
         with named("listen" if config.passed is None else "EDGE_PASSED_SOCKET"):
             self.callers = CallerSide(
-                loop, log, self.exchange, config.listen, config.max_legs, config.max_unread, config.passed
+                loop,
+                log,
+                self.exchange,
+                config.listen,
+                config.max_legs,
+                min(config.max_unread, config.memory // 4),
+                config.passed,
+                config.max_bodies,
             )
         self.stopping = False
         self.applied = self.rejected = 0  # files at SIGHUP
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -102,6 +102,18 @@
     keys: Any = None  # of the platform's JSON, as reload.shape has them
     max_unread: int = 32 * 1024 * 1024  # bytes that slow callers together may leave unread
 
+    memory: int = 192 * 1024 * 1024  # bytes that this ingress may take
+
+    @property
+    def max_flows(self) -> int:
+        """Bytes of long values on their way to callers."""
+        return self.memory // 8
+
+    @property
+    def max_bodies(self) -> int:
+        """Bytes of long request bodies; while one is taken out of its buffer it lies there twice."""
+        return self.memory // 8
+
     @property
     def classes(self) -> dict[str, bool]:
         """The classes by name; true where a request is safe to repeat."""
--- a/standflow/config/platform.py
+++ b/standflow/config/platform.py
@@ -21,6 +21,7 @@
 from standflow.net.routes import RouteError, read_address, read_routes
 
 DEFAULT_SOCKETS = 1024
+DEFAULT_MEMORY = 192  # MB
 OPS_SOCKETS = 34  # for the operators' calls: ops.server.DESCRIPTORS
 LEAST_SOCKETS = 16  # for callers and next hops
 MOST_INGRESSES = 10_000
@@ -91,6 +92,7 @@
     usable = sockets - SPARE_SOCKETS - (OPS_SOCKETS if ops is not None else 0)
     if usable < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {sockets} is too few for what is switched on")
+    memory = _number(limits, "memory_mb", "limits.memory_mb", 16, 1 << 20, DEFAULT_MEMORY)
     peer_listen = _address(raw, "peer_listen", optional=True)
     peers = tuple(_peers(raw))
     if settings.may_tell_peers and peer_listen is not None and len(peers) != settings.gateways:
@@ -108,6 +110,7 @@
         peers_all=_address(raw, "peers_all", optional=True),
         seed=_seed(raw),
         sockets=sockets,
+        memory=int(memory * (1 << 20)),
         max_legs=usable * 55 // 100,
         max_connections=usable * 45 // 100,
         known=_known(raw, zones, log),
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -129,6 +129,10 @@
         """RequestGone."""
         self.feed(i.RequestGone(transaction.name))
 
+    def branch_began(self, branch: Branch, latency: float) -> None:
+        """StreamStarted."""
+        self.feed(i.StreamStarted(branch.transaction.name, branch.number, branch.hop, latency))
+
     def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
         """AttemptEnded; late ones are told as well."""
         event = i.AttemptEnded(
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -76,6 +76,7 @@
     ring_first: int
     message: Any
     ident: object = None  # the caller's own name for it; no two open ones may share it
+    release: Callable[[], None] | None = None  # called once when nothing of it is needed any more
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,7 +137,7 @@
 class Branch:
     """One attempt of a transaction at one next hop."""
 
-    __slots__ = ("carrier", "deadline", "ended", "hop", "number", "started", "timer", "transaction")
+    __slots__ = ("carrier", "deadline", "ended", "first", "hop", "number", "started", "timer", "transaction")
 
     def __init__(
         self, transaction: Transaction, number: int, hop: str, started: float, deadline: float
@@ -145,6 +146,7 @@
         self.started, self.deadline = started, deadline
         self.ended: Outcome | None = None
         self.timer: Timer | None = None
+        self.first: float | None = None  # when the first bytes of a long value came
         self.carrier: Any = None  # the next-hop side's own
 
     @property
@@ -157,7 +159,8 @@
     """One request and the single final answer that it is owed."""
 
     __slots__ = (
-        "branches", "deadline", "guard", "max_branches", "name", "open", "out", "reply", "request", "safe",
+        "branches", "deadline", "flowing", "guard", "max_branches", "name", "open", "out", "reply", "request",
+        "safe",
     )  # fmt: skip
 
     def __init__(
@@ -175,6 +178,7 @@
         self.open = True
         self.out = 0
         self.guard: Timer | None = None
+        self.flowing: Branch | None = None  # its value is being passed on: the answer, and not over yet
 
     @property
     def may_refuse(self) -> bool:
@@ -201,6 +205,9 @@
     def transaction_gone(self, transaction: Transaction) -> None:
         """A transaction is over by no decision of the module."""
 
+    def branch_began(self, branch: Branch, latency: float) -> None:
+        """The first bytes of a long value have come: they are the answer."""
+
     def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
         """A branch has its outcome."""
 
@@ -267,6 +274,7 @@
         transaction = Transaction(name, request, all(said), deadline, reply, self.max_branches)
         self.open_count += 1
         if self.open_count > self.max_open:
+            self.transactions[name] = transaction
             self._conclude(transaction, Refused(self.come_back))
             return transaction
         self.transactions[name] = transaction
@@ -306,6 +314,12 @@
             self._close(transaction)
             self.decisions.transaction_gone(transaction)
             self._settle(transaction)
+        elif (branch := transaction.flowing) is not None:
+            self.tally("answer.gone")
+            self.ends[transaction.request.class_name].gone += 1
+            self._over(transaction)
+            self.next_hops.give_up(branch)
+            self.branch_ended(branch, Result(Outcome.CANCELLED))
 
     # The driver.
 
@@ -364,6 +378,27 @@
 
     # The next-hop side.
 
+    def branch_began(self, branch: Branch, value: Any) -> bool:
+        """The first bytes of a long value have come; where they are the answer, nothing cuts it off any more.
+
+        `value` goes to the caller as the value that it is the beginning of. False where nobody waits for it.
+        """
+        transaction = branch.transaction
+        if branch.ended is not None or not transaction.open:
+            return False
+        branch.first = self.loop.now()
+        transaction.open, transaction.flowing = False, branch
+        for timer in (branch.timer, transaction.guard):
+            if timer is not None:
+                timer.cancel()
+        self.decisions.branch_began(branch, branch.first - branch.started)
+        for other in transaction.branches:
+            if other is not branch and other.ended is None:
+                self.next_hops.give_up(other)
+                self.branch_ended(other, Result(Outcome.CANCELLED))
+        transaction.reply(Served(value))
+        return True
+
     def branch_ended(self, branch: Branch, result: Result) -> None:
         """Takes a branch's one outcome; the first good one is the caller's answer."""
         if branch.ended is not None:
@@ -377,7 +412,12 @@
         branch.carrier = None
         if result.outcome is Outcome.OK and transaction.open:
             self._conclude(transaction, Served(result.value))
-        latency = self.loop.now() - branch.started
+        elif transaction.flowing is branch:
+            whole, ends = result.outcome is Outcome.OK, self.ends[transaction.request.class_name]
+            self.tally("answer.served" if whole else "answer.cut")
+            ends.succeeded, ends.aborted = ends.succeeded + whole, ends.aborted + (not whole)
+            self._over(transaction)
+        latency = (self.loop.now() if branch.first is None else branch.first) - branch.started
         self.decisions.branch_ended(branch, result, latency, not transaction.open)
         self._settle(transaction)
 
@@ -410,13 +450,19 @@
 
     def _close(self, transaction: Transaction) -> None:
         transaction.open = False
-        self.open_count -= 1
-        self.idents.discard(transaction.request.ident)
+        self._over(transaction)
         if transaction.guard is not None:
             transaction.guard.cancel()
 
+    def _over(self, transaction: Transaction) -> None:
+        """It counts as open no more."""
+        transaction.flowing = None
+        self.open_count -= 1
+        self.idents.discard(transaction.request.ident)
+
     def _settle(self, transaction: Transaction) -> None:
         """A transaction is kept until it is answered and its last branch has ended."""
         if not transaction.open and not transaction.out:
-            self.transactions.pop(transaction.name, None)
+            if self.transactions.pop(transaction.name, None) and transaction.request.release is not None:
+                transaction.request.release()
             transaction.branches = []  # they refer back: no circle may wait for the collector
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -19,16 +19,21 @@
     UnacceptableError,
 )
 from standflow.net import resp
+from standflow.net.bodies import Bodies
+from standflow.net.flow import Flow
 from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task, broken
 
 READ_SIZE = 65536
 MAX_PIPELINED = 64  # commands of one leg that wait for their answers; more stay in the kernel
 PAUSE_OUT = 256 * 1024  # bytes that a slow reader may leave unread before no more is taken from it
 MAX_OUT = 1024 * 1024  # and before it is given up
+PIECE = 64 * 1024  # bytes of a long value that a leg has on its own, written or not, at most
+MAX_BODIES = 16 * 1024 * 1024  # bytes of long bodies, where nothing else is said
 MAX_UNREAD = 32 * 1024 * 1024  # bytes that all legs together may leave unread, where nothing else is said
-SWEEP_EVERY = 0.5
-MAX_STALLS = 40  # sweeps in a row without a byte taken after which a slow reader is given up
-MAX_HALF = 5  # and without a byte sent after which half a command is
+SWEEP_EVERY = 0.25
+MAX_STALLS = 80  # sweeps in a row without a byte taken after which a slow reader is given up
+BODY_STALL = 1.5  # seconds without a byte after which a body counts as stuck
+MAX_HALF = 10  # and without a byte sent after which half a command is
 SPEAK_WITHIN = 2.3  # seconds in which a new leg has its first command whole; a sweep more, and it ends
 SETTLE = 0.25  # seconds in which a new leg isn't asked to make way: its command may be under way
 LINGER = 1.0  # seconds for the last answer to arrive after framing was lost
@@ -39,10 +44,11 @@
 class Slot:
     """The place of one command's answer in a leg's order."""
 
-    __slots__ = ("answer", "transaction")
+    __slots__ = ("answer", "flow", "transaction")
 
     def __init__(self, answer: bytes | None = None) -> None:
         self.answer = answer
+        self.flow: Flow | None = None  # what follows the answer's first bytes
         self.transaction: Transaction | None = None
 
 
@@ -61,6 +67,9 @@
         self.made = side.loop.now()
         self.heard = self.made  # when the bytes read last can have come at the earliest
         self.held_since: float | None = None
+        self.moved = self.made  # when bytes came last
+        self.room = 0  # reserved for the body that is being read
+        self.waits = False  # for such room
         self.task: Task | None = None
 
     def live(self) -> Coroutine[None]:
@@ -72,7 +81,7 @@
         finally:
             self.side.closed(self)
             for slot in self.slots:
-                if slot.transaction is not None and slot.answer is None:
+                if slot.transaction is not None:
                     self.side.exchange.caller_gone(slot.transaction)
 
     def _serve(self) -> Coroutine[str]:
@@ -87,6 +96,7 @@
                         return "peer_closed"
                     self.buffer.feed(data)
                     self.stalls = 0
+                    self.moved = self.side.loop.now()
                     # what lay in the kernel while reading paused has used up its caller's time all the same
                     self.heard = self.held_since or self.side.loop.heard
                     self.held_since = None
@@ -98,6 +108,8 @@
                 continue
             except OSError as error:
                 return broken(error)
+            if self.slots and (flow := self.slots[0].flow) is not None and flow.broken:
+                return "cut_off"  # in the middle of the value: the caller can tell
             if self.last_words and not self.out and not self.slots:
                 return self.reason
             if self.too_slow():
@@ -118,7 +130,9 @@
 
     def mask(self) -> int:
         """Reading pauses while too much of this leg is open or unread."""
-        paused = self.last_words or len(self.slots) >= MAX_PIPELINED or len(self.out) > PAUSE_OUT
+        paused = (
+            self.last_words or self.waits or len(self.slots) >= MAX_PIPELINED or len(self.out) > PAUSE_OUT
+        )
         if paused and self.held_since is None:
             self.held_since = self.side.loop.now()
         return (0 if paused else IN) | (OUT if self.out else 0)
@@ -133,7 +147,10 @@
                 self.last_words, self.reason = True, "bad_framing"
                 return
             if parts is None:
+                if self.buffer.body > resp.MAX_VALUE and not self.room:
+                    self._reserve(self.buffer.body)
                 return
+            room, self.room = self.room, 0
             self.side.idle.pop(self, None)
             if self.side.pressing:
                 self.last_words, self.reason = True, "drained"
@@ -144,11 +161,27 @@
                 if isinstance(command, resp.Ping):
                     slot.answer = self.side.pong()
                 else:
-                    self._open(slot, command)
+                    self._open(slot, command, room)
+                    room = 0  # the exchange gives it back
             except (resp.CommandError, UnacceptableError) as error:
                 slot.answer = resp.error(str(error))
+            if room:
+                self.side.bodies.release(room)
+
+    def _reserve(self, size: int) -> None:
+        """A long body is read on when there is room for it."""
+
+        def granted() -> None:
+            self.room, self.waits, self.moved = size, False, self.side.loop.now()
+            if self.task is not None and not self.task.running:
+                self.side.loop.watch(self.task, self.mask())
+
+        if self.side.bodies.reserve(self, size, granted):
+            self.room = size
+        else:
+            self.waits = True
 
-    def _open(self, slot: Slot, ask: resp.Ask) -> None:
+    def _open(self, slot: Slot, ask: resp.Ask, room: int) -> None:
         exchange = self.side.exchange
         if (said := exchange.effects(ask.class_name)) and ask.safe not in said:
             raise resp.CommandError("the class goes with the other command")
@@ -162,10 +195,15 @@
             ask.first,
             ask,
             ask.ident,
+            (lambda: self.side.bodies.release(room)) if room else None,
         )
 
         def reply(final: Final) -> None:
-            slot.answer, slot.transaction = encode_final(final), None  # a circle else: it holds this call
+            if isinstance(final, Served) and isinstance(final.value, Flow):
+                slot.answer, slot.flow = resp.bulk_head(final.value.size), final.value
+                final.value.wake = lambda: self._woken(slot)
+            else:
+                slot.answer, slot.transaction = encode_final(final), None  # a circle else: it holds this call
             if self.task is not None and not self.task.running and self.slots[0] is slot:
                 self._answered()
 
@@ -173,13 +211,22 @@
         if slot.answer is None:
             slot.transaction = transaction
 
+    def _woken(self, slot: Slot) -> None:
+        """More of a long value has come, or its end."""
+        flow = slot.flow
+        if flow is not None and flow.over:
+            slot.transaction, flow.wake = None, _nothing
+        if self.task is not None and not self.task.running and self.slots and self.slots[0] is slot:
+            self._answered()
+
     def _answered(self) -> None:
         """An answer has come from outside the coroutine: it leaves at once."""
         with contextlib.suppress(OSError):  # the poll tells the coroutine
             self._flush()
         if self.task is None:
             return
-        if self.last_words or self.buffer.data or self.too_slow():
+        cut = bool(self.slots) and self.slots[0].flow is not None and self.slots[0].flow.broken
+        if self.last_words or self.buffer.data or cut or self.too_slow():
             # the leg may be done, or what was held back for room may go on
             self.side.loop.resume(self.task, TICK)
         else:
@@ -189,7 +236,15 @@
         """Moves the answers that are next in order out."""
         slots, ready = self.slots, bytearray()
         while slots and slots[0].answer is not None:
-            ready += slots.popleft().answer or b""
+            slot = slots[0]
+            ready += slot.answer or b""
+            if slot.flow is not None:
+                slot.answer = b""
+                ready += slot.flow.take(max(0, PIECE - len(ready) - len(self.out)))
+                if not slot.flow.ended:
+                    break
+                ready += b"\r\n"
+            slots.popleft()
             self.answered += 1
         if ready:
             self.side.unread += len(ready)
@@ -211,6 +266,8 @@
             del self.out[:taken]
             self.stalls = 0
             self.side.unread -= taken
+            if taken and self.slots and self.slots[0].flow is not None and len(self.out) <= PIECE // 2:
+                self._flush()
 
 
 class CallerSide:
@@ -225,12 +282,14 @@
         max_legs: int,
         max_unread: int = MAX_UNREAD,
         passed: int | None = None,
+        max_bodies: int = MAX_BODIES,
     ) -> None:
         """`passed`: a listening socket that other processes hold too; nothing is accepted before `ready`.
         OSError where the address, or that descriptor, can't be listened at.
         """
         self.loop, self.log, self.exchange, self.max_legs = loop, log, exchange, max_legs
         self.max_unread = max_unread
+        self.bodies = Bodies(max_bodies)
         self.ready = False
         self.draining = False  # each leg ends when it has nothing open
         self.pressing = False  # and takes no command more
@@ -325,11 +384,14 @@
         if self.pressing:
             for leg in [leg for leg in self.idle if now - leg.made > SWEEP_EVERY]:
                 self._leave(leg)
-        for leg in [leg for leg in self.legs if leg.out or not leg.slots]:
+        for leg in [leg for leg in self.legs if (leg.out or not leg.slots) and not leg.waits]:
             leg.stalls += 1
             reason = ""
             if leg.out:
                 reason = "slow_reader" if leg.stalls > MAX_STALLS else ""
+            elif leg.buffer.body:
+                late = now - leg.made > SPEAK_WITHIN or leg.answered
+                reason = "slow_writer" if late and now - leg.moved > BODY_STALL else ""
             elif not leg.answered and now - leg.made > SPEAK_WITHIN:
                 reason = "silent"
             elif leg.buffer.data and leg.stalls > MAX_HALF:
@@ -369,6 +431,9 @@
         """The end of a leg: its one log line."""
         self.legs.discard(leg)
         self.idle.pop(leg, None)
+        self.bodies.forget(leg)
+        if leg.room:
+            self.bodies.release(leg.room)
         self.unread -= len(leg.out)
         leg.sock.close()
         age = self.loop.now() - leg.made
@@ -428,6 +493,10 @@
             self._leave(leg)
 
 
+def _nothing() -> None:
+    """A value that has ended wakes nobody."""
+
+
 def listening(address: tuple[str, int]) -> socket.socket:
     """A listener of this process's own."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -12,28 +12,32 @@
 
 from standflow.exchange import Branch, Exchange, Outcome, Phase, Result, Route, RouteSet
 from standflow.net import resp
+from standflow.net.flow import Flow, Flows
 from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task, broken
-from standflow.net.stream import PlainStream, Stream
+from standflow.net.stream import READ_SIZE, PlainStream, Stream
 
 STALL = 0.1  # seconds in which the rest of an answer follows its beginning
 SPOILT = frozenset(("bad_framing", "stalled"))  # it has answered, though nothing that can be read
+FLOW_BUDGET = 16 * 1024 * 1024  # bytes of long values on their way, where nothing else is said
+FLOW_STALL = 15.0  # seconds in which something more of a long value comes
 EARLY = 0.05  # seconds before the drain's grace is over at which what is unsent is ended
 
 
 class Errand:
     """Something to ask of a next hop once; ended is called once, unless it is given up."""
 
-    __slots__ = ("begun", "connection", "counted", "decode", "encode", "ended", "whole")
+    __slots__ = ("begin", "begun", "connection", "counted", "decode", "encode", "ended", "whole")
 
     def __init__(
         self,
-        encode: Callable[[], bytes],
+        encode: Callable[[], tuple[bytes, ...]],
         decode: Callable[[resp.Reply], Result],
         ended: Callable[[Result], None],
     ) -> None:
         self.encode, self.decode, self.ended = encode, decode, ended
         self.connection: Connection | None = None
         self.counted = False  # a branch, not a probe
+        self.begin: Callable[[Flow], bool] | None = None  # a long value begins; false where nobody wants it
         self.begun = False  # its first byte may be written
         self.whole = False  # its last one is
 
@@ -82,14 +86,16 @@
     """One connection: dialling, then busy and idle in turns, until it ends for a reason."""
 
     __slots__ = (
-        "buffer", "errand", "hop", "idle_since", "made", "mask", "reason", "served", "side", "sock",
-        "stream", "task", "up",
+        "buffer", "errand", "flow", "hop", "idle_since", "made", "mask", "parts", "reason", "served", "side",
+        "sock", "stream", "task", "up",
     )  # fmt: skip
 
     def __init__(self, side: NextHops, hop: Hop, errand: Errand | None) -> None:
         self.side, self.hop = side, hop
         self.errand: Errand | None = errand
         self.buffer = resp.Buffer()
+        self.flow: Flow | None = None  # the long value that is being passed on
+        self.parts = 0  # of the reply that it is of
         self.mask = IN
         self.reason = "given_up"
         self.served = 0
@@ -117,6 +123,10 @@
             errand, self.errand = self.errand, None
             if errand is not None and errand.whole:
                 outcome = Outcome.ERROR if self.reason in SPOILT else Outcome.RESET
+            flow, self.flow = self.flow, None
+            if flow is not None:
+                flow.cut()
+                outcome = Outcome.OK if flow.whole else outcome  # what follows the value is no part of it
             self.side.closed(self)
             if errand is not None:
                 errand.ended(Result(outcome))
@@ -142,11 +152,75 @@
                 return broken(error)
             if reason:
                 return reason
-            if not self.buffer.data:
+            if self.flow is not None and not self.flow.whole:
+                ready = yield from self._wait_for_more()
+                if ready == TICK:
+                    return "stalled"
+            elif self.flow is None and not self.buffer.data:
                 ready = yield self.mask
             elif (ready := (yield from self.side.loop.wait(self.mask, STALL))) == TICK:
                 return "stalled"  # a length that doesn't fit: the rest never comes
 
+    def _wait_for_more(self) -> Coroutine[int]:
+        """The next bytes of a long value; while its caller takes nothing, none are read and no time runs."""
+        assert self.flow is not None
+        while not self.flow.room:
+            ready = yield self.mask & ~IN
+            if ready & BROKEN or self.flow is None or self.flow.room:
+                return ready
+        if self.flow.left:
+            return (yield from self.side.loop.wait(self.mask, FLOW_STALL))
+        return (yield from self.side.loop.wait(self.mask, STALL))
+
+    def _more(self) -> None:
+        """The caller has taken something: reading goes on, at once, as bytes may lie in the stream itself."""
+        if self.task is not None and not self.task.running:
+            self.side.loop.call_later(0.0, self.side.loop.resume, self.task, IN)
+
+    def _begin(self, parts: int, size: int) -> str:
+        """A long value begins: it is passed on as it comes."""
+        errand, flow = self.errand, Flow(self.side.flows, size, self._more)
+        assert errand is not None
+        self.flow, self.parts = flow, parts
+        if errand.begin is None or not errand.begin(flow):
+            self.flow = self.errand = None
+            flow.cut()
+            errand.ended(Result(Outcome.OK))  # it was served, but nobody waits for it any more
+            return "given_up"
+        data = bytes(self.buffer.data)
+        self.buffer.data.clear()
+        return self._pour(data)
+
+    def _pour(self, data: bytes) -> str:
+        """Passes on what has come of a long value; what follows it goes to the buffer."""
+        flow, errand, stream = self.flow, self.errand, self.stream
+        if flow is None or errand is None:
+            return "given_up"
+        value, rest = data[: flow.left], data[flow.left :]
+        if value:
+            flow.put(value)
+        self.buffer.feed(rest)
+        if not flow.left and not flow.whole and len(self.buffer.data) >= 2:
+            if not self.buffer.data.startswith(b"\r\n"):
+                return "bad_framing"
+            del self.buffer.data[:2]
+            flow.done()
+        if not flow.whole:
+            return stream.ended
+        try:
+            following = self.buffer.rest(self.parts)
+        except resp.FramingError:
+            return "bad_framing"
+        if following is None:
+            return stream.ended
+        self.flow = self.errand = None
+        self.served += 1
+        more = bool(self.buffer.data)
+        if not more and not stream.ended:
+            self.side.free(self)
+        errand.ended(Result(Outcome.OK, None, *resp.decode_rest(following)))
+        return "unasked_bytes" if more else stream.ended
+
     def _advance(self, ready: int) -> str:
         """Does what the events allow; the reason of the connection's end, or nothing."""
         stream = self.stream
@@ -154,14 +228,19 @@
             self._write()
         if not ready & (IN | BROKEN):
             return ""
-        data = stream.read()
+        flow = self.flow
+        data = stream.read() if flow is None or not flow.left else stream.read(flow.room or READ_SIZE)
         if stream.busy:
             self._arm()
         if not data:
             return stream.ended
         if self.errand is None or not self.errand.whole:
             return "unasked_bytes"  # an answer to nothing: the framing can't be trusted any more
+        if flow is not None:
+            return self._pour(data)
         self.buffer.feed(data)
+        if (long := self.buffer.long_reply()) is not None:
+            return self._begin(*long)
         try:
             reply = self.buffer.reply()
             result = None if reply is None else self.errand.decode(reply[0])
@@ -200,7 +279,7 @@
         if errand is not None and not errand.whole:
             if not errand.begun:
                 errand.begun = True
-                stream.write(errand.encode())
+                stream.write(*errand.encode())
             if not stream.left:
                 errand.whole = True
                 self.side.forwards += errand.counted
@@ -224,11 +303,13 @@
         drain_grace: float,
         max_connections: int,
         make: Callable[[Route, socket.socket], Stream] = lambda route, sock: PlainStream(sock),
+        flows: Flows | None = None,
     ) -> None:
         self.loop, self.log, self.exchange = loop, log, exchange
         self.dial_timeout, self.idle_limit, self.drain_grace = dial_timeout, idle_limit, drain_grace
         self.max_connections = max_connections
         self.make = make
+        self.flows = Flows(FLOW_BUDGET) if flows is None else flows
         self.tally = exchange.tally
         self.admission: Admission | None = None
         self.hops: dict[str, Hop] = {}
@@ -288,7 +369,7 @@
         """Takes a branch to its next hop; see exchange.NextHopSide."""
         message = branch.transaction.request.message
 
-        def encode() -> bytes:
+        def encode() -> tuple[bytes, ...]:
             return resp.encode_ask(message, branch.deadline - self.loop.now())
 
         def ended(result: Result) -> None:
@@ -296,6 +377,7 @@
 
         branch.carrier = Errand(encode, read_answer, ended)
         branch.carrier.counted = True
+        branch.carrier.begin = lambda flow: self.exchange.branch_began(branch, flow)
         self._carry(branch.hop, branch.carrier)
 
     def give_up(self, branch: Branch) -> bool:
@@ -309,7 +391,7 @@
 
     def probe(self, name: str, ended: Callable[[Result], None]) -> None:
         """PING, on a connection like any other; given up when the dialling time is over twice."""
-        errand = Errand(lambda: resp.PING, read_pong, lambda result: done(result))
+        errand = Errand(lambda: (resp.PING,), read_pong, lambda result: done(result))
         timer = self.loop.call_later(2 * self.dial_timeout, lambda: late())
 
         def done(result: Result) -> None:
--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -8,9 +8,11 @@
 
 MAX_VALUE = 64 * 1024
 MAX_PARTS = 16
-MAX_COMMAND = MAX_VALUE + 4096
+MAX_LONG = 4 * 1024 * 1024  # a body, and a value that is passed on as it comes
+MAX_COMMAND = MAX_VALUE + 4096  # without the body
 MAX_REPLY = 4 * MAX_VALUE
 MAX_DIGITS = 20
+BODY = 4  # the place of a command's body among its parts
 MAX_PATIENCE = 600_000  # milliseconds; who says to wait longer would hold a place that long
 MAX_CUSTOMER = 1 << 33
 
@@ -92,10 +94,11 @@
 class Buffer:
     """Bytes that came and are not read yet; one message is taken at a time."""
 
-    __slots__ = ("data",)
+    __slots__ = ("body", "data")
 
     def __init__(self) -> None:
         self.data = bytearray()
+        self.body = 0  # bytes of the last part of a command whose other parts have come
 
     def feed(self, data: bytes) -> None:
         """Adds what came."""
@@ -114,7 +117,8 @@
         if not 1 <= count <= MAX_PARTS:
             raise FramingError(f"a command has 1 to {MAX_PARTS} parts")
         parts = []
-        for _ in range(count):
+        self.body = 0
+        for place in range(count):
             if at >= len(data):
                 return None
             if data[at] != 0x24:
@@ -122,17 +126,52 @@
             size, start = _number(data, at + 1)
             if start < 0:
                 return None
-            if not 0 <= size <= MAX_VALUE or start + size > MAX_COMMAND:
+            long = size > MAX_VALUE and place == BODY and count == BODY + 1
+            if not 0 <= size <= (MAX_LONG if long else MAX_VALUE) or start + size * (not long) > MAX_COMMAND:
                 raise FramingError("a value is too long")
             at = start + size + 2
             if at > len(data):
+                self.body = size if place == BODY == count - 1 else 0
                 return None
             if data[at - 2 : at] != b"\r\n":
                 raise FramingError("a value has another length than it says")
-            parts.append(bytes(data[start : at - 2]))
+            parts.append(bytes(memoryview(data)[start : at - 2]))
         del data[:at]
+        self.body = 0
         return parts
 
+    def long_reply(self) -> tuple[int, int] | None:
+        """Parts and the first one's length, where a reply begins with a long value of which bytes have come.
+
+        They are taken out up to the value's first byte.
+        """
+        data = self.data
+        if data[:1] != b"*" or len(data) < 6:
+            return None
+        end = data.find(b"\r\n$", 1, MAX_DIGITS + 3)
+        second = data.find(b"\r\n", end + 3, end + 3 + MAX_DIGITS)
+        if end < 0 or second < 0 or len(data) <= second + 2:
+            return None
+        count, size = data[1:end], data[end + 3 : second]
+        if not (count.isdigit() and size.isdigit() and 1 <= int(count) <= MAX_PARTS):
+            return None
+        if not MAX_VALUE < int(size) <= MAX_LONG:
+            return None
+        del data[: second + 2]
+        return int(count), int(size)
+
+    def rest(self, parts: int) -> list[Reply] | None:
+        """What follows a long value of a reply of so many parts, or None while it is not whole."""
+        rest: list[Reply] = []
+        at = 0
+        for _ in range(parts - 1):
+            one, at = _reply(self.data, at, part=True)
+            if at < 0:
+                return None
+            rest.append(one)
+        del self.data[:at]
+        return rest
+
     def reply(self) -> tuple[Reply] | None:
         """The next whole reply in a tuple of one, or None; FramingError where there can't be one."""
         if not self.data:
@@ -210,6 +249,11 @@
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
+def bulk_head(size: int) -> bytes:
+    """What stands before a bulk string's value."""
+    return b"$%d\r\n" % size
+
+
 def decode_command(parts: list[bytes]) -> Ping | Ask:
     """A command's typed value."""
     name = parts[0].upper()
@@ -284,10 +328,15 @@
     return float(text)
 
 
-def encode_ask(ask: Ask, left: float) -> bytes:
-    """The command for a next hop: as it came, but for the time that is left."""
+def encode_ask(ask: Ask, left: float) -> tuple[bytes, ...]:
+    """The command for a next hop: as it came, but for the time that is left; a long body is not copied."""
     options = b"%bd=%d%b" % (ask.before, max(1, int(left * 1000)), ask.after)
-    return ask.head + bulk(options) + (b"" if ask.body is None else bulk(ask.body))
+    head = ask.head + bulk(options)
+    if ask.body is None:
+        return (head,)
+    if len(ask.body) <= MAX_VALUE:
+        return (head + bulk(ask.body),)
+    return head + b"$%d\r\n" % len(ask.body), ask.body, b"\r\n"
 
 
 def decode_answer(reply: Reply) -> Answer:
@@ -306,6 +355,12 @@
     raise FramingError("a reply of another form")
 
 
+def decode_rest(rest: list[Reply]) -> tuple[float, dict[str, float]]:
+    """The figures behind a long value: use and the load report."""
+    load = rest[1] if len(rest) > 1 else None
+    return decode_used(rest[0] if rest else None), decode_report(load if isinstance(load, bytes) else b"")
+
+
 def decode_used(used: Reply) -> float:
     """The meter's figure on use; 0 where there is none."""
     if isinstance(used, bytes):
--- a/standflow/net/stream.py
+++ b/standflow/net/stream.py
@@ -47,14 +47,14 @@
     def open(self) -> Coroutine[str]:
         """Makes it ready; what is returned is empty or the reason why it can't be."""
 
-    def write(self, data: bytes) -> None:
+    def write(self, *parts: bytes) -> None:
         """Takes a message and writes what can be written at once; OSError where the socket takes nothing."""
 
     def flush(self) -> None:
         """Writes more of what is left, without waiting."""
 
-    def read(self) -> bytes:
-        """What has come, maybe nothing; then `ended` tells whether anything can follow."""
+    def read(self, most: int = READ_SIZE) -> bytes:
+        """What has come, so much at most, maybe nothing; then `ended` tells whether anything can follow."""
 
     def fresh(self) -> bool:
         """False where an idle stream can't be used for another message."""
@@ -74,7 +74,7 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.out = memoryview(b"")
+        self.out: list[memoryview] = []
         self.left = 0
         self.ended = ""
         self.busy = False
@@ -85,28 +85,36 @@
         return ""
         yield
 
-    def write(self, data: bytes) -> None:
+    def write(self, *parts: bytes) -> None:
         """See Stream."""
+        self.left = sum(map(len, parts))
         try:
-            taken = self.sock.send(data)
+            taken = self.sock.send(parts[0]) if len(parts) == 1 else self.sock.sendmsg(parts)
         except BlockingIOError:
             taken = 0
-        if taken < len(data):
-            self.out = memoryview(data)[taken:]
-        self.left = len(data) - taken
+        if taken < self.left:
+            self.out = [memoryview(part) for part in parts]
+        self._took(taken)
 
     def flush(self) -> None:
         """See Stream."""
-        try:
-            self.out = self.out[self.sock.send(self.out) :]
-        except BlockingIOError:
-            return
-        self.left = len(self.out)
-
-    def read(self) -> bytes:
+        if self.out:
+            try:
+                self._took(self.sock.sendmsg(self.out))
+            except BlockingIOError:
+                return
+
+    def _took(self, taken: int) -> None:
+        self.left -= taken
+        while self.out and taken >= len(self.out[0]):
+            taken -= len(self.out.pop(0))
+        if self.out:
+            self.out[0] = self.out[0][taken:]
+
+    def read(self, most: int = READ_SIZE) -> bytes:
         """See Stream."""
         try:
-            data = self.sock.recv(READ_SIZE)
+            data = self.sock.recv(most)
         except BlockingIOError:
             return b""
         if not data:
--- a/standflow/tls/stream.py
+++ b/standflow/tls/stream.py
@@ -154,9 +154,10 @@
 
     # Bytes.
 
-    def write(self, data: bytes) -> None:
+    def write(self, *parts: bytes) -> None:
         """See Stream: encrypted whole, and written as far as it goes."""
-        self._obj.write(data)
+        for part in parts:
+            self._obj.write(part)
         out = self._out + self._raw_out.read() if self._out else self._raw_out.read()
         try:
             taken = self.sock.send(out)
@@ -183,10 +184,10 @@
             self._out += self._raw_out.read()
             self.flush()
 
-    def read(self) -> bytes:
+    def read(self, most: int = READ_SIZE) -> bytes:
         """See Stream."""
         try:
-            data = self.sock.recv(READ_SIZE)
+            data = self.sock.recv(most)
         except BlockingIOError:
             return b""
         if not data:
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -48,6 +48,7 @@
         self.exchange.decisions = self
         self.opened: list[Transaction] = []
         self.gone: list[Transaction] = []
+        self.began: list[Branch] = []
         self.ended: list[tuple[Branch, Outcome]] = []
 
     def transaction_opened(self, transaction: Transaction) -> None:
@@ -56,6 +57,9 @@
     def transaction_gone(self, transaction: Transaction) -> None:
         self.gone.append(transaction)
 
+    def branch_began(self, branch: Branch, latency: float) -> None:
+        self.began.append(branch)
+
     def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
         self.ended.append((branch, result.outcome))
 
--- /dev/null
+++ b/tests/test_long.py
@@ -0,0 +1,300 @@
+"""Long values and bodies: passed on in pieces, in bounded memory, whole or plainly cut."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standflow.exchange import Outcome, Phase, Route, RouteSet
+from standflow.net.bodies import Bodies
+from standflow.net.caller import CallerSide
+from standflow.net.flow import MOST, Flow, Flows
+from standflow.net.nexthop import NextHops
+from tests.test_legs import Recorder
+from tests.test_ops import VALUE, shown, with_ops
+from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
+
+LONG = bytes(range(256)) * 400  # over 64 KiB
+REPLY = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$2\r\na=\r\n" % (len(LONG), LONG)
+
+
+@given(
+    st.integers(1, 400_000),
+    st.lists(st.tuples(st.booleans(), st.integers(1, 70_000)), max_size=60),
+    st.integers(1, 8),
+)
+def test_a_pipe_gives_what_it_was_given_and_holds_no_more_than_its_room(
+    size: int, steps: list[tuple[bool, int]], others: int
+) -> None:
+    flows, resumed, got, sent = Flows(300_000), [0], bytearray(), 0
+    rest = [Flow(flows, 1, lambda: None) for _ in range(others)]
+    flow = Flow(flows, size, lambda: resumed.__setitem__(0, resumed[0] + 1))
+    for put, number in steps:
+        if put:
+            piece = min(number, flow.room, flow.left)
+            if piece:
+                flow.put(bytes((sent + n) % 251 for n in range(piece)))
+                sent += piece
+        else:
+            blocked, before = not flow.room, resumed[0]
+            taken = flow.take(number)
+            got += taken
+            assert len(taken) <= number
+            assert resumed[0] == before + (blocked and bool(flow.room))
+        assert flow.held == sent - len(got) <= flows.window <= MOST
+        assert flow.left == size - sent
+    assert bytes(got) == bytes(n % 251 for n in range(len(got)))
+    for one in (flow, *rest):
+        one.cut()
+        one.cut()
+    assert flows.open == 0
+
+
+@given(st.lists(st.tuples(st.sampled_from(["add", "end", "leave"]), st.integers(1, 120)), max_size=60))
+def test_room_for_bodies_is_given_in_turn_never_beyond_the_budget_and_always_at_last(
+    steps: list[tuple[str, int]],
+) -> None:
+    bodies, waiting, held = Bodies(100), deque[int](), dict[int, int]()
+    sizes: dict[int, int] = {}
+
+    def granted(who: int) -> None:
+        assert waiting.popleft() == who
+        held[who] = sizes[who]
+
+    for who, (step, number) in enumerate(steps):
+        if step == "add":
+            sizes[who] = number
+            waiting.append(who)
+            if bodies.reserve(who, number, lambda who=who: granted(who)):  # type: ignore[misc]
+                granted(who)
+        elif step == "end" and held:
+            bodies.release(held.pop(sorted(held)[number % len(held)]))
+        elif step == "leave" and waiting:
+            gone = waiting[number % len(waiting)]
+            waiting.remove(gone)
+            bodies.forget(gone)
+        assert bodies.used == sum(held.values())
+        assert bodies.used <= 100 or len(held) == 1
+        assert not waiting or held  # nobody waits for nobody
+    while held:
+        bodies.release(held.popitem()[1])
+    assert not waiting
+
+
+class Rig:
+    """A next-hop side and a caller side in one loop; the test is the next hop and the caller."""
+
+    def __init__(self) -> None:
+        self.at, self.hop = Recorder(), listener()
+        loop, log, exchange = self.at.loop, self.at.log.append, self.at.exchange
+        self.hops = NextHops(loop, log, exchange, 5.0, 9.0, 0.5, 9)
+        exchange.next_hops = self.hops
+        self.side = CallerSide(loop, log, exchange, ("127.0.0.1", 0), 9)
+        self.side.ready = True
+        route = Route("s-1", self.hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
+        self.hops.routes_told(RouteSet(1, True, (route,)))
+        self.caller = socket.create_connection(self.side.address)
+        self.caller.setblocking(False)
+        self.got = bytearray()
+
+    def until(self, met: Any) -> None:
+        def read() -> Any:
+            try:
+                while data := self.caller.recv(65536):
+                    self.got.extend(data)
+                self.closed = True
+            except BlockingIOError:
+                pass
+            except ConnectionError:
+                self.closed = True
+            return met()
+
+        self.closed = False
+        turn_until(self.at.loop, read)
+
+    def ask(self, text: bytes = b"") -> socket.socket:
+        self.caller.sendall(text or command("aa01"))
+        self.until(lambda: self.at.opened)
+        self.at.exchange.send(self.at.opened[-1].name, "s-1", None)
+        self.at.loop.call_later(0, int)
+        self.at.loop.turn()
+        sock = self.hop.accept()[0]
+        sock.settimeout(LIMIT)
+        return sock
+
+    def close(self) -> None:
+        self.caller.close()
+        self.hop.close()
+        self.at.close()
+
+
+def test_a_long_value_is_the_answer_from_its_first_bytes_on_whatever_the_deadline_says() -> None:
+    rig = Rig()
+    hop = rig.ask(command("aa01", d=300))
+    hop.sendall(REPLY[:200])
+    rig.until(lambda: bytes(rig.got).startswith(b"$%d\r\n\0\1" % len(LONG)))
+    transaction = rig.at.opened[0]
+    again = rig.at.exchange.send(transaction.name, "s-1", None)
+    assert again is not None
+    assert again.ended is Outcome.MOOT
+    end = rig.at.loop.now() + 0.4
+    rig.until(lambda: rig.at.loop.now() > end)  # past its deadline
+    assert rig.at.exchange.open_count == 1
+    hop.sendall(REPLY[200:])
+    rig.until(lambda: len(rig.got) == len(LONG) + 11)
+    assert bytes(rig.got) == b"$%d\r\n%b\r\n" % (len(LONG), LONG)
+    rig.until(lambda: rig.at.exchange.open_count == 0)
+    assert [outcome for _, outcome in rig.at.ended] == [Outcome.MOOT, Outcome.OK]
+    assert (rig.at.exchange.ends["look"].succeeded, rig.hops.flows.open) == (1, 0)
+    rig.caller.sendall(command("aa02"))  # both connections go on
+    rig.until(lambda: len(rig.at.opened) == 2)
+    rig.at.exchange.send(rig.at.opened[1].name, "s-1", None)
+    read_until(hop, b"first=0\r\n")
+    hop.sendall(VALUE)
+    rig.until(lambda: rig.got.endswith(b"\r\nva\r\nl\r\n"))
+    rig.close()
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.one_of(st.integers(12, len(REPLY) - 1), st.integers(len(REPLY) - 40, len(REPLY) - 1)))
+def test_a_value_cut_at_any_byte_is_seen_to_be_cut(cut: int) -> None:
+    rig = Rig()
+    hop = rig.ask()
+    hop.sendall(REPLY[:cut])
+    hop.close()
+    rig.until(lambda: rig.at.ended)
+    value = REPLY[4 : 4 + len(LONG) + 11]  # with its head and its end
+    whole = cut >= 4 + len(value)
+    if whole:  # what follows a value is no part of it
+        rig.until(lambda: len(rig.got) == len(value))
+    elif rig.at.began:
+        rig.until(lambda: rig.closed)
+        assert any(line.startswith("end caller cut_off") for line in rig.at.log)
+    assert value.startswith(bytes(rig.got))
+    assert (bytes(rig.got) == value) == whole
+    ends = rig.at.exchange.ends["look"]
+    assert (ends.succeeded, ends.aborted) == (whole, bool(rig.at.began) and not whole)
+    rig.close()
+
+
+def test_a_value_of_another_length_than_it_says_never_looks_whole() -> None:
+    rig = Rig()
+    hop = rig.ask()
+    hop.sendall(REPLY.replace(b"\r\n$-1", b"xx$-1"))
+    rig.until(lambda: rig.closed)
+    assert not rig.got.endswith(b"\r\n")
+    assert rig.at.ended[0][1] is Outcome.ERROR
+    rig.close()
+
+
+def test_a_caller_that_takes_nothing_stops_the_reading_and_one_that_leaves_ends_it() -> None:
+    rig = Rig()
+    hop = rig.ask()
+    size = 4 * 1024 * 1024
+    head = b"*1\r\n$%d\r\n" % size
+    writer = threading.Thread(target=lambda: _send(hop, head + bytes(size) + b"\r\n"))
+    writer.start()
+    leg = next(iter(rig.side.legs))
+    turn_until(rig.at.loop, lambda: rig.at.began)
+    for _ in range(300):
+        rig.at.loop.call_later(0.001, int)
+        rig.at.loop.turn()
+        flow = leg.slots[0].flow
+        assert flow is not None
+        assert flow.held + len(leg.out) <= 2 * MOST
+    assert flow is not None
+    assert flow.left > 0
+    rig.caller.close()
+    turn_until(rig.at.loop, lambda: rig.at.ended)
+    assert rig.at.ended[0][1] is Outcome.CANCELLED
+    assert (rig.at.exchange.ends["look"].gone, rig.at.exchange.open_count, rig.hops.flows.open) == (1, 0, 0)
+    writer.join(LIMIT)
+    rig.close()
+
+
+def _send(sock: socket.socket, data: bytes) -> None:
+    try:
+        sock.sendall(data)
+    except OSError:
+        sock.close()
+
+
+@pytest.mark.parametrize("memory", [32, 192])
+def test_more_long_bodies_at_once_than_memory_holds_go_through_in_turn(tmp_path: Path, memory: int) -> None:
+    """Each comes in pieces, slowly; a small request passes by meanwhile."""
+    with listener() as hop:
+        known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
+        raw = with_ops(known=known, limits={"memory_mb": memory})
+        seen: list[int] = []
+
+        def serve(sock: socket.socket) -> None:
+            data = b""
+            while more := sock.recv(1 << 20):
+                data += more
+                if data.endswith((b"body\r\n", b"first=0\r\n")):
+                    seen.append(len(data))
+                    data = b""
+                    sock.sendall(VALUE)
+
+        def accept() -> None:
+            try:
+                while True:
+                    threading.Thread(target=serve, args=(hop.accept()[0],), daemon=True).start()
+            except OSError:
+                return
+
+        with program(tmp_path, raw) as running:
+            threading.Thread(target=accept, daemon=True).start()
+            body = bytes(4 * 1024 * 1024 - 4) + b"body"
+            callers = [running.call() for _ in range(6)]
+            texts = [command(f"aa{n}", "Q.DO", "change", body=body, d=60000) for n in range(6)]
+            for caller, text in zip(callers, texts, strict=True):
+                caller.sendall(text[:200_000])
+            small = running.call()
+            small.sendall(command("bb"))
+            assert read_until(small, b"l\r\n").startswith(b"$5")
+            threads = [
+                threading.Thread(target=_send, args=(caller, text[200_000:]))
+                for caller, text in zip(callers, texts, strict=True)
+            ]
+            for thread in threads:
+                thread.start()
+            for caller in callers:
+                assert read_until(caller, b"\r\n") in (b"$5\r\nva\r\n", b"$5\r\nva\r\nl\r\n")
+            assert len(seen) == 7
+            assert shown(running)["results.change.succeeded"] == 6
+            peak = next(
+                int(line.split()[1])
+                for line in Path(f"/proc/{running.process.pid}/status").read_text().splitlines()
+                if line.startswith("VmHWM")
+            )
+            assert peak < 26_000 + memory * 1024 // 4 + 8 * 1024  # the program, the budget, one on its way
+
+
+def test_a_body_beyond_the_limit_is_an_error_and_one_that_stalls_ends(tmp_path: Path) -> None:
+    with program(tmp_path, config()) as running:
+        for size, word in (
+            (4 * 1024 * 1024 + 1, b"-ERR a value is too long"),
+            (1 << 20, b"-ERR no whole command"),
+        ):
+            caller = running.call()
+            caller.sendall(command("aa01", body=b"x").replace(b"$1\r\nx\r\n", b"$%d\r\nxx" % size))
+            assert read_until(caller, b"\r\n").startswith(word)
+            assert caller.recv(10) == b""
+
+
+def test_a_head_may_take_two_seconds(tmp_path: Path) -> None:
+    with program(tmp_path, config()) as running:
+        caller, text = running.call(), command("aa01")
+        for place in range(20):
+            caller.sendall(text[place * 4 : place * 4 + 4])
+            threading.Event().wait(0.1)
+        caller.sendall(text[80:])
+        assert read_until(caller, b"\r\n").startswith(b"-BUSY")
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -77,7 +77,7 @@
     assert isinstance(got, resp.Ask)
     assert (got.patience, got.units, got.spread, got.first) == (0.48, 2.0, 3, 1)
     buffer = resp.Buffer()
-    buffer.feed(resp.encode_ask(got, 0.1239))
+    buffer.feed(b"".join(resp.encode_ask(got, 0.1239)))
     pieces[place] = b"d=123"
     assert buffer.command() == [b"Q.DO", b"00000000b4d65521", b"9b1f03aa5c7e2d41", b",".join(pieces), b"BODY"]
 
