A next hop that answers three errors in a row gets only safe trials until it serves again

Ruled out: the upgrade (0 ended at the door) and next hops put back (12 of 12 in use). The lines at fault: Gateway._learn, where an error only stretches the cost, so that an erring next hop, which is always idle, is chosen as soon as the others have work.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= .venv/bin/python
 
-.PHONY: build test lint run bench-tls bench-vast bench-counter
+.PHONY: build test lint run bench-tls bench-vast bench-counter bench-ops
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -26,6 +26,10 @@
 bench-counter:
 	$(PYTHON) -m lab.bench_counter
 
+# Running one ingress: calls, drains, upgrades, next hops out by hand, long values, cost.
+bench-ops:
+	$(PYTHON) -m lab.bench_ops
+
 # One ingress on the operator's file.
 run:
 	exec $(PYTHON) -m standflow.cli run deploy/standflow.conf
--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -10,10 +10,9 @@
 from collections.abc import Callable
 
 from hoistfold import interface as i
-from hoistfold.codec import ENTRY, ROOM, opened, seal
+from hoistfold.codec import ENTRY, ROOM, SCALE, opened, packed, seal
 from hoistfold.state import Attempt, Backend, Entry, Kept, Peer, Quota, Request
 
-SCALE = 4  # fractions of a unit that a peer message can carry
 TELL, ASK, TOTAL = range(3)  # what an entry is
 ONCE, TWICE, FORGOTTEN = range(1, 4)  # how a place is still to be told, the last to its own member
 FIRST_LIMIT = 8.0  # attempts out at a backend at first, from all gateways together
@@ -78,8 +77,7 @@
         self.settings, self.usual_left = event.settings, {}
         self.classes = {kind.name: kind for kind in event.settings.classes}
         fresh = {kind.name: kind.aim / 8 for kind in event.settings.classes}
-        needed = fresh.keys() | self.used()
-        self.base = fresh | {name: usual for name, usual in self.base.items() if name in needed}
+        self.base = fresh | {n: usual for n, usual in self.base.items() if n in fresh.keys() | self.used()}
 
     def _stream_started(self, event: i.StreamStarted) -> None:
         """The answer belongs to the client from now on, and its backend answers."""
@@ -305,7 +303,7 @@
     def _learn(self, backend: Backend, kind: i.RequestClass, event: i.AttemptEnded) -> None:
         backend.stretch, backend.judged = self._stretch(backend), self.now
         if event.outcome is i.Outcome.OK:
-            backend.answered, backend.resets = self.now, 0
+            backend.answered, backend.resets, backend.errors = self.now, 0, 0
             if backend.suspect_since is not None:
                 backend.suspect_since = None
                 self.actions.append(i.Log(f"backend {event.backend} answers again"))
@@ -323,6 +321,9 @@
             self._suspect(backend, event.outcome.value)
         elif event.outcome in (i.Outcome.TIMEOUT, i.Outcome.ERROR):  # a fault of its own, not the fleet's
             backend.stretch += 0.15 * (10.0 - backend.stretch)
+            backend.errors += event.outcome is i.Outcome.ERROR
+            if backend.errors > 2:  # spoilt answers come from all alike, and not in a row
+                self._suspect(backend, "errors in a row")
 
     def _adjust(self, good: bool) -> None:
         """Each outcome speaks for the time since the last, so that few gateways and many learn alike."""
@@ -438,7 +439,7 @@
             if times != FORGOTTEN and (target == owner or level * SCALE < 1):
                 del quota.untold[place]
             elif len(due[target]) + ENTRY.size <= ROOM:
-                due[target] += self._entry(quota, TELL, place, quota.counts[place], level)
+                due[target] += packed(self.settings.plans, quota, TELL, place, level)
                 quota.untold[place] = ONCE
                 if times != TWICE:
                     del quota.untold[place]
@@ -450,10 +451,6 @@
         if quota.size > 1 and quota.plan.rate and not self.long_ring:
             quota.untold[place], self.telling[quota.key] = times, quota
 
-    def _entry(self, quota: Quota, what: int, place: int, count: int, level: float, units: int = 0) -> bytes:
-        plan, told = self.settings.plans.index(quota.plan), min(round(level * SCALE), 0xFFFF)
-        return ENTRY.pack(quota.key, plan, what, quota.first, quota.size, place, count, told, units)
-
     def _peer_message(self, event: i.PeerMessage) -> None:
         entries = opened(event.content)
         if entries is not None and event.sender in self.peers:
@@ -512,7 +509,7 @@
             units = round(request.units * SCALE)
             count, level = (quota.counts[quota.place] + units) & 0xFFFF, quota.own + request.units
             for keeper in quota.owing:
-                entry = self._entry(quota, ASK, quota.place, count, level, units)
+                entry = packed(self.settings.plans, quota, ASK, quota.place, level, count, units)
                 self.actions.append(i.TellPeer(keeper, seal(entry)))
             self._set_timer(2 * self.answer_time + 2 * self.settings.tick, request)
 
@@ -527,7 +524,7 @@
         if quota.own + quota.others + more <= quota.plan.burst:
             quota.others += more
             quota.counts[place] = entry.count
-        total = self._entry(quota, TOTAL, place, quota.counts[place], quota.own + quota.others)
+        total = packed(self.settings.plans, quota, TOTAL, place, quota.own + quota.others)
         self.actions.append(i.TellPeer(sender, seal(total)))
 
     def _total(self, quota: Quota, sender: int, entry: Entry) -> None:
--- a/hoistfold/codec.py
+++ b/hoistfold/codec.py
@@ -5,13 +5,30 @@
 import struct
 import zlib
 
-from hoistfold.state import Entry
+from hoistfold.interface import Plan
+from hoistfold.state import Entry, Quota
 
 ENTRY = struct.Struct(">5sBBHHHHHH")  # the fields of state.Entry
 SUM = struct.Struct(">I")
+SCALE = 4  # fractions of a unit that an entry can carry
 ROOM = 256 - SUM.size  # bytes of entries that a message holds
 
 
+def packed(
+    plans: tuple[Plan, ...],
+    quota: Quota,
+    what: int,
+    place: int,
+    level: float,
+    count: int | None = None,
+    units: int = 0,
+) -> bytes:
+    """One customer's entry; `count` where it isn't the one kept of the place."""
+    told, plan = min(round(level * SCALE), 0xFFFF), plans.index(quota.plan)
+    count = quota.counts[place] if count is None else count
+    return ENTRY.pack(quota.key, plan, what, quota.first, quota.size, place, count, told, units)
+
+
 def seal(entries: bytes) -> bytes:
     """Entries as a message; the checksum lets a garbled one be dropped."""
     return SUM.pack(zlib.crc32(entries)) + entries
--- a/hoistfold/handover.py
+++ b/hoistfold/handover.py
@@ -9,7 +9,8 @@
 import math
 from typing import Any
 
-from hoistfold.brain import SCALE, TWICE, Gateway
+from hoistfold.brain import TWICE, Gateway
+from hoistfold.codec import SCALE
 from hoistfold.state import Quota
 
 MOST_QUOTAS = 5000  # customers handed on, the fullest
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -54,6 +54,7 @@
     next_trial: float = 0.0
     pause: float = 0.0  # until the trial after that
     resets: int = 0  # connections that broke since it answered last
+    errors: int = 0  # errors since then
     cold_credit: float = 0.0
 
     @property
--- a/lab/box.py
+++ b/lab/box.py
@@ -88,6 +88,7 @@
         """`cores` 0: as fast as the machine. `delay`: seconds that a request waits without any work."""
         self.context, self.mode = context, mode or Mode()
         self.delay = delay
+        self.value = 0  # bytes of a value at least
         self.work, self.cores, self.cold_from, self.cold_time = work, cores, cold_from, cold_time
         self.started = 0.0  # Unix time; long ago
         self.counts = Counts()
@@ -245,7 +246,7 @@
             self._spend("request", self.work)
         if self.delay:
             time.sleep(self.delay)
-        value = b"ran " + parts[2]
+        value = (b"ran " + parts[2]).ljust(self.value, b".")
         return b"*3\r\n$%d\r\n%b\r\n" % (len(value), value) + NOTHING + NOTHING
 
 
@@ -301,7 +302,7 @@
     if what == "mode":
         box.mode = Mode(**asked["mode"])
     if what == "set":
-        for name in ("work", "delay", "cores", "cold_from", "cold_time", "started"):
+        for name in ("work", "delay", "value", "cores", "cold_from", "cold_time", "started"):
             if name in asked:
                 setattr(box, name, asked[name])
     if what == "cut":
--- a/lab/callers.py
+++ b/lab/callers.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import random
+import select
 import socket
 import threading
 import time
@@ -26,6 +27,13 @@
     took: float
     end: str
     value: bytes
+    again: (
+        bool  # the connection was closed between two commands as this one crossed, and it was sent once more
+    )
+
+
+class UnheardError(OSError):
+    """The connection was closed in order, with nothing of an answer."""
 
 
 class Callers:
@@ -83,19 +91,29 @@
             )
             text = command([b"Q.ASK" if safe else b"Q.DO", customer, ident.encode(), said])
             at, began, answer = time.time(), time.monotonic(), b""
-            try:
-                if sock is None:
-                    sock = socket.create_connection(self.address, 5.0)
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.sendall(text)
-                answer = read(sock)
-            except OSError:
-                if sock is not None:
-                    sock.close()
-                sock = None
+            again = False
+            for _ in range(2):
+                if sock is not None and select.select([sock], [], [], 0)[0]:
+                    sock.close()  # it has been closed meanwhile, and nothing crosses that
+                    sock = None
+                kept = sock is not None
+                try:
+                    if sock is None:
+                        sock = socket.create_connection(self.address, 5.0)
+                        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    sock.sendall(text)
+                    answer = read(sock)
+                    break
+                except OSError as error:
+                    if sock is not None:
+                        sock.close()
+                    sock = None
+                    if not kept or not isinstance(error, UnheardError):
+                        break
+                    again = True
             took, end = time.monotonic() - began, kind_of(answer)
             value = answer.split(b"\r\n")[1] if end == "served" else b""
-            self.asked.append(Asked(at, ident, safe, took, end, value))
+            self.asked.append(Asked(at, ident, safe, took, end, value, again))
         if sock is not None:
             with contextlib.suppress(OSError):
                 sock.close()
@@ -112,7 +130,7 @@
     while True:
         more = sock.recv(65536)
         if not more:
-            raise ConnectionResetError
+            raise ConnectionResetError if data else UnheardError
         data += more
         if not data.endswith(b"\r\n"):
             continue
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -19,14 +19,19 @@
 
 
 class Ingress:
-    """One ingress by an operator's file; its log is gathered as it comes."""
+    """One ingress by an operator's file, or by what `environment` says; its log is gathered as it comes."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(
+        self, path: Path | None, passed: tuple[int, ...] = (), environment: dict[str, str] | None = None
+    ) -> None:
+        """`passed`: descriptors that it inherits."""
+        given = {} if path is None else {"STANDFLOW_CONF": str(path)}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "standflow"],
             cwd=ROOT,
-            env={**os.environ, "STANDFLOW_CONF": str(path)},
+            env={**os.environ, **given, **(environment or {})},
             stderr=subprocess.PIPE,
+            pass_fds=passed,
         )
         self.log: list[str] = []
         self.more = threading.Condition()
@@ -69,6 +74,12 @@
         found = re.search(r"VmRSS:\s+(\d+)", status)
         return int(found[1]) / 1024 if found else 0.0
 
+    def peak(self) -> float:
+        """The most resident megabytes that it has had."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+)", status)
+        return int(found[1]) / 1024 if found else 0.0
+
     def signal(self, number: int) -> None:
         """Sends it a signal."""
         self.process.send_signal(number)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -273,3 +273,27 @@
         gateway.now = 1.0 + n / 50
         gateway._adjust(good=True)
     assert gateway.limit >= 5.0
+
+
+def test_one_that_answers_with_errors_in_a_row_gets_only_safe_trials_until_it_serves() -> None:
+    gateway, sent, out = started("good bad"), list[str](), list[tuple[float, i.Send]]()
+
+    def ask(n: int, outcome: i.Outcome) -> None:
+        now, kind = 1.0 + n / 50, "buy" if n % 3 == 0 else "read"
+        for send in sends(gateway.handle(now, request(f"r{n}", customer=f"c{n}", class_name=kind))):
+            if send.backend == "bad":
+                sent.append(kind)
+                gateway.handle(now, ended(send, outcome, latency=0.01))
+            else:
+                out.append((now, send))
+        while out and out[0][0] < now - 0.15:
+            gateway.handle(now, ended(out.pop(0)[1], i.Outcome.OK, latency=0.15))
+
+    for n in range(200):
+        ask(n, i.Outcome.ERROR)
+    assert gateway.avoided() == {"bad"}
+    assert 3 <= len(sent) <= 3 + 4  # three in a row, and then a trial a second
+    assert "buy" not in sent[3:]
+    for n in range(200, 400):
+        ask(n, i.Outcome.OK)
+    assert gateway.avoided() == set()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -225,8 +225,13 @@
         self.address, self.stopped = address, False
         self.answered, self.unheard = [0] * callers, list[str]()
         self.threads = [threading.Thread(target=self._ask, args=(n,)) for n in range(callers)]
-        for thread in self.threads:
-            thread.start()
+        self.begun = False
+
+    def begin(self) -> None:
+        if not self.begun and not self.stopped:
+            self.begun = True
+            for thread in self.threads:
+                thread.start()
 
     def _ask(self, number: int) -> None:
         chance, turn, sock = random.Random(number), 0, None
@@ -254,7 +259,7 @@
 
     def stop(self) -> None:
         self.stopped = True
-        for thread in self.threads:
+        for thread in self.threads if self.begun else ():
             thread.join(LIMIT)
 
 
@@ -278,6 +283,7 @@
         def start() -> Program:
             running = stack.enter_context(program(folder, raw, door))
             running.logged("ready n0")
+            load.begin()
             return running
 
         load = Load(door.getsockname())
