--- a/standflow/config/directives.py
+++ b/standflow/config/directives.py
@@ -132,6 +132,8 @@
     Directive("discovery", (ADDRESS_OR_OFF,), "Discovery's agent; off: the next hops below hold.", "off"),
     Directive("counter", (ADDRESS,), "The quota counter."),
     Directive("seed", (SEED,), "For random numbers; new at every start where it is not written."),
+    Directive("ops", (ADDRESS,), "Where operators call; `EDGE_OPS` goes before it. Nowhere without either."),
+    Directive("memory", (size(16 << 20, 1 << 40),), "Bytes that the process may take.", "192m"),
     Directive("sockets", (whole(64, 10**7),), "Descriptors that the process may hold.", "1024"),
     Directive("number", (whole(0, 65535),), "This ingress's number among all.", "0"),
     Directive("ingresses", (whole(1, 65535),), "How many there are.", "1"),
--- a/standflow/config/operators.py
+++ b/standflow/config/operators.py
@@ -16,6 +16,7 @@
 
 from standflow.config.directives import TOP
 from standflow.config.model import Config, ConfigError, HandshakeOptions, NameRule, TlsOptions, WitnessOptions
+from standflow.config.platform import of_process
 from standflow.config.platform import parse as parse_platform
 from standflow.config.platform import read as read_platform
 from standflow.config.reload import shape
@@ -28,6 +29,7 @@
     "name": "name",
     "listen": "listen",
     "discovery": "discovery",
+    "ops": "ops",
     "counter": "counter",
     "peer-listen": "peer_listen",
     "peers-all": "peers_all",
@@ -86,6 +88,7 @@
         raw, over, keys = _empty(), False, None
     static = block.value("discovery") == "off" and (block.has("discovery") or not over)
     _overlay(raw, block, over)
+    of_process(raw, environment)
     raw.setdefault("seed", secrets.token_hex(8))
     try:
         config = read_platform(raw, log, static)
@@ -140,8 +143,9 @@
     for name, key in PLAIN.items():
         if tells(block, name):
             raw[key] = block.value(name)
-    if tells(block, "sockets"):
-        raw["limits"] = {**raw.get("limits", {}), "sockets": block.value("sockets")}
+    for name, key, unit in (("sockets", "sockets", 1), ("memory", "memory_mb", 1 << 20)):
+        if tells(block, name):
+            raw["limits"] = {**raw.get("limits", {}), key: block.value(name) / unit}
     if block.all("peer"):
         raw["peers"] = [one.values[0] for one in block.all("peer")]
     settings = raw.get("settings")
--- a/standflow/config/page.py
+++ b/standflow/config/page.py
@@ -27,8 +27,8 @@
     standflow run FILE        # one ingress in the foreground
 
 SIGHUP reads the file anew with the same checks; one with a fault is logged and changes nothing.
-`discovery`, `counter` and all of `tls` change while it runs, the rest takes a restart, and the log says
-so.
+`discovery`, `counter`, classes, `attempts` and all of `tls` change while it runs, the rest takes a restart,
+and the log says so.
 
 `STANDFLOW_CONF` names the file where the platform starts `python -m standflow`. With `platform` or
 `EDGE_CONFIG` the platform's JSON lies below, and only what the file itself says stands over it.
--- a/standflow/config/platform.py
+++ b/standflow/config/platform.py
@@ -66,16 +66,21 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: no JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"EDGE_CONFIG: {path}: no JSON object")
-    for key in ("passed", "folder"):  # of the environment alone
-        raw.pop(key, None)
     for key in ("name", "listen", "discovery"):
         if key not in raw and f"EDGE_{key.upper()}" in environment:
             raw[key] = environment[f"EDGE_{key.upper()}"]
-    if environment.get("EDGE_OPS"):  # two processes of one ingress may share the file, but not this address
+    of_process(raw, environment)
+    return raw
+
+
+def of_process(raw: dict[str, Any], environment: Mapping[str, str]) -> None:
+    """What belongs to this process alone, where two of one ingress share the file: the environment has it."""
+    for key in ("passed", "folder"):
+        raw.pop(key, None)
+    if environment.get("EDGE_OPS"):
         raw["ops"] = environment["EDGE_OPS"]
     if passed := environment.get("EDGE_PASSED_SOCKET"):
         raw["passed"], raw["folder"] = passed, environment.get("TMPDIR")
-    return raw
 
 
 def read(raw: dict[str, Any], log: Callable[[str], None], static: bool = False) -> Config:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -191,6 +191,17 @@
     assert "standflow.conf: settings: is missing" in fault(tmp_path, "platform platform.json\n")
 
 
+def test_what_belongs_to_a_process_is_the_environments_and_memory_is_heeded(tmp_path: Path) -> None:
+    path = tmp_path / "f.conf"
+    path.write_text(BASE + "ops 127.0.0.1:1\nmemory 64m\n")
+    given = load({"STANDFLOW_CONF": f"{path}"}, print)
+    assert (given.ops, given.memory, given.max_bodies) == (("127.0.0.1", 1), 64 << 20, 8 << 20)
+    assert (given.passed, given.folder) == (None, None)
+    ours = {"STANDFLOW_CONF": f"{path}", "EDGE_OPS": "127.0.0.1:2", "EDGE_PASSED_SOCKET": "3", "TMPDIR": "/t"}
+    given = load(ours, print)
+    assert (given.ops, given.passed, given.folder) == (("127.0.0.1", 2), 3, "/t")
+
+
 @given(st.floats(1e-6, 86400))
 def test_times_shares_and_sizes_carry_units(value: float) -> None:
     assert abs(time().read(show_time(float(f"{value:.3g}"))) - value) < value / 100
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from standflow.exchange import Ends, Phase, Route, RouteSet
+from standflow.net.loop import IN, Coroutine, Loop
 from standflow.ops import figures, server
 from standflow.ops.calls import Calls
 from standflow.ops.overlay import MOST_OUT, Overlay
@@ -293,6 +294,26 @@
             assert running.logged(rf"end caller drained answered={answered} open=0")
 
 
+def test_the_operators_events_come_first_in_a_round_however_many_wait() -> None:
+    loop, order, pairs = Loop(print), list[int](), [socket.socketpair() for _ in range(60)]
+
+    def wait(number: int, sock: socket.socket) -> Coroutine[None]:
+        yield IN
+        order.append(number)
+
+    for number, (ours, theirs) in enumerate(pairs):
+        loop.spawn(ours.fileno(), wait(number, ours))
+        theirs.send(b"x")
+    loop.first.add(pairs[41][0].fileno())
+    loop.turn()
+    assert order[0] == 41
+    assert sorted(order) == list(range(60))
+    for pair in pairs:
+        for sock in pair:
+            sock.close()
+    loop.epoll.close()
+
+
 def test_without_a_place_for_them_nothing_of_the_calls_is_imported() -> None:
     code = "import sys, standflow.__main__; print([m for m in sys.modules if 'standflow.ops' in m])"
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout == b"[]\n"
