A cold next hop is judged by what like warm ones were seen to take, not as one core

Ruled out: the limit (4.6 to 8, never full at a cold one), suspicion (one erring next hop of nine), the upgrade (0 ended at the door).

The lines at fault: Gateway._cold_room, whose rate was reckoned for one core at a second of usual work a second. The change: Gateway.took, from what is out at warm ones on average, learnt at ease alone, 1 to 2, handed on at an upgrade.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -20,6 +20,7 @@
 FIRST_PAUSE, LONGEST_PAUSE = 1.0, 8.0  # seconds between trials of a suspected backend
 SPARE = 0.5  # of the room, the part that may be taken by what is beyond a quota
 SHARERS = 3.0  # gateways at least that work with one backend, so that their loads even out
+MOST_TAKEN = 2.0  # seconds of usual work a second that a warm backend is trusted with, whatever is seen
 CHOICES = 6  # backends at least that a gateway works with, so that a bad one has a small part
 ALLOWANCE = 0.1  # of an even share, while no total is known
 WITNESSED_FOR = 1.5  # seconds for which a total from the second witness stands for one from the ring
@@ -260,9 +261,10 @@
         pending = (attempt for b in fit for attempt in b.pending.values())
         out = sum(self.now - attempt.sent < 5 * self.base[attempt.kind.name] for attempt in pending)
         self.busy += min(1.0, max(0.1, room / 10)) * (out - self.busy)
+        took = min(MOST_TAKEN, max(1.0, self.sharers * self.busy / max(1, len(fit))))
+        self.took += 0.01 * (self.busy < SPARE * room) * (took - self.took)
         # a late retry would make the others late too; what earns little for its work yields to the rest
-        kinds = (request.kind, *self.classes.values())  # its own may be one that was dropped
-        earns = [k.worth / self.base[k.name] for k in kinds]
+        earns = [k.worth / self.base[k.name] for k in (request.kind, *self.classes.values())]
         part = 0.4 if request.late else 0.7 + 0.3 * earns[0] / max(earns)
         # where all are suspected no room is known: only trials tell that they are back
         return bool(fit) and self.busy >= room * (SPARE if request.spare else part)
@@ -275,14 +277,13 @@
     def _doors(self, backend: Backend) -> float:
         """Gateways that work with it; while it is cold few, each with a whole request, who weigh it more."""
         warmth, s = self._warmth(backend), self.settings
-        work = 0.7 * s.fall_multiple * warmth * s.fall_window
-        most = max(CHOICES, int(work / max(self.base.values())))  # each of a few gets some, if seldom
+        most = max(CHOICES, int(0.7 * s.fall_multiple * warmth * s.fall_window / max(self.base.values())))
         return self.sharers if warmth == 1 else min(s.gateways, most)
 
     def _cold_room(self, request: Request, backend: Backend) -> bool:
-        """This gateway's share of what a cold backend stands, on the reading of one core."""
+        """This gateway's share of what a cold backend stands, by what like warm ones were seen to take."""
         s, doors, warmth = self.settings, self._doors(backend), self._warmth(backend)
-        rate = 0.7 * s.fall_multiple * warmth / doors
+        rate = 0.7 * s.fall_multiple * warmth * self.took / doors
         gained, backend.cold_at = rate * (self.now - backend.cold_at), self.now
         backend.cold_credit = min(rate * s.fall_window, backend.cold_credit + gained)
         return warmth == 1 or backend.cold_credit >= min(self.base[request.kind.name], rate * s.fall_window)
--- a/hoistfold/handover.py
+++ b/hoistfold/handover.py
@@ -39,6 +39,7 @@
         "base": gateway.base,
         "limit": gateway.limit,
         "busy": gateway.busy,
+        "took": gateway.took,
     }
 
 
@@ -66,6 +67,7 @@
             backend.cold_credit, backend.cold_at = float(credit), float(cold_at)
     gateway.base |= {name: float(told["base"][name]) for name in gateway.base if name in told["base"]}
     gateway.limit, gateway.busy = float(told["limit"]), float(told["busy"])
+    gateway.took = float(told["took"])
 
 
 def resume(gateway: Gateway) -> None:
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -147,6 +147,7 @@
         self.reach = 1  # backends that this gateway works with
         self.sharers = 1.0  # gateways that work with one warm backend
         self.learnt = 0.0
+        self.took = 1.0  # seconds of usual work a second that a warm backend was seen to take at ease
         self.busy = 0.0  # attempts out, on average over the last requests
         self.room = 0.0  # attempts that may be out at once from here
         self.requests: dict[str, Request] = {}
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -311,3 +311,20 @@
             for send in sends(gateway.handle(10.0 + n / 20, request(f"r{n}", customer=f"c{n}")))
         ]
         assert "cold" in served
+
+
+def test_what_warm_ones_take_at_ease_is_what_like_cold_ones_are_judged_by() -> None:
+    def after(rate: int, out_for: float, gateways: int) -> float:
+        gateway, out = started("b1 b2 b3", gateways=gateways), list[tuple[float, i.Send]]()
+        for n in range(rate * 20):
+            now = 1.0 + n / rate
+            while out and out[0][0] < now - out_for:
+                gateway.handle(now, ended(out.pop(0)[1], i.Outcome.OK, latency=out_for))
+            actions = gateway.handle(now, request(f"r{n}", customer=f"c{n}", plan="basic"))
+            out += [(now, send) for send in sends(actions)]
+        return gateway.took
+
+    assert after(rate=20, out_for=0.1, gateways=1) == 1.0  # 0.7 out at each
+    assert 1.2 < after(rate=20, out_for=0.1, gateways=2) < 1.5  # as much from the other one
+    assert after(rate=40, out_for=0.1, gateways=3) <= 2.0
+    assert after(rate=200, out_for=0.4, gateways=1) < 1.1  # under pressure nothing is learnt
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -207,7 +207,7 @@
     gateway = started(gateways=4, number=1)
     row = ["0011223344", "basic", 1, 2, 0.0, 1.0, 1.0, 0.0, [[0, 4]]]
     row[place] = value
-    told = {"quotas": [row], "heard": {}, "backends": {}, "base": {}, "limit": 8.0, "busy": 0.0}
+    told = {"quotas": [row], "heard": {}, "backends": {}, "base": {}, "limit": 8.0, "busy": 0.0, "took": 1.0}
     try:
         handover.absorb(gateway, told)
     except (KeyError, TypeError, ValueError):
