--- a/standflow/ops/server.py
+++ b/standflow/ops/server.py
@@ -20,6 +20,7 @@
 MOST_CALLS = 32  # connections at once
 DESCRIPTORS = MOST_CALLS + 2  # with the listener, and one that is accepted before another ends
 MOST_ACCEPTED = 16  # in a round
+ACCEPT_PAUSE = 0.1  # seconds without accepting when no descriptor is left
 PATIENCE = 5.0  # seconds in which a call has come whole
 LINGER = 0.5  # seconds for the answer to arrive before the connection is closed over what was not read
 MOST_HEAD = 8192  # bytes
@@ -39,6 +40,7 @@
     ) -> None:
         """`answer`: a method and a target in, what to say out. OSError where the address can't be had."""
         self.loop, self.log, self.answer = loop, log, answer
+        self.accepting = True
         self.calls: OrderedDict[Task, None] = OrderedDict()  # the oldest first
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -61,14 +63,18 @@
         number = self.sock.fileno()
         try:
             while True:
-                yield IN
-                for _ in range(MOST_ACCEPTED):
+                yield IN if self.accepting else 0
+                for _ in range(MOST_ACCEPTED if self.accepting else 0):
                     if not self._accept():
                         break
         finally:
             self.loop.first.discard(number)
             self.sock.close()
 
+    def _go_on(self) -> None:
+        self.accepting = True
+        self.loop.watch(self.listener, IN)
+
     def _accept(self) -> bool:
         while len(self.calls) >= MOST_CALLS:
             self.loop.end(next(iter(self.calls)))
@@ -80,7 +86,9 @@
             return False
         except OSError as error:
             self.log(f"ops: accept: {error}")
-            if not self.calls:
+            if not self.calls:  # the listener stays ready: without a pause the loop would spin on it
+                self.accepting = False
+                self.loop.call_later(ACCEPT_PAUSE, self._go_on)
                 return False
             self.loop.end(next(iter(self.calls)))
             return True
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import select
 import socket
@@ -20,9 +21,9 @@
 from standflow.net.caller import PRESS
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.ops import figures, server
-from standflow.ops.calls import Calls
+from standflow.ops.calls import Answer, Calls
 from standflow.ops.overlay import MOST_OUT, Overlay
-from tests.wire import LIMIT, Program, command, config, listener, member, program, read_until
+from tests.wire import LIMIT, Program, command, config, listener, member, program, read_until, turn_until
 
 VALUE = b"*3\r\n$5\r\nva\r\nl\r\n$-1\r\n$-1\r\n"
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -336,6 +337,27 @@
     loop.epoll.close()
 
 
+def test_without_a_descriptor_left_the_listener_pauses_and_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    loop, log = Loop(print), list[str]()
+    listening = server.Server(loop, log.append, ("127.0.0.1", 0), lambda method, target: Answer(200, "yes\n"))
+    with socket.create_connection(listening.address, LIMIT) as caller, monkeypatch.context() as patched:
+
+        def none_left(sock: socket.socket) -> None:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        patched.setattr(socket.socket, "accept", none_left)
+        for _ in range(50):
+            loop.call_later(0.0, int)
+            loop.turn()
+        assert len(log) == 1
+        patched.undo()
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        turn_until(loop, lambda: select.select([caller], [], [], 0)[0])
+        assert caller.recv(100).startswith(b"HTTP/1.1 200")
+    listening.close()
+    loop.epoll.close()
+
+
 def test_without_a_place_for_them_nothing_of_the_calls_is_imported() -> None:
     code = "import sys, standflow.__main__; print([m for m in sys.modules if 'standflow.ops' in m])"
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, check=True).stdout == b"[]\n"
