Rejoin in the middle of a drain, with SIGTERM, and two files in a row have tests

Need: hard cases that the issue names and no test caused. Both hold as the program is; without the taking back of the drain, or the refusal after SIGTERM, the first fails. No program code is changed.

--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -317,6 +317,33 @@
             assert caller.recv(10) == b""
 
 
+def test_rejoin_at_once_and_twice_keeps_a_busy_leg_and_is_refused_after_sigterm(tmp_path: Path) -> None:
+    with listener() as hop:
+        known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
+        with program(tmp_path, with_ops(known=known)) as running:
+            busy = running.call()
+            busy.sendall(command("aa01"))
+            at_hop = hop.accept()[0]
+            at_hop.settimeout(LIMIT)
+            read_until(at_hop, b"first=0\r\n")
+            for call in ("evacuate", "rejoin", "rejoin"):
+                assert ask(running, "POST", f"/api/{call}")[0] == 200
+            time.sleep(PRESS + 0.2)  # the drain that was taken back presses nobody
+            at_hop.sendall(VALUE)
+            assert read_until(busy, b"l\r\n").startswith(b"$5")
+            busy.sendall(command("aa02"))
+            read_until(at_hop, b"first=0\r\n")
+            assert ask(running, "POST", "/api/evacuate")[0] == 200
+            running.terminate()
+            running.logged("stopping")
+            assert ask(running, "POST", "/api/rejoin") == (409, "stopping\n")
+            assert ask(running, "GET", "/api/ready")[0] == 503
+            at_hop.sendall(VALUE)
+            assert read_until(busy, b"l\r\n").startswith(b"$5")
+            assert busy.recv(10) == b""
+            assert running.process.wait(LIMIT) == 0
+
+
 def test_the_operators_events_come_first_in_a_round_however_many_wait() -> None:
     loop, order, pairs = Loop(print), list[int](), [socket.socketpair() for _ in range(60)]
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -172,6 +172,15 @@
                 caller.sendall(over)
                 if read_until(caller, b"\r\n") == b"-ERR unknown class\r\n":
                     break
+            with listener() as agent, listener() as other:  # two files, one soon after the other
+                moved = [good | {"discovery": "{}:{}".format(*at.getsockname())} for at in (agent, other)]
+                moved[1]["settings"]["Caps"]["TryLimit"] = 2
+                for number, file in enumerate(moved):
+                    path.write_text(json.dumps(file))
+                    running.process.send_signal(signal.SIGHUP)
+                    running.logged(f"(?:reload: done(?:.|\\n)*){{{number + 2}}}")
+                assert b"/v1/endpoints" in other.accept()[0].recv(1000)
+                running.logged("attempts 2")
             figures = shown(running)
-            assert (figures["sighup_applied"], figures["sighup_rejected"]) == (1, 2)
+            assert (figures["sighup_applied"], figures["sighup_rejected"]) == (3, 2)
             assert figures["results.new.succeeded"] == figures["results.change.succeeded"] == 1
