An upgrade hands the route set on as told, with the next hops that are out by hand

Seen by reading the whole change again: the older process handed on what its next-hop side holds. That has forgotten a next hop that is out, half a second after the call, so the newer one took it for gone and did not list it until discovery spoke. Ruled out: the words on next hops themselves, which are handed on beside it.

The change: Ingress._as_told, the overlay's own copy where there is one. The test of words across upgrades now lists two next hops and asks the newer process for `discovered`; it fails without the change.

--- a/standflow/__main__.py
+++ b/standflow/__main__.py
@@ -16,7 +16,7 @@
 from standflow.config import Config, ConfigError, load
 from standflow.config.reload import missing
 from standflow.driver import Driver
-from standflow.exchange import Exchange, RouteSet
+from standflow.exchange import Exchange, Route, RouteSet
 from standflow.log import Log
 from standflow.net.caller import CallerSide
 from standflow.net.flow import Flows
@@ -181,7 +181,7 @@
             resume=driver.resume,
             speak=self._speak,
             crowd=self._crowd,
-            routes=lambda: [write_route(hop.route) for hop in self.next_hops.hops.values()],
+            routes=lambda: [write_route(route) for route in self._as_told()],
             take_routes=self._routes_of_another,
             overlay=None if ops is None else ops.overlay,
             heard=lambda hop: None if ops is None else ops.heard(hop),
@@ -190,6 +190,12 @@
         )
         return Handover(self.loop, self.log, self.config.folder, self.config.name, parts)
 
+    def _as_told(self) -> list[Route]:
+        """The route set by discovery alone: what operators laid over it is handed on beside it."""
+        if self.ops is not None:
+            return list(self.ops.overlay.routes.values())
+        return [hop.route for hop in self.next_hops.hops.values()]
+
     def _routes_of_another(self, members: list[Any]) -> None:
         """The route set of the process before, where discovery has told this one nothing yet."""
         if not self.told and members:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -311,8 +311,8 @@
 def upgrading(folder: Path, **changes: Any) -> Iterator[tuple[Any, socket.socket, Load, Acceptor]]:
     """A way to start one process after another, with callers all the while."""
     box_at = Acceptor(box)
-    known = {"revision": 1, "complete": True, "members": [member(box_at.address)]}
-    raw = with_ops(known=known, **changes)
+    members = [member(box_at.address), member(box_at.address) | {"id": "s-2"}]
+    raw = with_ops(known={"revision": 1, "complete": True, "members": members}, **changes)
     with socket.create_server(("127.0.0.1", 0), backlog=512) as door, ExitStack() as stack:
 
         def start() -> Program:
@@ -386,6 +386,8 @@
         end = time.monotonic() + LIMIT
         while "ejected=0" not in ask(first, "GET", "/api/telemetry")[1]:  # it hears what the newer was told
             assert time.monotonic() < end
+        # what is handed on is the route set as told, with what was out
+        assert "discovered=2" in ask(second, "GET", "/api/telemetry")[1]
         over(first)
         third = start()
         assert "ejected=0" in ask(third, "GET", "/api/telemetry")[1]
