--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -9,8 +9,8 @@
 import random
 from collections.abc import Callable
 
+from standflow.fleet.messages import Message, decode, encode, key_of, updates_per_datagram
 from standflow.fleet.view import TICK, Send, View
-from standflow.fleet.words import Message, decode, encode, key_of, room
 
 KEY = key_of("simulated")
 
@@ -40,7 +40,7 @@
         self.lives += 1
         life = round((self.now if at is None else at) * 1000) + self.lives
         chance = random.Random(self.chance.random())
-        view = View(place, self.size, life, self.now, room(False), chance)
+        view = View(place, self.size, life, self.now, updates_per_datagram(False), chance)
         self.live[place] = view
         self.stopped.pop(place, None)
         self._after(TICK * chance.random(), lambda: self._tick(place, view))
--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from standflow.fleet.messages import MAGIC, Address, State, decode, encode, key_of, updates_per_datagram
 from standflow.fleet.view import Seen, Send, View
-from standflow.fleet.words import MAGIC, Address, State, decode, encode, key_of, room
 from standflow.net.loop import Loop
 
 
@@ -58,7 +58,7 @@
             places,
             life,
             loop.now(),
-            room(self.addresses),
+            updates_per_datagram(self.addresses),
             chance,
             listed=not seeds,
             address=address if seeds else None,
@@ -93,8 +93,8 @@
         """
         if self.told is None:
             return None
-        words = ((place, self.view.words[place]) for place in self.view.filled - {self.view.own})
-        return {str(place): [word.life, *(word.address or ("", 0))] for place, word in words}
+        updates = ((place, self.view.updates[place]) for place in self.view.filled - {self.view.own})
+        return {str(place): [update.life, *(update.address or ("", 0))] for place, update in updates}
 
     def remember(self, members: dict[str, list[Any]]) -> None:
         """What an earlier life kept of it."""
@@ -117,7 +117,7 @@
     def figures(self) -> Figures:
         """Of now."""
         view = self.view
-        suspected = sum(word.state is State.SUSPECTED for word in view.words.values())
+        suspected = sum(update.state is State.SUSPECTED for update in view.updates.values())
         settled = round((self.loop.now() - view.changed) * 1000)
         dropped = self.spoiled + view.counts.dropped
         return Figures(len(view.filled), suspected, settled, view.counts.sent, view.counts.taken, dropped)
@@ -132,16 +132,16 @@
         for send in sends:
             to: int | Address | None = send.to
             if isinstance(to, int) and self.addresses:
-                to = self.view.words[to].address if to in self.view.words else None
+                to = self.view.updates[to].address if to in self.view.updates else None
             if to is not None:
                 self.parts.send(to, encode(send.message, self.key, self.addresses))
         for change in self.view.changes:
             count = len(self.view.filled)
             became = f"{change.before} -> {change.after} ({change.why})"
             self.log(f"fleet: place {change.place}: {became}, {count} present")
-            word = self.view.words.get(change.place)
-            if self.addresses and word is not None and word.address is not None:
-                self.parts.filled(change.place, word.address)
+            update = self.view.updates.get(change.place)
+            if self.addresses and update is not None and update.address is not None:
+                self.parts.filled(change.place, update.address)
         self.view.changes.clear()
         turn = (self.view.turn, self.view.unheard)
         if self.view.waiting:
--- a/standflow/fleet/words.py
+++ b/standflow/fleet/messages.py
@@ -13,20 +13,20 @@
 from hashlib import blake2b
 
 MAGIC = b"\xf1\xee"
-LONGEST = 256  # bytes of a datagram
+MAX_DATAGRAM_BYTES = 256  # bytes of a datagram
 MOST_COUNT = 0xFFFF
 MOST_LIFE = (1 << 48) - 1
 
 _TAG = 6  # bytes
 _HEAD = struct.Struct(">BH6sHIIHH")  # kind, place, life, count, serial, digest, about, cursor
-_WORD = struct.Struct(">H6sHB")  # place, life, count, state
+_UPDATE = struct.Struct(">H6sHB")  # place, life, count, state
 _ADDRESS = struct.Struct(">4sH")
 
 Address = tuple[str, int]
 
 
 class State(IntEnum):
-    """What a member is held for; of two words on one life and count the higher one holds."""
+    """What a member is held for; of two updates on one life and count the higher one holds."""
 
     PRESENT = 0
     SUSPECTED = 1
@@ -40,13 +40,13 @@
 
     PING = 0
     ACK = 1
-    RELAY = 2  # ping `about` for me
-    TELL = 3  # words alone; nothing is owed
+    INDIRECT_PING = 2  # ping `about` for the sender
+    GOSSIP = 3  # updates alone; no answer is expected
 
 
 @dataclass(slots=True, frozen=True, order=True)
-class Word:
-    """One member as somebody holds it. Compared by life, count and state, among words on one place."""
+class Update:
+    """One member as somebody holds it. Compared by life, count and state, among updates on one place."""
 
     place: int
     life: int  # Unix time in ms of its start, or one above a life before it
@@ -63,7 +63,7 @@
 @dataclass(slots=True, frozen=True)
 class Message:
     """A datagram. `place`, `life` and `count` are the sender's; `about` the place that it vouches for or asks
-    for; `cursor` the place from which on words are wanted."""
+    for; `cursor` the place from which on updates are wanted."""
 
     kind: Kind
     place: int
@@ -73,7 +73,7 @@
     digest: int
     about: int
     cursor: int
-    words: tuple[Word, ...] = ()
+    updates: tuple[Update, ...] = ()
 
 
 _KINDS, _STATES = tuple(Kind), tuple(State)
@@ -84,15 +84,15 @@
     return blake2b(fleet.encode(), digest_size=32).digest()
 
 
-def room(addresses: bool) -> int:
-    """Words that a datagram holds."""
-    each = _WORD.size + (_ADDRESS.size if addresses else 0)
-    return (LONGEST - len(MAGIC) - _TAG - _HEAD.size - 1) // each
+def updates_per_datagram(addresses: bool) -> int:
+    """Updates that a datagram holds."""
+    each = _UPDATE.size + (_ADDRESS.size if addresses else 0)
+    return (MAX_DATAGRAM_BYTES - len(MAGIC) - _TAG - _HEAD.size - 1) // each
 
 
-def packed(word: Word) -> bytes:
-    """A word without its address."""
-    return _WORD.pack(word.place, word.life.to_bytes(6), word.count, word.state)
+def packed(update: Update) -> bytes:
+    """An update without its address."""
+    return _UPDATE.pack(update.place, update.life.to_bytes(6), update.count, update.state)
 
 
 def encode(message: Message, key: bytes, addresses: bool) -> bytes:
@@ -101,10 +101,10 @@
     life = m.life.to_bytes(6)
     parts = [_HEAD.pack(m.kind, m.place, life, m.count, m.serial, m.digest, m.about, m.cursor)]
     parts.append(bytes([addresses]))
-    for word in m.words:
-        parts.append(packed(word))
+    for update in m.updates:
+        parts.append(packed(update))
         if addresses:
-            host, port = word.address or ("0.0.0.0", 0)
+            host, port = update.address or ("0.0.0.0", 0)
             parts.append(_ADDRESS.pack(socket.inet_aton(host), port))
     body = b"".join(parts)
     return MAGIC + blake2b(body, digest_size=_TAG, key=key).digest() + body
@@ -118,19 +118,19 @@
         return None
     kind, place, life, count, serial, digest, about, cursor = _HEAD.unpack_from(body)
     with_addresses, rest = body[_HEAD.size], body[_HEAD.size + 1 :]
-    each = _WORD.size + (_ADDRESS.size if with_addresses else 0)
+    each = _UPDATE.size + (_ADDRESS.size if with_addresses else 0)
     if kind >= len(_KINDS) or len(rest) % each:
         return None
-    words = []
+    updates = []
     for at in range(0, len(rest), each):
-        of, began, refuted, state = _WORD.unpack_from(rest, at)
+        of, began, refuted, state = _UPDATE.unpack_from(rest, at)
         if state >= len(_STATES):
             return None
         address = None
         if with_addresses:
-            host, port = _ADDRESS.unpack_from(rest, at + _WORD.size)
+            host, port = _ADDRESS.unpack_from(rest, at + _UPDATE.size)
             address = (socket.inet_ntoa(host), port) if port else None
-        words.append(Word(of, int.from_bytes(began), refuted, _STATES[state], address))
+        updates.append(Update(of, int.from_bytes(began), refuted, _STATES[state], address))
     return Message(
-        _KINDS[kind], place, int.from_bytes(life), count, serial, digest, about, cursor, tuple(words)
+        _KINDS[kind], place, int.from_bytes(life), count, serial, digest, about, cursor, tuple(updates)
     )
--- a/standflow/fleet/view.py
+++ b/standflow/fleet/view.py
@@ -1,7 +1,7 @@
 """Who is there: the decisions of one member. No I/O; `now` is any clock in seconds that never goes back.
 
 SWIM over places: a probe that fails directly and by way of others makes a suspicion; one that is not refuted
-in time makes its member gone. Words spread on whatever is sent anyway. See docs/design/fleet.md.
+in time makes its member gone. Updates spread on whatever is sent anyway. See docs/design/fleet.md.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from heapq import nlargest
 from zlib import crc32
 
-from standflow.fleet.words import MOST_COUNT, MOST_LIFE, Address, Kind, Message, State, Word, packed
+from standflow.fleet.messages import MOST_COUNT, MOST_LIFE, Address, Kind, Message, State, Update, packed
 
 TICK = 0.1  # seconds between calls of `tick`
 CALM = 0.3  # the same while nothing is under way
@@ -111,7 +111,7 @@
 
 @dataclass(slots=True)
 class Counts:
-    """Datagrams of the view, and words on what became of them."""
+    """Datagrams of the view, and what became of them."""
 
     sent: int = 0
     taken: int = 0
@@ -120,19 +120,19 @@
 
 @dataclass(slots=True)
 class View:
-    """One member's table of the fleet. `room`: words that a datagram holds."""
+    """One member's table of the fleet. `updates_per_datagram`: how many one holds."""
 
     own: int
     size: int  # places
     life: int
     now: float
-    room: int
+    updates_per_datagram: int
     chance: random.Random
     listed: bool = True  # every place can be called; else those whose address is known
     address: Address | None = None
     seeds: tuple[Address, ...] = ()
     count: int = 0
-    words: dict[int, Word] = field(default_factory=dict)
+    updates: dict[int, Update] = field(default_factory=dict)
     digest: int = 0
     heard: dict[int, float] = field(default_factory=dict)  # directly
     last_heard: float = 0.0  # anybody
@@ -187,7 +187,7 @@
         self.changed = self.answered = self.born = self.due = self.last_heard = self.now
         self.next_probe = self.now + PERIOD * self.chance.random()
         self.among = set(range(self.size))
-        self._hold(Word(self.own, self.life, self.count, State.PRESENT, self.address))
+        self._hold(Update(self.own, self.life, self.count, State.PRESENT, self.address))
 
     # What is read of it.
 
@@ -202,7 +202,7 @@
     @property
     def joined(self) -> bool:
         """Another member is or was there."""
-        return len(self.words) > 1
+        return len(self.updates) > 1
 
     @property
     def waiting(self) -> bool:
@@ -240,11 +240,11 @@
 
     def remember(self, members: dict[int, tuple[int, Address | None]]) -> None:
         """Whom an earlier life of this member held for present last, with their lives: whom to ask, and who
-        is missing until heard. A word on them is older than any of their own.
+        is missing until heard. An update on them is older than any of their own.
         """
         for place, (life, address) in members.items():
-            if place not in self.words and place < self.size and 0 < life <= MOST_LIFE:
-                self._hold(Word(place, life - 1, 0, State.GONE, address))
+            if place not in self.updates and place < self.size and 0 < life <= MOST_LIFE:
+                self._hold(Update(place, life - 1, 0, State.GONE, address))
                 self.gone[place] = self.now
                 self.remembered.add(place)
 
@@ -273,7 +273,7 @@
             self.next_news = now + NEWS
             for to in self._some(1) if self.sends.left > RESERVE else ():
                 self.sends.take(now)
-                self._send(to, Kind.TELL)
+                self._send(to, Kind.GOSSIP)
         if self.greeted < min(GREETED, self.size - 1) and self.listed:
             self.greeted += 1
             self._call((self.own - self.greeted) % self.size)
@@ -300,14 +300,16 @@
             if m.life != self.life:
                 self._claim(m.life, f"{sender[0]}:{sender[1]}")
             return self._taken()
-        known = self.words.get(m.place)
+        known = self.updates.get(m.place)
         if known is not None and (m.life, m.count) < known.mark:
             self.counts.dropped += 1  # an older life of it, or an old datagram
             return []
         self.heard[m.place] = self.last_heard = now
         address = None if self.listed else sender
-        self._merge(Word(m.place, m.life, m.count, State.PRESENT, address), "heard")
-        held = next((word for word in m.words if word.place == self.own and word.life == self.life), None)
+        self._merge(Update(m.place, m.life, m.count, State.PRESENT, address), "heard")
+        held = next(
+            (update for update in m.updates if update.place == self.own and update.life == self.life), None
+        )
         if held is not None and held.state >= State.GONE and held.count < self.count:
             if now - self.refuted > UNHEARD and m.place not in self.deaf:
                 self.deaf.add(m.place)
@@ -315,9 +317,9 @@
         elif m.place in self.deaf:
             self.deaf.discard(m.place)
             self.turn += 1
-        for word in m.words:
-            if word.place < self.size and self.words.get(word.place) != word:
-                self._merge(word, f"told by {m.place}")
+        for update in m.updates:
+            if update.place < self.size and self.updates.get(update.place) != update:
+                self._merge(update, f"told by {m.place}")
         if m.digest == self.digest:
             self.unlike_since = math.inf
         else:
@@ -327,25 +329,25 @@
                 self._send(m.place, Kind.ACK, serial=m.serial, cursor=m.cursor)
         elif m.kind is Kind.ACK:
             self._answered(m)
-        elif m.kind is Kind.RELAY and m.about in self.words and self.answers.take(now):
+        elif m.kind is Kind.INDIRECT_PING and m.about in self.updates and self.answers.take(now):
             self._call(m.about, asker=(m.place, m.serial), free=True)
         return self._taken()
 
     def ring(self, now: float, place: int) -> None:
         """A datagram of the ring came from a place: a sign of life of whoever fills it."""
-        if place in self.words:
+        if place in self.updates:
             self.heard[place] = self.last_heard = now
-            if self.words[place].state not in HERE and now - self.rung.get(place, -math.inf) > REACH:
+            if self.updates[place].state not in HERE and now - self.rung.get(place, -math.inf) > REACH:
                 self.rung[place] = now
                 self._call(place)  # it hears what it is held for, and says otherwise
 
     def leave(self) -> list[Send]:
         """This member ends in order: some are told, and they tell the others."""
         if not self.left and not self.yielded:
-            self._hold(Word(self.own, self.life, self.count, State.LEFT, self.address))
+            self._hold(Update(self.own, self.life, self.count, State.LEFT, self.address))
             self.news = {self.own: 99}
             for place in self._some(FAREWELLS):
-                self._send(place, Kind.TELL)
+                self._send(place, Kind.GOSSIP)
             self.left = True
         return self._taken()
 
@@ -356,8 +358,8 @@
         return 2.0 if self.now - self.last_heard > 2 * FRESH else 1.0
 
     def suspicion_time(self) -> float:
-        """Seconds that a suspicion has for its refutation; a word takes some rounds to come to everybody."""
-        return (0.8 + 0.2 * math.log2(max(2, len(self.words)))) * self._patience()
+        """Seconds that a suspicion has for its refutation; an update takes some rounds to reach all."""
+        return (0.8 + 0.2 * math.log2(max(2, len(self.updates)))) * self._patience()
 
     def _doubt(self, late: float) -> None:
         """What was missed while this process stood still is no silence of the others."""
@@ -379,25 +381,25 @@
                     del self.probes[serial]
             elif probe.relayed and waited > (DIRECT + INDIRECT) * patience:
                 del self.probes[serial]
-                word = self.words.get(probe.place)
+                update = self.updates.get(probe.place)
                 silent = self.heard.get(probe.place, -math.inf) < probe.at
-                if silent and word is not None and word.state is State.PRESENT:
-                    self._merge(replace(word, state=State.SUSPECTED), "no answer")
+                if silent and update is not None and update.state is State.PRESENT:
+                    self._merge(replace(update, state=State.SUSPECTED), "no answer")
                     self.next_probe = self.now  # where one is silent, others may be
                     self.reminded[probe.place] = self.now
             elif waited > DIRECT * patience and not probe.relayed:
-                word = self.words.get(probe.place)
+                update = self.updates.get(probe.place)
                 others = [place for place in self._some(RELAYS + 1) if place != probe.place][:RELAYS]
-                if word is None or word.state is not State.PRESENT or not others:
+                if update is None or update.state is not State.PRESENT or not others:
                     probe.relayed = True
                 elif self.sends.take(self.now, len(others)):
                     probe.relayed, probe.at = True, self.now - DIRECT * patience
                     for place in others:
-                        self._send(place, Kind.RELAY, serial=serial, about=probe.place)
+                        self._send(place, Kind.INDIRECT_PING, serial=serial, about=probe.place)
 
     def _follow_suspicions(self) -> None:
         for place, deadline in list(self.deadlines.items()):
-            word = self.words[place]
+            update = self.updates[place]
             if self.now >= deadline:
                 if self.heard.get(place, -math.inf) > self.suspected[place]:
                     self.suspected[place] = self.now  # heard since: it only has to say so itself
@@ -408,21 +410,21 @@
                         self.reminded[place] = self.now
                         self.deadlines[place] = self.now + LAST_ASK
                 else:
-                    self._merge(replace(word, state=State.GONE), "silent")
+                    self._merge(replace(update, state=State.GONE), "silent")
             elif self.now - self.reminded.get(place, math.inf) > REMIND and self._call(place):
                 self.reminded[place] = self.now  # by whom it was not answered
 
     def _probe_next(self) -> None:
-        for _ in range(len(self.words) + 1):
+        for _ in range(len(self.updates) + 1):
             if not self.order:
-                self.order = [place for place in self.words if place != self.own]
+                self.order = [place for place in self.updates if place != self.own]
                 self.chance.shuffle(self.order)
                 if not self.order:
                     return
             place = self.order.pop()
-            word = self.words.get(place)
+            update = self.updates.get(place)
             stale = self.now - self.heard.get(place, -math.inf) > FRESH
-            if word is not None and word.state is State.PRESENT and stale:
+            if update is not None and update.state is State.PRESENT and stale:
                 self._call(place)
                 return
 
@@ -441,11 +443,13 @@
             absent = [
                 place
                 for place in range(self.size)
-                if place not in self.words or self.words[place].state not in filled
+                if place not in self.updates or self.updates[place].state not in filled
             ]
         else:
-            absent = [p for p, w in self.words.items() if w.state in (State.GONE, State.BURIED) and w.address]
-        known = {word.address for word in self.words.values()}
+            absent = [
+                p for p, w in self.updates.items() if w.state in (State.GONE, State.BURIED) and w.address
+            ]
+        known = {update.address for update in self.updates.values()}
         seeds = [seed for seed in self.seeds if seed not in known]
         if seeds and (not absent or self.chance.random() < 0.5):
             if self.sends.take(self.now):
@@ -485,74 +489,74 @@
             self.others = sorted(self.filled - {self.own})
         return self.chance.sample(self.others, min(most, len(self.others)))
 
-    # Words.
+    # Updates.
 
-    def _merge(self, word: Word, why: str) -> None:
-        """Takes a word in where it is newer than the one held."""
-        if word.place == self.own:
-            self._of_us(word, why)
+    def _merge(self, update: Update, why: str) -> None:
+        """Takes an update in where it is newer than the one held."""
+        if update.place == self.own:
+            self._of_us(update, why)
             return
-        known = self.words.get(word.place)
-        newer = known is None or (word.mark, word.state) > (known.mark, known.state)
-        if not newer or word.life > MOST_LIFE or word.count > MOST_COUNT:
+        known = self.updates.get(update.place)
+        newer = known is None or (update.mark, update.state) > (known.mark, known.state)
+        if not newer or update.life > MOST_LIFE or update.count > MOST_COUNT:
             return
-        if word.address is None and known is not None:
-            word = replace(word, address=known.address)
-        self._hold(word)
+        if update.address is None and known is not None:
+            update = replace(update, address=known.address)
+        self._hold(update)
         before = "unknown" if known is None else known.state.name.lower()
-        after = word.state.name.lower()
-        if known is not None and word.life > known.life and word.state in HERE:
+        after = update.state.name.lower()
+        if known is not None and update.life > known.life and update.state in HERE:
             after += " in a new life"
         if after != before:
-            self.changes.append(Change(word.place, before, after, why))
-        place, was_here = word.place, known is not None and known.state in HERE
+            self.changes.append(Change(update.place, before, after, why))
+        place, was_here = update.place, known is not None and known.state in HERE
         self.remembered.discard(place)
-        if word.state in HERE and (not was_here or (known is not None and word.life > known.life)):
+        if update.state in HERE and (not was_here or (known is not None and update.life > known.life)):
             self.returned.add(place)
             self.turn += 1
-        if (word.state in HERE) != was_here or word.state is State.BURIED:
+        if (update.state in HERE) != was_here or update.state is State.BURIED:
             self.changed = self.now
-        if word.state in HERE and place not in self.among:
+        if update.state in HERE and place not in self.among:
             self.among.add(place)
             self.turn += 1
         for times in (self.deadlines, self.suspected, self.gone):
             times.pop(place, None)
-        if word.state is not State.SUSPECTED:
+        if update.state is not State.SUSPECTED:
             self.reminded.pop(place, None)
-        if word.state is State.SUSPECTED:
+        if update.state is State.SUSPECTED:
             self.suspected[place] = self.now
             # Whoever only heard of it asks as well, in the end: all at one moment, and it can't answer them.
             late = self.chance.uniform(1.0, SPREAD) if why != "no answer" else 1.0
             self.deadlines[place] = self.now + late * self.suspicion_time()
-        elif word.state is State.GONE:
+        elif update.state is State.GONE:
             self.gone[place] = self.now
             self._raise()
 
-    def _hold(self, word: Word) -> None:
-        """Puts a word into the table, and among the news."""
-        known = self.words.get(word.place)
+    def _hold(self, update: Update) -> None:
+        """Puts an update into the table, and among the news."""
+        known = self.updates.get(update.place)
         if known is not None:
             self.digest ^= _mark(known)
         else:
             self.places = []
-        self.words[word.place] = word
-        self.digest ^= _mark(word)
-        for places, held in ((self.filled, word.state in HERE), (self.lost, word.state is State.GONE)):
-            if held != (word.place in places):
-                (places.add if held else places.discard)(word.place)
+        self.updates[update.place] = update
+        self.digest ^= _mark(update)
+        for places, held in ((self.filled, update.state in HERE), (self.lost, update.state is State.GONE)):
+            if held != (update.place in places):
+                (places.add if held else places.discard)(update.place)
                 self.others = []
                 self.turn += 1
-        self.news[word.place] = 3 * max(1, math.ceil(math.log10(len(self.words) + 1)))
+        self.news[update.place] = 3 * max(1, math.ceil(math.log10(len(self.updates) + 1)))
 
-    def _of_us(self, word: Word, why: str) -> None:
+    def _of_us(self, update: Update, why: str) -> None:
         """Somebody holds something of this place: what is untrue is refuted, by a higher count."""
-        if word.life > self.life:
-            self._claim(word.life, why)
-        elif word.life == self.life and word.count >= self.count and word.state is not State.PRESENT:
-            self.changes.append(Change(self.own, word.state.name.lower(), "present", f"refuted, {why}"))
-            self._again(word.count + 1)
-        elif word.life == self.life and word.count > self.count:
-            self._again(word.count)  # said before a process of this ingress took over
+        if update.life > self.life:
+            self._claim(update.life, why)
+        elif update.life == self.life and update.count >= self.count and update.state is not State.PRESENT:
+            self.changes.append(Change(self.own, update.state.name.lower(), "present", f"refuted, {why}"))
+            self._again(update.count + 1)
+        elif update.life == self.life and update.count > self.count:
+            self._again(update.count)  # said before a process of this ingress took over
 
     def _again(self, count: int) -> None:
         if self.now - self.refuted > UNHEARD:
@@ -560,7 +564,7 @@
         if count > MOST_COUNT:
             self.life, count = self.life + 1, 0
         self.count = count
-        self._hold(Word(self.own, self.life, self.count, State.PRESENT, self.address))
+        self._hold(Update(self.own, self.life, self.count, State.PRESENT, self.address))
 
     def _raise(self) -> None:
         """Many are gone at once: they may hold us for gone, and the join would wait for our refutation."""
@@ -591,7 +595,7 @@
         major = self.major()
         for place, since in list(self.gone.items()):
             if self.now - since > BURY and (major or place in self.remembered):
-                self._merge(replace(self.words[place], state=State.BURIED), "gone for long")
+                self._merge(replace(self.updates[place], state=State.BURIED), "gone for long")
 
     # Sending.
 
@@ -607,7 +611,7 @@
         about: int | None = None,
         cursor: int = NO_CURSOR,
     ) -> None:
-        words, following = self._choose(to, cursor)
+        updates, following = self._choose(to, cursor)
         message = Message(
             kind,
             self.own,
@@ -617,33 +621,33 @@
             self.digest,
             self.own if about is None else about,
             following if kind is Kind.ACK else cursor,
-            words,
+            updates,
         )
         self.counts.sent += 1
         self.out.append(Send(to, message))
 
-    def _choose(self, to: int | Address, cursor: int) -> tuple[tuple[Word, ...], int]:
+    def _choose(self, to: int | Address, cursor: int) -> tuple[tuple[Update, ...], int]:
         """What a datagram carries: what its receiver is held for, news, and the walk from `cursor` on;
         also where the walk goes on.
         """
-        chosen: dict[int, Word] = {}
-        if isinstance(to, int) and to in self.words and self.words[to].state is not State.PRESENT:
-            chosen[to] = self.words[to]
-        most = self.room if cursor == NO_CURSOR else self.room // 4
+        chosen: dict[int, Update] = {}
+        if isinstance(to, int) and to in self.updates and self.updates[to].state is not State.PRESENT:
+            chosen[to] = self.updates[to]
+        most = self.updates_per_datagram if cursor == NO_CURSOR else self.updates_per_datagram // 4
         for place in nlargest(most - len(chosen), self.news, key=self.news.__getitem__):
-            chosen[place] = self.words[place]
+            chosen[place] = self.updates[place]
             self.news[place] -= 1
             if not self.news[place]:
                 del self.news[place]
         following = cursor
         if cursor != NO_CURSOR:
             following = 0
-            self.places = self.places or sorted(self.words)
+            self.places = self.places or sorted(self.updates)
             for place in self.places[bisect_left(self.places, cursor) :]:
-                if len(chosen) >= self.room:
+                if len(chosen) >= self.updates_per_datagram:
                     following = place
                     break
-                chosen[place] = self.words[place]
+                chosen[place] = self.updates[place]
         return tuple(chosen.values()), following
 
     def _taken(self) -> list[Send]:
@@ -651,7 +655,7 @@
         return sends
 
 
-def _mark(word: Word) -> int:
-    """A word's part of the digest; a suspicion passes by and is left out."""
-    state = State.PRESENT if word.state is State.SUSPECTED else word.state
-    return crc32(packed(Word(word.place, word.life, word.count, state)))
+def _mark(update: Update) -> int:
+    """An update's part of the digest; a suspicion passes by and is left out."""
+    state = State.PRESENT if update.state is State.SUSPECTED else update.state
+    return crc32(packed(Update(update.place, update.life, update.count, state)))
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,4 +1,4 @@
-"""The view of the fleet in simulated time: joins, crashes, cuts, clocks, and words of any kind."""
+"""The view of the fleet in simulated time: joins, crashes, cuts, clocks, and updates of any kind."""
 
 from __future__ import annotations
 
@@ -11,8 +11,18 @@
 from hypothesis import strategies as st
 
 from lab.fleet.simulated import KEY, Members
+from standflow.fleet.messages import (
+    MAX_DATAGRAM_BYTES,
+    Kind,
+    Message,
+    State,
+    Update,
+    decode,
+    encode,
+    key_of,
+    updates_per_datagram,
+)
 from standflow.fleet.view import BURY, CLASH, LAST_ASK, PUT_OFF, SETTLE, TICK, UNHEARD, View
-from standflow.fleet.words import LONGEST, Kind, Message, State, Word, decode, encode, key_of, room
 
 LOSSES = pytest.mark.parametrize("loss", [0.0, 0.065])
 
@@ -73,7 +83,7 @@
     members = settled(5)
     cut(members, {0, 1, 2}, {3, 4})
     members.run(BURY + 10.0)
-    assert members.live[0].words[3].state is State.BURIED
+    assert members.live[0].updates[3].state is State.BURIED
     assert members.live[0].major()
     assert not members.live[3].major()
     whole(members)
@@ -88,7 +98,7 @@
         members.run(wait)
         members.start(2)
         assert members.until(members.agree, 3.0) < 3.0
-        assert {view.words[2].life for view in members.live.values()} == {members.live[2].life}
+        assert {view.updates[2].life for view in members.live.values()} == {members.live[2].life}
         assert members.live[2].life > before
         assert all(2 in view.seen().returned for place, view in members.live.items() if place != 2)
 
@@ -134,27 +144,27 @@
 
 def test_nobody_is_gone_for_whoever_had_no_room_to_ask() -> None:
     """A suspicion that was only heard of, while there is no room for another datagram from here."""
-    view = View(0, 3, 1, 0.0, room(False), random.Random(1))
+    view = View(0, 3, 1, 0.0, updates_per_datagram(False), random.Random(1))
     address = ("127.0.0.1", 1)
-    there, suspected = Word(2, 5, 0, State.PRESENT), Word(2, 5, 0, State.SUSPECTED)
-    for serial, word in enumerate((there, suspected)):
-        view.hear(0.1, Message(Kind.TELL, 1, 7, 0, serial, 0, 1, 0xFFFF, (word,)), address)
+    there, suspected = Update(2, 5, 0, State.PRESENT), Update(2, 5, 0, State.SUSPECTED)
+    for serial, update in enumerate((there, suspected)):
+        view.hear(0.1, Message(Kind.GOSSIP, 1, 7, 0, serial, 0, 1, 0xFFFF, (update,)), address)
     view.sends.most = view.sends.left = 0.0
     now = 0.1
     while now < view.deadlines[2] + PUT_OFF / 2:
         now += TICK
         assert view.tick(now) == []
-    assert view.words[2].state.name == "SUSPECTED"
+    assert view.updates[2].state.name == "SUSPECTED"
     view.sends.most = view.sends.left = 5.0
     asked = now + TICK
     while not any(send.to == 2 and send.message.kind is Kind.PING for send in view.tick(asked)):
         asked += TICK
         assert asked < now + 1.0
     view.tick(asked + LAST_ASK / 2)
-    assert view.words[2].state.name == "SUSPECTED"
+    assert view.updates[2].state.name == "SUSPECTED"
     for step in range(30):
         view.tick(asked + LAST_ASK / 2 + step * TICK)
-    assert view.words[2].state.name == "GONE"
+    assert view.updates[2].state.name == "GONE"
 
 
 def test_who_leaves_is_not_missed_and_three_of_twelve_are_a_fleet_of_three() -> None:
@@ -193,7 +203,7 @@
             members.live[2] = one
             for other in (0, 1, 3):
                 life = members.live[other].life
-                about = members.live[other].words[2]
+                about = members.live[other].updates[2]
                 said = Message(Kind.PING, other, life, members.live[other].count, 1, 0, 2, 0xFFFF, (about,))
                 one.hear(members.now, said, ("127.0.0.1", 1))
             members.run(0.5)
@@ -242,10 +252,10 @@
     assert 3 not in members.live[0].seen().among
 
 
-# Words and datagrams.
+# Updates and datagrams.
 
-WORDS = st.builds(
-    Word,
+UPDATES = st.builds(
+    Update,
     st.integers(0, 9),
     st.integers(0, 1 << 47),
     st.integers(0, 0xFFFF),
@@ -254,15 +264,15 @@
 )
 
 
-@given(st.lists(WORDS, max_size=13), st.booleans())
-def test_a_datagram_keeps_its_words_and_a_garbled_or_foreign_one_is_none(
-    words: list[Word], with_addresses: bool
+@given(st.lists(UPDATES, max_size=13), st.booleans())
+def test_a_datagram_keeps_its_updates_and_a_garbled_or_foreign_one_is_none(
+    updates: list[Update], with_addresses: bool
 ) -> None:
-    words = [word if with_addresses else replace(word, address=None) for word in words]
-    words = words[: room(with_addresses)]
-    message = Message(Kind.ACK, 3, 1 << 40, 7, 99, 0xDEADBEEF, 4, 17, tuple(words))
+    updates = [update if with_addresses else replace(update, address=None) for update in updates]
+    updates = updates[: updates_per_datagram(with_addresses)]
+    message = Message(Kind.ACK, 3, 1 << 40, 7, 99, 0xDEADBEEF, 4, 17, tuple(updates))
     content = encode(message, KEY, with_addresses)
-    assert len(content) <= LONGEST
+    assert len(content) <= MAX_DATAGRAM_BYTES
     assert decode(content, KEY) == message
     assert decode(content, key_of("another")) is None
     for at in range(0, len(content), 3):
@@ -272,20 +282,22 @@
 
 
 @how(max_examples=60, deadline=None, derandomize=True)
-@given(st.lists(WORDS.filter(lambda word: word.place < 4), max_size=30), st.randoms(use_true_random=False))
-def test_words_in_any_order_and_number_leave_the_same_table(words: list[Word], chance: random.Random) -> None:
+@given(
+    st.lists(UPDATES.filter(lambda update: update.place < 4), max_size=30), st.randoms(use_true_random=False)
+)
+def test_updates_in_any_order_leave_the_same_table(updates: list[Update], chance: random.Random) -> None:
     tables = []
     for turn in range(2):
         view = View(5, 9, 1 << 47, 1.0, 20, random.Random(turn))
-        mixed = words * (turn + 1)
+        mixed = updates * (turn + 1)
         chance.shuffle(mixed)
-        for word in mixed:
-            held = view.words.get(word.place)
-            view._merge(word, "test")
-            if held is not None:  # nothing held comes back by an older word
-                now = view.words[word.place]
+        for update in mixed:
+            held = view.updates.get(update.place)
+            view._merge(update, "test")
+            if held is not None:  # nothing held comes back by an older update
+                now = view.updates[update.place]
                 assert (now.mark, now.state) >= (held.mark, held.state)
-        tables.append({p: (w.mark, w.state) for p, w in view.words.items() if p != 5})
+        tables.append({p: (w.mark, w.state) for p, w in view.updates.items() if p != 5})
     assert tables[0] == tables[1]
 
 
@@ -322,7 +334,7 @@
                 members.go_on(place)
         elif what == "noise":
             for view in members.live.values():
-                odd = Message(Kind.PING, place, 5, 5, 0, 0, 200, 9, (Word(99, 1, 1, State.GONE),))
+                odd = Message(Kind.PING, place, 5, 5, 0, 0, 200, 9, (Update(99, 1, 1, State.GONE),))
                 view.hear(members.now, odd, ("127.0.0.1", 9))
         members.run(1.0)
     whole(members)
