--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -32,38 +32,38 @@
         self.taken: dict[int, list[float]] = {}  # when a member took something in, for its worst second
         self.lives = 0
         if start:
-            for place in range(size):
-                self.start(place)
+            for member_id in range(size):
+                self.start(member_id)
 
-    def start(self, place: int, at: float | None = None) -> View:
+    def start(self, member_id: int, at: float | None = None) -> View:
         """A member begins, or begins anew, with nothing known."""
         self.lives += 1
-        life = round((self.now if at is None else at) * 1000) + self.lives
+        boot_time_ms = round((self.now if at is None else at) * 1000) + self.lives
         chance = random.Random(self.chance.random())
-        view = View(place, self.size, life, self.now, updates_per_datagram(False), chance)
-        self.live[place] = view
-        self.stopped.pop(place, None)
-        self._after(TICK * chance.random(), lambda: self._tick(place, view))
+        view = View(member_id, self.size, boot_time_ms, self.now, updates_per_datagram(False), chance)
+        self.live[member_id] = view
+        self.stopped.pop(member_id, None)
+        self._after(TICK * chance.random(), lambda: self._tick(member_id, view))
         return view
 
-    def kill(self, *places: int) -> None:
+    def kill(self, *member_ids: int) -> None:
         """They are gone without a word."""
-        for place in places:
-            del self.live[place]
+        for member_id in member_ids:
+            del self.live[member_id]
 
-    def leave(self, place: int) -> None:
+    def leave(self, member_id: int) -> None:
         """One ends in order."""
-        self._carry(place, self.live[place].leave())
-        del self.live[place]
+        self._carry(member_id, self.live[member_id].leave())
+        del self.live[member_id]
 
-    def hold(self, place: int) -> None:
+    def hold(self, member_id: int) -> None:
         """One stands still, as by SIGSTOP; what comes waits."""
-        self.stopped[place] = []
+        self.stopped[member_id] = []
 
-    def go_on(self, place: int) -> None:
+    def go_on(self, member_id: int) -> None:
         """It goes on, and reads what waited."""
-        for sender, content in self.stopped.pop(place):
-            self._hear(sender, place, content)
+        for sender, content in self.stopped.pop(member_id):
+            self._hear(sender, member_id, content)
 
     def run(self, seconds: float) -> None:
         """Lets time pass."""
@@ -91,12 +91,12 @@
         self.serial += 1
         heapq.heappush(self.queue, (self.now + delay, self.serial, call))
 
-    def _tick(self, place: int, view: View) -> None:
-        if self.live.get(place) is not view:
+    def _tick(self, member_id: int, view: View) -> None:
+        if self.live.get(member_id) is not view:
             return
-        if place not in self.stopped:
-            self._carry(place, view.tick(self.now))
-        self._after(view.pace, lambda: self._tick(place, view))
+        if member_id not in self.stopped:
+            self._carry(member_id, view.tick(self.now))
+        self._after(view.pace, lambda: self._tick(member_id, view))
 
     def _carry(self, sender: int, sends: list[Send]) -> None:
         for send in sends:
--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -17,8 +17,8 @@
 class Parts:
     """What the view asks of the ingress."""
 
-    send: Callable[[int | Address, bytes], None]  # to a place, or to an address that fills none yet
-    filled: Callable[[int, Address], None]  # a place is filled at this address, where none is listed
+    send: Callable[[int | Address, bytes], None]  # to a member, or to an address whose member is not known
+    filled: Callable[[int, Address], None]  # a member's address, where none is listed
     seen: Callable[[Seen], None]  # what follows, each time it is another
 
 
@@ -31,7 +31,7 @@
     settled_ms: int  # since the last change of who is there
     sent: int
     taken: int
-    dropped: int  # garbled, of another fleet, of an earlier life, or more than is taken in
+    dropped: int  # garbled, of another fleet, of an earlier start, or more than is taken in
 
 
 class Member:
@@ -42,21 +42,21 @@
         loop: Loop,
         log: Callable[[str], None],
         fleet: str,
-        place: int,
-        places: int,
+        member_id: int,
+        size: int,
         address: Address,
         seeds: tuple[Address, ...],
         chance: random.Random,
         parts: Parts,
     ) -> None:
-        """`seeds`: some to join by, where the places' addresses are not listed; else none."""
+        """`seeds`: some to join by, where the members' addresses are not listed; else none."""
         self.loop, self.log, self.parts = loop, log, parts
         self.key, self.addresses = key_of(fleet), bool(seeds)
-        life = round(time.time() * 1000)
+        boot_time_ms = round(time.time() * 1000)
         self.view = View(
-            place,
-            places,
-            life,
+            member_id,
+            size,
+            boot_time_ms,
             loop.now(),
             updates_per_datagram(self.addresses),
             chance,
@@ -69,7 +69,7 @@
         self.speaks = True
         self.spoiled = 0  # datagrams of another fleet, or garbled
         self.closed = False
-        log(f"fleet: this is place {place} of {places} in {fleet}")
+        log(f"fleet: this is place {member_id} of {size} in {fleet}")
         loop.call_later(self.view.pace, self._tick)
 
     def hear(self, content: bytes, sender: Address) -> bool:
@@ -83,23 +83,30 @@
             self._carry(self.view.hear(self.loop.now(), message, sender))
         return True
 
-    def ring(self, place: int) -> None:
+    def ring(self, member_id: int) -> None:
         """A datagram of the ring came from there."""
-        self.view.ring(self.loop.now(), place)
+        self.view.ring(self.loop.now(), member_id)
 
     def present(self) -> dict[str, list[Any]] | None:
-        """The others that are there, for a later life: by place, their lives and addresses; None while who
-        is there is not known yet.
+        """The others that are there, for the next start: by member id, their boot times and addresses.
+
+        None while who is there is not known yet.
         """
         if self.told is None:
             return None
-        updates = ((place, self.view.updates[place]) for place in self.view.filled - {self.view.own})
-        return {str(place): [update.life, *(update.address or ("", 0))] for place, update in updates}
+        updates = (
+            (member_id, self.view.updates[member_id]) for member_id in self.view.filled - {self.view.own_id}
+        )
+        return {
+            str(member_id): [update.boot_time_ms, *(update.address or ("", 0))]
+            for member_id, update in updates
+        }
 
     def remember(self, members: dict[str, list[Any]]) -> None:
-        """What an earlier life kept of it."""
+        """What the process before kept of it."""
         known = {
-            int(n): (int(life), (host, port) if host else None) for n, (life, host, port) in members.items()
+            int(n): (int(boot_time_ms), (host, port) if host else None)
+            for n, (boot_time_ms, host, port) in members.items()
         }
         self.view.remember(known)
         if known:
@@ -138,10 +145,10 @@
         for change in self.view.changes:
             count = len(self.view.filled)
             became = f"{change.before} -> {change.after} ({change.why})"
-            self.log(f"fleet: place {change.place}: {became}, {count} present")
-            update = self.view.updates.get(change.place)
+            self.log(f"fleet: place {change.member_id}: {became}, {count} present")
+            update = self.view.updates.get(change.member_id)
             if self.addresses and update is not None and update.address is not None:
-                self.parts.filled(change.place, update.address)
+                self.parts.filled(change.member_id, update.address)
         self.view.changes.clear()
         turn = (self.view.turn, self.view.unheard)
         if self.view.waiting:
--- a/standflow/fleet/messages.py
+++ b/standflow/fleet/messages.py
@@ -14,19 +14,19 @@
 
 MAGIC = b"\xf1\xee"
 MAX_DATAGRAM_BYTES = 256  # bytes of a datagram
-MOST_COUNT = 0xFFFF
-MOST_LIFE = (1 << 48) - 1
+MAX_INCARNATION = 0xFFFF
+MAX_BOOT_TIME_MS = (1 << 48) - 1
 
 _TAG = 6  # bytes
-_HEAD = struct.Struct(">BH6sHIIHH")  # kind, place, life, count, serial, digest, about, cursor
-_UPDATE = struct.Struct(">H6sHB")  # place, life, count, state
+_HEAD = struct.Struct(">BH6sHIIHH")  # kind, member id, boot time, incarnation, serial, digest, about, cursor
+_UPDATE = struct.Struct(">H6sHB")  # member id, boot time, incarnation, state
 _ADDRESS = struct.Struct(">4sH")
 
 Address = tuple[str, int]
 
 
 class State(IntEnum):
-    """What a member is held for; of two updates on one life and count the higher one holds."""
+    """What a member is held for; of two updates on one version the higher one holds."""
 
     PRESENT = 0
     SUSPECTED = 1
@@ -46,29 +46,29 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class Update:
-    """One member as somebody holds it. Compared by life, count and state, among updates on one place."""
+    """One member as somebody holds it; the greater by boot time, incarnation and state wins."""
 
-    place: int
-    life: int  # Unix time in ms of its start, or one above a life before it
-    count: int  # of refutations in that life
+    member_id: int
+    boot_time_ms: int  # Unix time of its start, or one above that of the process before it
+    incarnation: int  # raised by each refutation since that start
     state: State
-    address: Address | None = None  # where the place is not of the settings' list
+    address: Address | None = None  # where it is not in the settings' list
 
     @property
-    def mark(self) -> tuple[int, int]:
-        """Life and count: what a refutation must exceed."""
-        return self.life, self.count
+    def version(self) -> tuple[int, int]:
+        """Boot time and incarnation: what a refutation must exceed."""
+        return self.boot_time_ms, self.incarnation
 
 
 @dataclass(slots=True, frozen=True)
 class Message:
-    """A datagram. `place`, `life` and `count` are the sender's; `about` the place that it vouches for or asks
-    for; `cursor` the place from which on updates are wanted."""
+    """A datagram. `member_id`, `boot_time_ms` and `incarnation` are the sender's; `about` the member that it
+    vouches for or asks for; `cursor` the member id from which on updates are wanted."""
 
     kind: Kind
-    place: int
-    life: int
-    count: int
+    member_id: int
+    boot_time_ms: int
+    incarnation: int
     serial: int
     digest: int
     about: int
@@ -92,14 +92,16 @@
 
 def packed(update: Update) -> bytes:
     """An update without its address."""
-    return _UPDATE.pack(update.place, update.life.to_bytes(6), update.count, update.state)
+    return _UPDATE.pack(update.member_id, update.boot_time_ms.to_bytes(6), update.incarnation, update.state)
 
 
 def encode(message: Message, key: bytes, addresses: bool) -> bytes:
     """The datagram."""
     m = message
-    life = m.life.to_bytes(6)
-    parts = [_HEAD.pack(m.kind, m.place, life, m.count, m.serial, m.digest, m.about, m.cursor)]
+    boot_time_ms = m.boot_time_ms.to_bytes(6)
+    parts = [
+        _HEAD.pack(m.kind, m.member_id, boot_time_ms, m.incarnation, m.serial, m.digest, m.about, m.cursor)
+    ]
     parts.append(bytes([addresses]))
     for update in m.updates:
         parts.append(packed(update))
@@ -116,7 +118,7 @@
     tag = content[len(MAGIC) : len(MAGIC) + _TAG]
     if len(body) <= _HEAD.size or tag != blake2b(body, digest_size=_TAG, key=key).digest():
         return None
-    kind, place, life, count, serial, digest, about, cursor = _HEAD.unpack_from(body)
+    kind, member_id, boot_time_ms, incarnation, serial, digest, about, cursor = _HEAD.unpack_from(body)
     with_addresses, rest = body[_HEAD.size], body[_HEAD.size + 1 :]
     each = _UPDATE.size + (_ADDRESS.size if with_addresses else 0)
     if kind >= len(_KINDS) or len(rest) % each:
@@ -132,5 +134,13 @@
             address = (socket.inet_ntoa(host), port) if port else None
         updates.append(Update(of, int.from_bytes(began), refuted, _STATES[state], address))
     return Message(
-        _KINDS[kind], place, int.from_bytes(life), count, serial, digest, about, cursor, tuple(updates)
+        _KINDS[kind],
+        member_id,
+        int.from_bytes(boot_time_ms),
+        incarnation,
+        serial,
+        digest,
+        about,
+        cursor,
+        tuple(updates),
     )
--- a/standflow/fleet/view.py
+++ b/standflow/fleet/view.py
@@ -1,6 +1,6 @@
 """Who is there: the decisions of one member. No I/O; `now` is any clock in seconds that never goes back.
 
-SWIM over places: a probe that fails directly and by way of others makes a suspicion; one that is not refuted
+SWIM over member ids: a probe that fails directly and by way of others makes a suspicion; one not refuted
 in time makes its member gone. Updates spread on whatever is sent anyway. See docs/design/fleet.md.
 """
 
@@ -13,7 +13,16 @@
 from heapq import nlargest
 from zlib import crc32
 
-from standflow.fleet.messages import MOST_COUNT, MOST_LIFE, Address, Kind, Message, State, Update, packed
+from standflow.fleet.messages import (
+    MAX_BOOT_TIME_MS,
+    MAX_INCARNATION,
+    Address,
+    Kind,
+    Message,
+    State,
+    Update,
+    packed,
+)
 
 TICK = 0.1  # seconds between calls of `tick`
 CALM = 0.3  # the same while nothing is under way
@@ -26,7 +35,7 @@
 REACH = 1.0  # seconds between calls to whom nobody holds for present
 JOINING = 0.25  # the same while nobody is known
 FAREWELLS = 12  # others that are told of an orderly end
-GREETED = 4  # places before ours that are called first: they have to tell us what the ring knows
+GREETED = 4  # member ids before ours that are called first: they have to tell us what the ring knows
 NEWS = 0.3  # seconds between datagrams that carry news alone
 UNLIKE = 0.4  # seconds in which nobody holds the same, before tables are walked through: news are quicker
 SYNC = 0.25  # seconds between steps of the walk through another's table
@@ -47,14 +56,14 @@
 MANY = 0.25  # of the fleet gone at once: those may hold us for gone as well
 ASSUMED = 0.8  # seconds that those of an earlier life's view have to be heard, before they count as missing
 BUMP = 3.0  # seconds between two counts raised for that
-CLASH = 30.0  # seconds within which a second claim to our place is another process
+CLASH = 30.0  # seconds within which a second claim to our member id is another process
 NO_CURSOR = 0xFFFF
 HERE = (State.PRESENT, State.SUSPECTED)
 
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """A datagram to a place, or to an address where the place is not known yet."""
+    """A datagram to a member, or to an address where its id is not known yet."""
 
     to: int | Address
     message: Message
@@ -64,7 +73,7 @@
 class Change:
     """One line of the log: what a member was held for, and is now."""
 
-    place: int
+    member_id: int
     before: str
     after: str
     why: str
@@ -85,10 +94,10 @@
 class Probe:
     """A call that waits for its answer. `relayed`: others were asked; `asker`: for whom it is made."""
 
-    place: int
+    member_id: int
     at: float
     relayed: bool = False
-    asker: tuple[int, int] | None = None  # place and serial
+    asker: tuple[int, int] | None = None  # member id and serial
 
 
 @dataclass(slots=True)
@@ -122,30 +131,32 @@
 class View:
     """One member's table of the fleet. `updates_per_datagram`: how many one holds."""
 
-    own: int
-    size: int  # places
-    life: int
+    own_id: int
+    size: int  # member ids
+    boot_time_ms: int
     now: float
     updates_per_datagram: int
     chance: random.Random
-    listed: bool = True  # every place can be called; else those whose address is known
+    listed: bool = True  # every member can be called; else those whose address is known
     address: Address | None = None
     seeds: tuple[Address, ...] = ()
-    count: int = 0
+    incarnation: int = 0
     updates: dict[int, Update] = field(default_factory=dict)
     digest: int = 0
     heard: dict[int, float] = field(default_factory=dict)  # directly
     last_heard: float = 0.0  # anybody
-    filled: set[int] = field(default_factory=set)  # places held for present or suspected
-    lost: set[int] = field(default_factory=set)  # places held for gone
+    filled: set[int] = field(default_factory=set)  # held for present or suspected
+    lost: set[int] = field(default_factory=set)  # held for gone
     others: list[int] = field(default_factory=list)  # the filled ones but ours, and the known ones, in order;
-    places: list[int] = field(default_factory=list)  # both made anew when they are asked for after a change
+    member_ids: list[int] = field(
+        default_factory=list
+    )  # both made anew when they are asked for after a change
     deadlines: dict[int, float] = field(default_factory=dict)  # of those suspected
     reminded: dict[int, float] = field(default_factory=dict)  # suspected by us, when they were told last
     rung: dict[int, float] = field(default_factory=dict)  # heard on the ring though gone, and called
     suspected: dict[int, float] = field(default_factory=dict)  # since when
     gone: dict[int, float] = field(default_factory=dict)  # since when
-    news: dict[int, int] = field(default_factory=dict)  # places to be told of, and how often still
+    news: dict[int, int] = field(default_factory=dict)  # members to be told of, and how often still
     probes: dict[int, Probe] = field(default_factory=dict)  # by serial
     order: list[int] = field(default_factory=list)  # to be probed next, from its end
     changes: list[Change] = field(default_factory=list)  # taken out by whoever logs them
@@ -153,7 +164,7 @@
     due: float = 0.0  # the next tick
     born: float = 0.0
     left: bool = False
-    yielded: bool = False  # another process holds the place
+    yielded: bool = False  # another process holds our member id
     serial: int = 0
     cursor: int = 0
     greeted: int = 0
@@ -187,12 +198,12 @@
         self.changed = self.answered = self.born = self.due = self.last_heard = self.now
         self.next_probe = self.now + PERIOD * self.chance.random()
         self.among = set(range(self.size))
-        self._hold(Update(self.own, self.life, self.count, State.PRESENT, self.address))
+        self._hold(Update(self.own_id, self.boot_time_ms, self.incarnation, State.PRESENT, self.address))
 
     # What is read of it.
 
     def here(self) -> set[int]:
-        """The places held for filled, this one among them."""
+        """The members held for present or suspected, this one among them."""
         return set(self.filled)
 
     def missing(self) -> set[int]:
@@ -222,7 +233,7 @@
 
     def major(self) -> bool:
         """True for the side of a cut that may take over: more than half of those that count, or just half
-        with the lowest place among them. No two sides of one fleet can both be.
+        with the lowest member id among them. No two sides of one fleet can both be.
         """
         here, missing = self.filled - self.deaf, self.lost | (self.deaf & self.filled)
         ours, both = len(here), len(here) + len(missing)
@@ -234,7 +245,7 @@
         self.returned = set()
         counted = self.filled | self.lost
         if self.yielded or (self.unheard and len(counted) > 1):
-            return Seen(frozenset({self.own}), frozenset(counted - {self.own}), False, among, returned)
+            return Seen(frozenset({self.own_id}), frozenset(counted - {self.own_id}), False, among, returned)
         here = frozenset(self.filled - self.deaf)
         return Seen(here, frozenset(counted - here), self.major(), among, returned)
 
@@ -242,11 +253,15 @@
         """Whom an earlier life of this member held for present last, with their lives: whom to ask, and who
         is missing until heard. An update on them is older than any of their own.
         """
-        for place, (life, address) in members.items():
-            if place not in self.updates and place < self.size and 0 < life <= MOST_LIFE:
-                self._hold(Update(place, life - 1, 0, State.GONE, address))
-                self.gone[place] = self.now
-                self.remembered.add(place)
+        for member_id, (boot_time_ms, address) in members.items():
+            if (
+                member_id not in self.updates
+                and member_id < self.size
+                and 0 < boot_time_ms <= MAX_BOOT_TIME_MS
+            ):
+                self._hold(Update(member_id, boot_time_ms - 1, 0, State.GONE, address))
+                self.gone[member_id] = self.now
+                self.remembered.add(member_id)
 
     # Events. Each returns what is to be sent.
 
@@ -276,7 +291,7 @@
                 self._send(to, Kind.GOSSIP)
         if self.greeted < min(GREETED, self.size - 1) and self.listed:
             self.greeted += 1
-            self._call((self.own - self.greeted) % self.size)
+            self._call((self.own_id - self.greeted) % self.size)
         if now >= self.next_reach:
             self.next_reach = now + (REACH if self.joined else JOINING) * self.chance.uniform(0.8, 1.2)
             self._reach_out()
@@ -292,62 +307,70 @@
         """A sound datagram of this fleet."""
         self.now = max(self.now, now)
         m = message
-        if m.place >= self.size or self.left or not self.takes.take(self.now):
+        if m.member_id >= self.size or self.left or not self.takes.take(self.now):
             self.counts.dropped += 1
             return []
         self.counts.taken += 1
-        if m.place == self.own:
-            if m.life != self.life:
-                self._claim(m.life, f"{sender[0]}:{sender[1]}")
+        if m.member_id == self.own_id:
+            if m.boot_time_ms != self.boot_time_ms:
+                self._claim(m.boot_time_ms, f"{sender[0]}:{sender[1]}")
             return self._taken()
-        known = self.updates.get(m.place)
-        if known is not None and (m.life, m.count) < known.mark:
-            self.counts.dropped += 1  # an older life of it, or an old datagram
+        known = self.updates.get(m.member_id)
+        if known is not None and (m.boot_time_ms, m.incarnation) < known.version:
+            self.counts.dropped += 1  # of a process before, or an old datagram
             return []
-        self.heard[m.place] = self.last_heard = now
+        self.heard[m.member_id] = self.last_heard = now
         address = None if self.listed else sender
-        self._merge(Update(m.place, m.life, m.count, State.PRESENT, address), "heard")
+        self._merge(Update(m.member_id, m.boot_time_ms, m.incarnation, State.PRESENT, address), "heard")
         held = next(
-            (update for update in m.updates if update.place == self.own and update.life == self.life), None
+            (
+                update
+                for update in m.updates
+                if update.member_id == self.own_id and update.boot_time_ms == self.boot_time_ms
+            ),
+            None,
         )
-        if held is not None and held.state >= State.GONE and held.count < self.count:
-            if now - self.refuted > UNHEARD and m.place not in self.deaf:
-                self.deaf.add(m.place)
+        if held is not None and held.state >= State.GONE and held.incarnation < self.incarnation:
+            if now - self.refuted > UNHEARD and m.member_id not in self.deaf:
+                self.deaf.add(m.member_id)
                 self.turn += 1
-        elif m.place in self.deaf:
-            self.deaf.discard(m.place)
+        elif m.member_id in self.deaf:
+            self.deaf.discard(m.member_id)
             self.turn += 1
         for update in m.updates:
-            if update.place < self.size and self.updates.get(update.place) != update:
-                self._merge(update, f"told by {m.place}")
+            if update.member_id < self.size and self.updates.get(update.member_id) != update:
+                self._merge(update, f"told by {m.member_id}")
         if m.digest == self.digest:
             self.unlike_since = math.inf
         else:
-            self.unlike, self.unlike_since = m.place, min(now, self.unlike_since)
+            self.unlike, self.unlike_since = m.member_id, min(now, self.unlike_since)
         if m.kind is Kind.PING:
             if self.answers.take(now):
-                self._send(m.place, Kind.ACK, serial=m.serial, cursor=m.cursor)
+                self._send(m.member_id, Kind.ACK, serial=m.serial, cursor=m.cursor)
         elif m.kind is Kind.ACK:
             self._answered(m)
         elif m.kind is Kind.INDIRECT_PING and m.about in self.updates and self.answers.take(now):
-            self._call(m.about, asker=(m.place, m.serial), free=True)
+            self._call(m.about, asker=(m.member_id, m.serial), free=True)
         return self._taken()
 
-    def ring(self, now: float, place: int) -> None:
-        """A datagram of the ring came from a place: a sign of life of whoever fills it."""
-        if place in self.updates:
-            self.heard[place] = self.last_heard = now
-            if self.updates[place].state not in HERE and now - self.rung.get(place, -math.inf) > REACH:
-                self.rung[place] = now
-                self._call(place)  # it hears what it is held for, and says otherwise
+    def ring(self, now: float, member_id: int) -> None:
+        """A datagram of the ring came from a member: a sign of life."""
+        if member_id in self.updates:
+            self.heard[member_id] = self.last_heard = now
+            if (
+                self.updates[member_id].state not in HERE
+                and now - self.rung.get(member_id, -math.inf) > REACH
+            ):
+                self.rung[member_id] = now
+                self._call(member_id)  # it hears what it is held for, and says otherwise
 
     def leave(self) -> list[Send]:
         """This member ends in order: some are told, and they tell the others."""
         if not self.left and not self.yielded:
-            self._hold(Update(self.own, self.life, self.count, State.LEFT, self.address))
-            self.news = {self.own: 99}
-            for place in self._some(FAREWELLS):
-                self._send(place, Kind.GOSSIP)
+            self._hold(Update(self.own_id, self.boot_time_ms, self.incarnation, State.LEFT, self.address))
+            self.news = {self.own_id: 99}
+            for member_id in self._some(FAREWELLS):
+                self._send(member_id, Kind.GOSSIP)
             self.left = True
         return self._taken()
 
@@ -364,8 +387,8 @@
     def _doubt(self, late: float) -> None:
         """What was missed while this process stood still is no silence of the others."""
         for times in (self.heard, self.deadlines, self.suspected, self.gone):
-            for place in times:
-                times[place] += late
+            for member_id in times:
+                times[member_id] += late
         for probe in self.probes.values():
             probe.at += late
         self.answered += late
@@ -381,69 +404,75 @@
                     del self.probes[serial]
             elif probe.relayed and waited > (DIRECT + INDIRECT) * patience:
                 del self.probes[serial]
-                update = self.updates.get(probe.place)
-                silent = self.heard.get(probe.place, -math.inf) < probe.at
+                update = self.updates.get(probe.member_id)
+                silent = self.heard.get(probe.member_id, -math.inf) < probe.at
                 if silent and update is not None and update.state is State.PRESENT:
                     self._merge(replace(update, state=State.SUSPECTED), "no answer")
                     self.next_probe = self.now  # where one is silent, others may be
-                    self.reminded[probe.place] = self.now
+                    self.reminded[probe.member_id] = self.now
             elif waited > DIRECT * patience and not probe.relayed:
-                update = self.updates.get(probe.place)
-                others = [place for place in self._some(RELAYS + 1) if place != probe.place][:RELAYS]
+                update = self.updates.get(probe.member_id)
+                others = [member_id for member_id in self._some(RELAYS + 1) if member_id != probe.member_id][
+                    :RELAYS
+                ]
                 if update is None or update.state is not State.PRESENT or not others:
                     probe.relayed = True
                 elif self.sends.take(self.now, len(others)):
                     probe.relayed, probe.at = True, self.now - DIRECT * patience
-                    for place in others:
-                        self._send(place, Kind.INDIRECT_PING, serial=serial, about=probe.place)
+                    for member_id in others:
+                        self._send(member_id, Kind.INDIRECT_PING, serial=serial, about=probe.member_id)
 
     def _follow_suspicions(self) -> None:
-        for place, deadline in list(self.deadlines.items()):
-            update = self.updates[place]
+        for member_id, deadline in list(self.deadlines.items()):
+            update = self.updates[member_id]
             if self.now >= deadline:
-                if self.heard.get(place, -math.inf) > self.suspected[place]:
-                    self.suspected[place] = self.now  # heard since: it only has to say so itself
-                    self.deadlines[place] = self.now + self.suspicion_time()
-                elif place not in self.reminded:
+                if self.heard.get(member_id, -math.inf) > self.suspected[member_id]:
+                    self.suspected[member_id] = self.now  # heard since: it only has to say so itself
+                    self.deadlines[member_id] = self.now + self.suspicion_time()
+                elif member_id not in self.reminded:
                     # we only heard of it: it is asked by us too, as soon as there is room for that
-                    if self._call(place) or self.now >= deadline + PUT_OFF:
-                        self.reminded[place] = self.now
-                        self.deadlines[place] = self.now + LAST_ASK
+                    if self._call(member_id) or self.now >= deadline + PUT_OFF:
+                        self.reminded[member_id] = self.now
+                        self.deadlines[member_id] = self.now + LAST_ASK
                 else:
                     self._merge(replace(update, state=State.GONE), "silent")
-            elif self.now - self.reminded.get(place, math.inf) > REMIND and self._call(place):
-                self.reminded[place] = self.now  # by whom it was not answered
+            elif self.now - self.reminded.get(member_id, math.inf) > REMIND and self._call(member_id):
+                self.reminded[member_id] = self.now  # by whom it was not answered
 
     def _probe_next(self) -> None:
         for _ in range(len(self.updates) + 1):
             if not self.order:
-                self.order = [place for place in self.updates if place != self.own]
+                self.order = [member_id for member_id in self.updates if member_id != self.own_id]
                 self.chance.shuffle(self.order)
                 if not self.order:
                     return
-            place = self.order.pop()
-            update = self.updates.get(place)
-            stale = self.now - self.heard.get(place, -math.inf) > FRESH
+            member_id = self.order.pop()
+            update = self.updates.get(member_id)
+            stale = self.now - self.heard.get(member_id, -math.inf) > FRESH
             if update is not None and update.state is State.PRESENT and stale:
-                self._call(place)
+                self._call(member_id)
                 return
 
     def _ask_idle(self) -> None:
         """Tables are compared, and we learn whether we are heard."""
-        fresh = [place for place in self._some(5) if self.now - self.heard.get(place, -math.inf) < FRESH]
+        fresh = [
+            member_id
+            for member_id in self._some(5)
+            if self.now - self.heard.get(member_id, -math.inf) < FRESH
+        ]
         if fresh:
             self.next_idle = self.now + AGAIN
             self.called += 1
             self._call(fresh[0])
 
     def _reach_out(self) -> None:
-        """Calls one that nobody holds for present: a place never filled, a gone member, a seed."""
+        """Calls one that nobody holds for present: a member never seen, a gone one, a seed."""
         if self.listed:
             filled = (*HERE, State.LEFT)
             absent = [
-                place
-                for place in range(self.size)
-                if place not in self.updates or self.updates[place].state not in filled
+                member_id
+                for member_id in range(self.size)
+                if member_id not in self.updates or self.updates[member_id].state not in filled
             ]
         else:
             absent = [
@@ -460,7 +489,7 @@
     def _call(
         self, to: int, cursor: int = NO_CURSOR, asker: tuple[int, int] | None = None, free: bool = False
     ) -> bool:
-        """Asks a place for a sign of life; false where there is no room for it now. `free`: paid for by
+        """Asks a member for a sign of life; false where there is no room for it now. `free`: paid for by
         whoever asked for it.
         """
         if not free and not self.sends.take(self.now):
@@ -473,129 +502,138 @@
 
     def _answered(self, message: Message) -> None:
         probe = self.probes.get(message.serial)
-        if probe is None or probe.place != message.about:
+        if probe is None or probe.member_id != message.about:
             return
         del self.probes[message.serial]
         if message.cursor != NO_CURSOR:
             self.cursor = message.cursor
         if probe.asker is not None:
-            self._send(probe.asker[0], Kind.ACK, serial=probe.asker[1], about=probe.place)
+            self._send(probe.asker[0], Kind.ACK, serial=probe.asker[1], about=probe.member_id)
             return
         self.answered, self.called = self.now, 0
 
     def _some(self, most: int) -> list[int]:
         """Some of the others that are there, by chance."""
         if not self.others:
-            self.others = sorted(self.filled - {self.own})
+            self.others = sorted(self.filled - {self.own_id})
         return self.chance.sample(self.others, min(most, len(self.others)))
 
     # Updates.
 
     def _merge(self, update: Update, why: str) -> None:
         """Takes an update in where it is newer than the one held."""
-        if update.place == self.own:
+        if update.member_id == self.own_id:
             self._of_us(update, why)
             return
-        known = self.updates.get(update.place)
-        newer = known is None or (update.mark, update.state) > (known.mark, known.state)
-        if not newer or update.life > MOST_LIFE or update.count > MOST_COUNT:
+        known = self.updates.get(update.member_id)
+        newer = known is None or (update.version, update.state) > (known.version, known.state)
+        if not newer or update.boot_time_ms > MAX_BOOT_TIME_MS or update.incarnation > MAX_INCARNATION:
             return
         if update.address is None and known is not None:
             update = replace(update, address=known.address)
         self._hold(update)
         before = "unknown" if known is None else known.state.name.lower()
         after = update.state.name.lower()
-        if known is not None and update.life > known.life and update.state in HERE:
+        if known is not None and update.boot_time_ms > known.boot_time_ms and update.state in HERE:
             after += " in a new life"
         if after != before:
-            self.changes.append(Change(update.place, before, after, why))
-        place, was_here = update.place, known is not None and known.state in HERE
-        self.remembered.discard(place)
-        if update.state in HERE and (not was_here or (known is not None and update.life > known.life)):
-            self.returned.add(place)
+            self.changes.append(Change(update.member_id, before, after, why))
+        member_id, was_here = update.member_id, known is not None and known.state in HERE
+        self.remembered.discard(member_id)
+        if update.state in HERE and (
+            not was_here or (known is not None and update.boot_time_ms > known.boot_time_ms)
+        ):
+            self.returned.add(member_id)
             self.turn += 1
         if (update.state in HERE) != was_here or update.state is State.BURIED:
             self.changed = self.now
-        if update.state in HERE and place not in self.among:
-            self.among.add(place)
+        if update.state in HERE and member_id not in self.among:
+            self.among.add(member_id)
             self.turn += 1
         for times in (self.deadlines, self.suspected, self.gone):
-            times.pop(place, None)
+            times.pop(member_id, None)
         if update.state is not State.SUSPECTED:
-            self.reminded.pop(place, None)
+            self.reminded.pop(member_id, None)
         if update.state is State.SUSPECTED:
-            self.suspected[place] = self.now
+            self.suspected[member_id] = self.now
             # Whoever only heard of it asks as well, in the end: all at one moment, and it can't answer them.
             late = self.chance.uniform(1.0, SPREAD) if why != "no answer" else 1.0
-            self.deadlines[place] = self.now + late * self.suspicion_time()
+            self.deadlines[member_id] = self.now + late * self.suspicion_time()
         elif update.state is State.GONE:
-            self.gone[place] = self.now
+            self.gone[member_id] = self.now
             self._raise()
 
     def _hold(self, update: Update) -> None:
         """Puts an update into the table, and among the news."""
-        known = self.updates.get(update.place)
+        known = self.updates.get(update.member_id)
         if known is not None:
             self.digest ^= _mark(known)
         else:
-            self.places = []
-        self.updates[update.place] = update
+            self.member_ids = []
+        self.updates[update.member_id] = update
         self.digest ^= _mark(update)
-        for places, held in ((self.filled, update.state in HERE), (self.lost, update.state is State.GONE)):
-            if held != (update.place in places):
-                (places.add if held else places.discard)(update.place)
+        for member_ids, held in (
+            (self.filled, update.state in HERE),
+            (self.lost, update.state is State.GONE),
+        ):
+            if held != (update.member_id in member_ids):
+                (member_ids.add if held else member_ids.discard)(update.member_id)
                 self.others = []
                 self.turn += 1
-        self.news[update.place] = 3 * max(1, math.ceil(math.log10(len(self.updates) + 1)))
+        self.news[update.member_id] = 3 * max(1, math.ceil(math.log10(len(self.updates) + 1)))
 
     def _of_us(self, update: Update, why: str) -> None:
-        """Somebody holds something of this place: what is untrue is refuted, by a higher count."""
-        if update.life > self.life:
-            self._claim(update.life, why)
-        elif update.life == self.life and update.count >= self.count and update.state is not State.PRESENT:
-            self.changes.append(Change(self.own, update.state.name.lower(), "present", f"refuted, {why}"))
-            self._again(update.count + 1)
-        elif update.life == self.life and update.count > self.count:
-            self._again(update.count)  # said before a process of this ingress took over
-
-    def _again(self, count: int) -> None:
+        """Somebody holds something of us: what is untrue is refuted, by a higher incarnation."""
+        if update.boot_time_ms > self.boot_time_ms:
+            self._claim(update.boot_time_ms, why)
+        elif (
+            update.boot_time_ms == self.boot_time_ms
+            and update.incarnation >= self.incarnation
+            and update.state is not State.PRESENT
+        ):
+            self.changes.append(Change(self.own_id, update.state.name.lower(), "present", f"refuted, {why}"))
+            self._again(update.incarnation + 1)
+        elif update.boot_time_ms == self.boot_time_ms and update.incarnation > self.incarnation:
+            self._again(update.incarnation)  # said before a process of this ingress took over
+
+    def _again(self, incarnation: int) -> None:
         if self.now - self.refuted > UNHEARD:
             self.refuted = self.now
-        if count > MOST_COUNT:
-            self.life, count = self.life + 1, 0
-        self.count = count
-        self._hold(Update(self.own, self.life, self.count, State.PRESENT, self.address))
+        if incarnation > MAX_INCARNATION:
+            self.boot_time_ms, incarnation = self.boot_time_ms + 1, 0
+        self.incarnation = incarnation
+        self._hold(Update(self.own_id, self.boot_time_ms, self.incarnation, State.PRESENT, self.address))
 
     def _raise(self) -> None:
         """Many are gone at once: they may hold us for gone, and the join would wait for our refutation."""
         missing, here = len(self.lost), len(self.filled)
         if missing >= MANY * (missing + here) and self.now - self.bumped > BUMP:
             self.bumped = self.now
-            self._again(self.count + 1)
+            self._again(self.incarnation + 1)
 
-    def _claim(self, life: int, why: str) -> None:
-        """A later life than ours says that it fills our place: one of ours before, its clock ahead, or
-        another process. The first is passed by; whoever meets a second claim gives the place up.
+    def _claim(self, boot_time_ms: int, why: str) -> None:
+        """A process with a later boot time claims our member id: one of ours before, its clock ahead, or
+        another. The first is passed by; whoever meets a second claim gives the member id up.
         """
-        if life <= self.life or self.yielded or life >= MOST_LIFE:
+        if boot_time_ms <= self.boot_time_ms or self.yielded or boot_time_ms >= MAX_BOOT_TIME_MS:
             return
         if self.now - self.claimed < CLASH:
             self.yielded, self.turn = True, self.turn + 1
             text = "another process fills this place; this one is silent and keeps to its part of a cut"
         else:
             text = "a life of it said to be later than this one: its clock was ahead, or two have one number"
-            self.life = life + 1
+            self.boot_time_ms = boot_time_ms + 1
             self._again(0)
         self.claimed = self.now
-        self.changes.append(Change(self.own, "present", text, why))
+        self.changes.append(Change(self.own_id, "present", text, why))
 
     def _bury(self) -> None:
         if not self.gone or self.unheard:
             return
         major = self.major()
-        for place, since in list(self.gone.items()):
-            if self.now - since > BURY and (major or place in self.remembered):
-                self._merge(replace(self.updates[place], state=State.BURIED), "gone for long")
+        for member_id, since in list(self.gone.items()):
+            if self.now - since > BURY and (major or member_id in self.remembered):
+                self._merge(replace(self.updates[member_id], state=State.BURIED), "gone for long")
 
     # Sending.
 
@@ -614,12 +652,12 @@
         updates, following = self._choose(to, cursor)
         message = Message(
             kind,
-            self.own,
-            self.life,
-            self.count,
+            self.own_id,
+            self.boot_time_ms,
+            self.incarnation,
             serial,
             self.digest,
-            self.own if about is None else about,
+            self.own_id if about is None else about,
             following if kind is Kind.ACK else cursor,
             updates,
         )
@@ -634,20 +672,20 @@
         if isinstance(to, int) and to in self.updates and self.updates[to].state is not State.PRESENT:
             chosen[to] = self.updates[to]
         most = self.updates_per_datagram if cursor == NO_CURSOR else self.updates_per_datagram // 4
-        for place in nlargest(most - len(chosen), self.news, key=self.news.__getitem__):
-            chosen[place] = self.updates[place]
-            self.news[place] -= 1
-            if not self.news[place]:
-                del self.news[place]
+        for member_id in nlargest(most - len(chosen), self.news, key=self.news.__getitem__):
+            chosen[member_id] = self.updates[member_id]
+            self.news[member_id] -= 1
+            if not self.news[member_id]:
+                del self.news[member_id]
         following = cursor
         if cursor != NO_CURSOR:
             following = 0
-            self.places = self.places or sorted(self.updates)
-            for place in self.places[bisect_left(self.places, cursor) :]:
+            self.member_ids = self.member_ids or sorted(self.updates)
+            for member_id in self.member_ids[bisect_left(self.member_ids, cursor) :]:
                 if len(chosen) >= self.updates_per_datagram:
-                    following = place
+                    following = member_id
                     break
-                chosen[place] = self.updates[place]
+                chosen[member_id] = self.updates[member_id]
         return tuple(chosen.values()), following
 
     def _taken(self) -> list[Send]:
@@ -658,4 +696,4 @@
 def _mark(update: Update) -> int:
     """An update's part of the digest; a suspicion passes by and is left out."""
     state = State.PRESENT if update.state is State.SUSPECTED else update.state
-    return crc32(packed(Update(update.place, update.life, update.count, state)))
+    return crc32(packed(Update(update.member_id, update.boot_time_ms, update.incarnation, state)))
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -90,7 +90,7 @@
             use = [Record("use", row[0], row[1:], "boot", self.now) for row in rows]
             view = self.members.live[number]
             lives: dict[int, tuple[int, Address | None]] = {
-                place: (view.updates[place].life, None) for place in view.here() - {number}
+                place: (view.updates[place].boot_time_ms, None) for place in view.here() - {number}
             }
             kept[number] = use, lives
         self.kill(*list(self.live))
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -36,7 +36,7 @@
 
 def cut(members: Members, *sides: set[int]) -> None:
     """Only members of one side reach each other."""
-    of = {place: number for number, side in enumerate(sides) for place in side}
+    of = {member_id: number for number, side in enumerate(sides) for member_id in side}
     members.blocked = lambda sender, to: of[sender] != of[to]
 
 
@@ -61,8 +61,8 @@
     assert not any(view.major() for view in members.live.values())
     members.run(BURY + 3.0)
     assert not any(view.major() for view in members.live.values())  # a minority buries nobody
-    for place in range(3, 10):
-        members.start(place)
+    for member_id in range(3, 10):
+        members.start(member_id)
     assert members.until(members.agree, 5.0) < 5.0
     assert all(view.major() for view in members.live.values())
 
@@ -72,9 +72,9 @@
     members = settled(6, loss=loss)
     cut(members, {0, 2, 4}, {1, 3, 5})
     sides = {0: {0, 2, 4}, 1: {1, 3, 5}}
-    apart = lambda: all(view.here() == sides[place % 2] for place, view in members.live.items())  # noqa: E731
+    apart = lambda: all(view.here() == sides[member_id % 2] for member_id, view in members.live.items())  # noqa: E731
     assert members.until(apart, 10.0) < 10.0
-    assert {place for place, view in members.live.items() if view.major()} == {0, 2, 4}
+    assert {member_id for member_id, view in members.live.items() if view.major()} == {0, 2, 4}
     whole(members)
     assert members.until(members.agree, 5.0) < 5.0
 
@@ -93,14 +93,16 @@
 def test_a_member_back_within_the_suspicions_time_and_after_it_is_told_from_its_former_life() -> None:
     members = settled(5)
     for wait in (0.3, 6.0):
-        before = members.live[2].life
+        before = members.live[2].boot_time_ms
         members.kill(2)
         members.run(wait)
         members.start(2)
         assert members.until(members.agree, 3.0) < 3.0
-        assert {view.updates[2].life for view in members.live.values()} == {members.live[2].life}
-        assert members.live[2].life > before
-        assert all(2 in view.seen().returned for place, view in members.live.items() if place != 2)
+        assert {view.updates[2].boot_time_ms for view in members.live.values()} == {
+            members.live[2].boot_time_ms
+        }
+        assert members.live[2].boot_time_ms > before
+        assert all(2 in view.seen().returned for member_id, view in members.live.items() if member_id != 2)
 
 
 def test_a_clock_put_back_between_two_lives_loses_nothing() -> None:
@@ -134,9 +136,9 @@
     members = settled(6)
     members.blocked = lambda sender, to: sender in (4, 5) and to not in (4, 5)
     members.run(UNHEARD + 8.0)
-    seen = {place: view.seen() for place, view in members.live.items()}
-    assert all(seen[place].present == {0, 1, 2, 3} and seen[place].major for place in range(4))
-    assert not any(seen[place].major for place in (4, 5))
+    seen = {member_id: view.seen() for member_id, view in members.live.items()}
+    assert all(seen[member_id].present == {0, 1, 2, 3} and seen[member_id].major for member_id in range(4))
+    assert not any(seen[member_id].major for member_id in (4, 5))
     whole(members)
     assert members.until(members.agree, 5.0) < 5.0
     assert all(view.seen().major for view in members.live.values())
@@ -169,14 +171,14 @@
 
 def test_who_leaves_is_not_missed_and_three_of_twelve_are_a_fleet_of_three() -> None:
     members = Members(12, 5, start=False)
-    for place in range(3):
-        members.start(place)
+    for member_id in range(3):
+        members.start(member_id)
     assert members.until(members.agree, 5.0) < 5.0
-    for place in range(3, 12):
-        members.start(place)
+    for member_id in range(3, 12):
+        members.start(member_id)
     assert members.until(members.agree, 5.0) < 5.0
-    for place in range(3, 12):
-        members.leave(place)
+    for member_id in range(3, 12):
+        members.leave(member_id)
         members.run(0.5)
     assert members.until(members.agree, 3.0) < 3.0
     assert all(view.major() and not view.missing() for view in members.live.values())
@@ -185,8 +187,8 @@
 def test_the_last_one_to_leave_holds_nobody_for_the_majority() -> None:
     members = settled(3)
     last = members.live[0]
-    for place in (1, 2, 0):
-        members.leave(place)
+    for member_id in (1, 2, 0):
+        members.leave(member_id)
         members.run(0.5)
     assert not last.here()
     assert not last.seen().major
@@ -196,15 +198,17 @@
     members = settled(4)
     first, second = (
         members.live[2],
-        View(2, 4, members.live[2].life + 5000, members.now, 20, random.Random(1)),
+        View(2, 4, members.live[2].boot_time_ms + 5000, members.now, 20, random.Random(1)),
     )
     for _ in range(int(CLASH)):
         for one in (first, second):
             members.live[2] = one
             for other in (0, 1, 3):
-                life = members.live[other].life
+                boot_time_ms = members.live[other].boot_time_ms
                 about = members.live[other].updates[2]
-                said = Message(Kind.PING, other, life, members.live[other].count, 1, 0, 2, 0xFFFF, (about,))
+                said = Message(
+                    Kind.PING, other, boot_time_ms, members.live[other].incarnation, 1, 0, 2, 0xFFFF, (about,)
+                )
                 one.hear(members.now, said, ("127.0.0.1", 1))
             members.run(0.5)
     assert [one.yielded for one in (first, second)].count(True) == 1
@@ -221,7 +225,9 @@
 def test_messages_stay_within_their_budget(loss: float) -> None:
     for size in (3, 20, 60):
         members = settled(size, loss=loss)
-        before = {place: (view.counts.sent, view.counts.taken) for place, view in members.live.items()}
+        before = {
+            member_id: (view.counts.sent, view.counts.taken) for member_id, view in members.live.items()
+        }
         members.run(10.0)
         for way in (0, 1):
             rates = [
@@ -237,8 +243,8 @@
 
 def test_cold_next_hops_are_divided_among_all_places_until_the_view_has_settled() -> None:
     members = Members(5, 1, start=False)
-    for place in range(3):
-        members.start(place)
+    for member_id in range(3):
+        members.start(member_id)
     members.run(2.0)
     assert members.live[0].seen().among == set(range(5))
     members.run(SETTLE + 1.0)
@@ -283,7 +289,8 @@
 
 @how(max_examples=60, deadline=None, derandomize=True)
 @given(
-    st.lists(UPDATES.filter(lambda update: update.place < 4), max_size=30), st.randoms(use_true_random=False)
+    st.lists(UPDATES.filter(lambda update: update.member_id < 4), max_size=30),
+    st.randoms(use_true_random=False),
 )
 def test_updates_in_any_order_leave_the_same_table(updates: list[Update], chance: random.Random) -> None:
     tables = []
@@ -292,12 +299,12 @@
         mixed = updates * (turn + 1)
         chance.shuffle(mixed)
         for update in mixed:
-            held = view.updates.get(update.place)
+            held = view.updates.get(update.member_id)
             view._merge(update, "test")
             if held is not None:  # nothing held comes back by an older update
-                now = view.updates[update.place]
-                assert (now.mark, now.state) >= (held.mark, held.state)
-        tables.append({p: (w.mark, w.state) for p, w in view.updates.items() if p != 5})
+                now = view.updates[update.member_id]
+                assert (now.version, now.state) >= (held.version, held.state)
+        tables.append({p: (w.version, w.state) for p, w in view.updates.items() if p != 5})
     assert tables[0] == tables[1]
 
 
@@ -316,25 +323,25 @@
 ) -> None:
     members = Members(7, seed, loss=0.1)
     members.again = 0.1
-    for what, place in steps:
-        if what == "kill" and place in members.live:
-            members.kill(place)
-        elif what == "start" and place not in members.live:
-            members.start(place)
-        elif what == "leave" and place in members.live:
-            members.leave(place)
+    for what, member_id in steps:
+        if what == "kill" and member_id in members.live:
+            members.kill(member_id)
+        elif what == "start" and member_id not in members.live:
+            members.start(member_id)
+        elif what == "leave" and member_id in members.live:
+            members.leave(member_id)
         elif what == "cut":
-            cut(members, set(range(place + 1)), set(range(place + 1, 7)))
+            cut(members, set(range(member_id + 1)), set(range(member_id + 1, 7)))
         elif what == "heal":
             whole(members)
-        elif what == "hold" and place in members.live:
-            members.hold(place)
+        elif what == "hold" and member_id in members.live:
+            members.hold(member_id)
             members.run(2.0)
-            if place in members.stopped:
-                members.go_on(place)
+            if member_id in members.stopped:
+                members.go_on(member_id)
         elif what == "noise":
             for view in members.live.values():
-                odd = Message(Kind.PING, place, 5, 5, 0, 0, 200, 9, (Update(99, 1, 1, State.GONE),))
+                odd = Message(Kind.PING, member_id, 5, 5, 0, 0, 200, 9, (Update(99, 1, 1, State.GONE),))
                 view.hear(members.now, odd, ("127.0.0.1", 9))
         members.run(1.0)
     whole(members)
