Fleet: present, gone and buried members are alive, dead and removed

Log lines and the figures for operators keep the earlier names (State.log_name, tested), as do the module's event and its fields.

--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -47,7 +47,7 @@
         return view
 
     def kill(self, *member_ids: int) -> None:
-        """They are gone without a word."""
+        """They end without a message."""
         for member_id in member_ids:
             del self.live[member_id]
 
@@ -82,10 +82,10 @@
             self.run(0.1)
         return self.now - began
 
-    def agree(self, present: set[int] | None = None) -> bool:
-        """All live members hold the live, and nobody else, for present."""
-        wanted = set(self.live) if present is None else present
-        return all(view.here() == wanted for view in self.live.values())
+    def agree(self, alive: set[int] | None = None) -> bool:
+        """All live members hold the live, and nobody else, for alive."""
+        wanted = set(self.live) if alive is None else alive
+        return all(view.alive_ids() == wanted for view in self.live.values())
 
     def _after(self, delay: float, call: Callable[[], None]) -> None:
         self.serial += 1
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -172,7 +172,7 @@
 
     def fleet_seen(self, seen: Seen) -> None:
         """FleetSeen."""
-        event = i.FleetSeen(seen.present, seen.missing, seen.major, seen.among, seen.returned)
+        event = i.FleetSeen(seen.alive, seen.missing, seen.major, seen.among, seen.returned)
         self.feed(event)
 
     def heard(self) -> list[float]:
--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -87,7 +87,7 @@
         """A datagram of the ring came from there."""
         self.view.ring(self.loop.now(), member_id)
 
-    def present(self) -> dict[str, list[Any]] | None:
+    def alive_members(self) -> dict[str, list[Any]] | None:
         """The others that are there, for the next start: by member id, their boot times and addresses.
 
         None while who is there is not known yet.
@@ -95,7 +95,7 @@
         if self.told is None:
             return None
         updates = (
-            (member_id, self.view.updates[member_id]) for member_id in self.view.filled - {self.view.own_id}
+            (member_id, self.view.updates[member_id]) for member_id in self.view.alive - {self.view.own_id}
         )
         return {
             str(member_id): [update.boot_time_ms, *(update.address or ("", 0))]
@@ -127,7 +127,7 @@
         suspected = sum(update.state is State.SUSPECTED for update in view.updates.values())
         settled = round((self.loop.now() - view.changed) * 1000)
         dropped = self.spoiled + view.counts.dropped
-        return Figures(len(view.filled), suspected, settled, view.counts.sent, view.counts.taken, dropped)
+        return Figures(len(view.alive), suspected, settled, view.counts.sent, view.counts.taken, dropped)
 
     def _tick(self) -> None:
         if not self.closed:
@@ -143,7 +143,7 @@
             if to is not None:
                 self.parts.send(to, encode(send.message, self.key, self.addresses))
         for change in self.view.changes:
-            count = len(self.view.filled)
+            count = len(self.view.alive)
             became = f"{change.before} -> {change.after} ({change.why})"
             self.log(f"fleet: place {change.member_id}: {became}, {count} present")
             update = self.view.updates.get(change.member_id)
--- a/standflow/fleet/messages.py
+++ b/standflow/fleet/messages.py
@@ -28,12 +28,17 @@
 class State(IntEnum):
     """What a member is held for; of two updates on one version the higher one holds."""
 
-    PRESENT = 0
+    ALIVE = 0
     SUSPECTED = 1
-    GONE = 2  # silent: dead, or cut off
-    BURIED = 3  # gone for so long, for a majority, that it counts no more
+    DEAD = 2  # silent: it crashed, or is cut off
+    REMOVED = 3  # dead for so long, for a majority, that it counts no more
     LEFT = 4  # it said so itself
 
+    @property
+    def log_name(self) -> str:
+        """What log lines call it."""
+        return _LOG_NAMES[self]
+
 
 class Kind(IntEnum):
     """What a datagram is for."""
@@ -76,6 +81,14 @@
     updates: tuple[Update, ...] = ()
 
 
+# Operators and the reader of logs know the states by these names.
+_LOG_NAMES = {
+    State.ALIVE: "present",
+    State.SUSPECTED: "suspected",
+    State.DEAD: "gone",
+    State.REMOVED: "buried",
+    State.LEFT: "left",
+}
 _KINDS, _STATES = tuple(Kind), tuple(State)
 
 
--- a/standflow/fleet/view.py
+++ b/standflow/fleet/view.py
@@ -1,7 +1,7 @@
 """Who is there: the decisions of one member. No I/O; `now` is any clock in seconds that never goes back.
 
 SWIM over member ids: a probe that fails directly and by way of others makes a suspicion; one not refuted
-in time makes its member gone. Updates spread on whatever is sent anyway. See docs/design/fleet.md.
+in time makes its member dead. Updates spread on whatever is sent anyway. See docs/design/fleet.md.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 DIRECT, INDIRECT = 0.2, 0.4  # seconds for an answer, and for one by way of others
 RELAYS = 3  # others that are asked to probe
 IDLE, AGAIN = 1.0, 0.35  # seconds without an answer after which one that is heard is asked, and asked again
-REACH = 1.0  # seconds between calls to whom nobody holds for present
+REACH = 1.0  # seconds between calls to whom nobody holds for alive
 JOINING = 0.25  # the same while nobody is known
 FAREWELLS = 12  # others that are told of an orderly end
 GREETED = 4  # member ids before ours that are called first: they have to tell us what the ring knows
@@ -43,7 +43,7 @@
 SPREAD = 1.7  # of the suspicion's time, by which they ask in turns
 PUT_OFF = 2.0  # seconds for which that call may wait for room
 REMIND = 0.4  # seconds between calls to one suspected
-BURY = 10.0  # seconds after which a majority counts a gone member no more
+REMOVE_AFTER = 10.0  # seconds after which a majority counts a dead member no more
 SETTLE = 5.0  # seconds without a change after which the view counts as settled
 UNHEARD = 2.5  # seconds without an answer from any that are heard: this member takes itself for cut off
 CALLS = 6  # as many calls must have stayed unanswered, as single ones get lost
@@ -53,12 +53,12 @@
 RESERVE = 2.0  # of those at once, kept from news for probes
 ANSWERS, MOST_ANSWERS = 9.0, 5.0  # the same of answers
 TAKES, MOST_TAKES = 16.0, 9.0  # the same of what is taken in; more is dropped
-MANY = 0.25  # of the fleet gone at once: those may hold us for gone as well
+MANY = 0.25  # of the fleet dead at once: those may hold us for dead as well
 ASSUMED = 0.8  # seconds that those of an earlier life's view have to be heard, before they count as missing
 BUMP = 3.0  # seconds between two counts raised for that
 CLASH = 30.0  # seconds within which a second claim to our member id is another process
 NO_CURSOR = 0xFFFF
-HERE = (State.PRESENT, State.SUSPECTED)
+ALIVE_STATES = (State.ALIVE, State.SUSPECTED)
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,7 +83,7 @@
 class Seen:
     """What follows from the view: who is there, who is unreachable, and whether this side may take over."""
 
-    present: frozenset[int]
+    alive: frozenset[int]
     missing: frozenset[int]
     major: bool
     among: frozenset[int]  # by whom cold next hops are divided
@@ -145,17 +145,17 @@
     digest: int = 0
     heard: dict[int, float] = field(default_factory=dict)  # directly
     last_heard: float = 0.0  # anybody
-    filled: set[int] = field(default_factory=set)  # held for present or suspected
-    lost: set[int] = field(default_factory=set)  # held for gone
+    alive: set[int] = field(default_factory=set)  # held for alive or suspected
+    dead: set[int] = field(default_factory=set)  # held for dead
     others: list[int] = field(default_factory=list)  # the filled ones but ours, and the known ones, in order;
     member_ids: list[int] = field(
         default_factory=list
     )  # both made anew when they are asked for after a change
     deadlines: dict[int, float] = field(default_factory=dict)  # of those suspected
     reminded: dict[int, float] = field(default_factory=dict)  # suspected by us, when they were told last
-    rung: dict[int, float] = field(default_factory=dict)  # heard on the ring though gone, and called
-    suspected: dict[int, float] = field(default_factory=dict)  # since when
-    gone: dict[int, float] = field(default_factory=dict)  # since when
+    rung: dict[int, float] = field(default_factory=dict)  # heard on the ring though dead, and called
+    suspected_since: dict[int, float] = field(default_factory=dict)  # since when
+    dead_since: dict[int, float] = field(default_factory=dict)  # since when
     news: dict[int, int] = field(default_factory=dict)  # members to be told of, and how often still
     probes: dict[int, Probe] = field(default_factory=dict)  # by serial
     order: list[int] = field(default_factory=list)  # to be probed next, from its end
@@ -180,7 +180,7 @@
     next_reach: float = 0.0
     next_news: float = 0.0
     next_sync: float = 0.0
-    deaf: set[int] = field(default_factory=set)  # they hold us for gone, whatever we say: we don't reach them
+    deaf: set[int] = field(default_factory=set)  # they hold us for dead, whatever we say: we don't reach them
     refuted: float = -math.inf  # when we said otherwise last
     returned: set[int] = field(default_factory=set)
     among: set[int] = field(default_factory=set)
@@ -198,17 +198,17 @@
         self.changed = self.answered = self.born = self.due = self.last_heard = self.now
         self.next_probe = self.now + PERIOD * self.chance.random()
         self.among = set(range(self.size))
-        self._hold(Update(self.own_id, self.boot_time_ms, self.incarnation, State.PRESENT, self.address))
+        self._hold(Update(self.own_id, self.boot_time_ms, self.incarnation, State.ALIVE, self.address))
 
     # What is read of it.
 
-    def here(self) -> set[int]:
-        """The members held for present or suspected, this one among them."""
-        return set(self.filled)
+    def alive_ids(self) -> set[int]:
+        """The members held for alive or suspected, this one among them."""
+        return set(self.alive)
 
-    def missing(self) -> set[int]:
-        """Gone, and not for so long that they count no more."""
-        return set(self.lost)
+    def dead_ids(self) -> set[int]:
+        """Dead, and not for so long that they count no more."""
+        return set(self.dead)
 
     @property
     def joined(self) -> bool:
@@ -235,7 +235,7 @@
         """True for the side of a cut that may take over: more than half of those that count, or just half
         with the lowest member id among them. No two sides of one fleet can both be.
         """
-        here, missing = self.filled - self.deaf, self.lost | (self.deaf & self.filled)
+        here, missing = self.alive - self.deaf, self.dead | (self.deaf & self.alive)
         ours, both = len(here), len(here) + len(missing)
         return 2 * ours > both or (0 < 2 * ours == both and min(here) < min(missing))
 
@@ -243,14 +243,14 @@
         """What follows, for now; who has returned is told once."""
         returned, among = frozenset(self.returned), frozenset(self.among)
         self.returned = set()
-        counted = self.filled | self.lost
+        counted = self.alive | self.dead
         if self.yielded or (self.unheard and len(counted) > 1):
             return Seen(frozenset({self.own_id}), frozenset(counted - {self.own_id}), False, among, returned)
-        here = frozenset(self.filled - self.deaf)
+        here = frozenset(self.alive - self.deaf)
         return Seen(here, frozenset(counted - here), self.major(), among, returned)
 
     def remember(self, members: dict[int, tuple[int, Address | None]]) -> None:
-        """Whom an earlier life of this member held for present last, with their lives: whom to ask, and who
+        """Whom an earlier life of this member held for alive last, with their lives: whom to ask, and who
         is missing until heard. An update on them is older than any of their own.
         """
         for member_id, (boot_time_ms, address) in members.items():
@@ -259,8 +259,8 @@
                 and member_id < self.size
                 and 0 < boot_time_ms <= MAX_BOOT_TIME_MS
             ):
-                self._hold(Update(member_id, boot_time_ms - 1, 0, State.GONE, address))
-                self.gone[member_id] = self.now
+                self._hold(Update(member_id, boot_time_ms - 1, 0, State.DEAD, address))
+                self.dead_since[member_id] = self.now
                 self.remembered.add(member_id)
 
     # Events. Each returns what is to be sent.
@@ -297,9 +297,9 @@
             self._reach_out()
         if now >= self.next_idle and now - self.answered > IDLE:
             self._ask_idle()
-        self._bury()
-        if self.joined and now - self.changed >= SETTLE and self.among != self.filled:
-            self.among, self.turn = self.here(), self.turn + 1
+        self._remove_long_dead()
+        if self.joined and now - self.changed >= SETTLE and self.among != self.alive:
+            self.among, self.turn = self.alive_ids(), self.turn + 1
         self.due = now + self.pace
         return self._taken()
 
@@ -321,7 +321,7 @@
             return []
         self.heard[m.member_id] = self.last_heard = now
         address = None if self.listed else sender
-        self._merge(Update(m.member_id, m.boot_time_ms, m.incarnation, State.PRESENT, address), "heard")
+        self._merge(Update(m.member_id, m.boot_time_ms, m.incarnation, State.ALIVE, address), "heard")
         held = next(
             (
                 update
@@ -330,7 +330,7 @@
             ),
             None,
         )
-        if held is not None and held.state >= State.GONE and held.incarnation < self.incarnation:
+        if held is not None and held.state >= State.DEAD and held.incarnation < self.incarnation:
             if now - self.refuted > UNHEARD and m.member_id not in self.deaf:
                 self.deaf.add(m.member_id)
                 self.turn += 1
@@ -358,7 +358,7 @@
         if member_id in self.updates:
             self.heard[member_id] = self.last_heard = now
             if (
-                self.updates[member_id].state not in HERE
+                self.updates[member_id].state not in ALIVE_STATES
                 and now - self.rung.get(member_id, -math.inf) > REACH
             ):
                 self.rung[member_id] = now
@@ -386,7 +386,7 @@
 
     def _doubt(self, late: float) -> None:
         """What was missed while this process stood still is no silence of the others."""
-        for times in (self.heard, self.deadlines, self.suspected, self.gone):
+        for times in (self.heard, self.deadlines, self.suspected_since, self.dead_since):
             for member_id in times:
                 times[member_id] += late
         for probe in self.probes.values():
@@ -406,7 +406,7 @@
                 del self.probes[serial]
                 update = self.updates.get(probe.member_id)
                 silent = self.heard.get(probe.member_id, -math.inf) < probe.at
-                if silent and update is not None and update.state is State.PRESENT:
+                if silent and update is not None and update.state is State.ALIVE:
                     self._merge(replace(update, state=State.SUSPECTED), "no answer")
                     self.next_probe = self.now  # where one is silent, others may be
                     self.reminded[probe.member_id] = self.now
@@ -415,7 +415,7 @@
                 others = [member_id for member_id in self._some(RELAYS + 1) if member_id != probe.member_id][
                     :RELAYS
                 ]
-                if update is None or update.state is not State.PRESENT or not others:
+                if update is None or update.state is not State.ALIVE or not others:
                     probe.relayed = True
                 elif self.sends.take(self.now, len(others)):
                     probe.relayed, probe.at = True, self.now - DIRECT * patience
@@ -426,8 +426,8 @@
         for member_id, deadline in list(self.deadlines.items()):
             update = self.updates[member_id]
             if self.now >= deadline:
-                if self.heard.get(member_id, -math.inf) > self.suspected[member_id]:
-                    self.suspected[member_id] = self.now  # heard since: it only has to say so itself
+                if self.heard.get(member_id, -math.inf) > self.suspected_since[member_id]:
+                    self.suspected_since[member_id] = self.now  # heard since: it only has to say so itself
                     self.deadlines[member_id] = self.now + self.suspicion_time()
                 elif member_id not in self.reminded:
                     # we only heard of it: it is asked by us too, as soon as there is room for that
@@ -435,7 +435,7 @@
                         self.reminded[member_id] = self.now
                         self.deadlines[member_id] = self.now + LAST_ASK
                 else:
-                    self._merge(replace(update, state=State.GONE), "silent")
+                    self._merge(replace(update, state=State.DEAD), "silent")
             elif self.now - self.reminded.get(member_id, math.inf) > REMIND and self._call(member_id):
                 self.reminded[member_id] = self.now  # by whom it was not answered
 
@@ -449,7 +449,7 @@
             member_id = self.order.pop()
             update = self.updates.get(member_id)
             stale = self.now - self.heard.get(member_id, -math.inf) > FRESH
-            if update is not None and update.state is State.PRESENT and stale:
+            if update is not None and update.state is State.ALIVE and stale:
                 self._call(member_id)
                 return
 
@@ -466,17 +466,17 @@
             self._call(fresh[0])
 
     def _reach_out(self) -> None:
-        """Calls one that nobody holds for present: a member never seen, a gone one, a seed."""
+        """Calls one that nobody holds for alive: a member never seen, a dead one, a seed."""
         if self.listed:
-            filled = (*HERE, State.LEFT)
+            reachable = (*ALIVE_STATES, State.LEFT)
             absent = [
                 member_id
                 for member_id in range(self.size)
-                if member_id not in self.updates or self.updates[member_id].state not in filled
+                if member_id not in self.updates or self.updates[member_id].state not in reachable
             ]
         else:
             absent = [
-                p for p, w in self.updates.items() if w.state in (State.GONE, State.BURIED) and w.address
+                p for p, w in self.updates.items() if w.state in (State.DEAD, State.REMOVED) and w.address
             ]
         known = {update.address for update in self.updates.values()}
         seeds = [seed for seed in self.seeds if seed not in known]
@@ -515,7 +515,7 @@
     def _some(self, most: int) -> list[int]:
         """Some of the others that are there, by chance."""
         if not self.others:
-            self.others = sorted(self.filled - {self.own_id})
+            self.others = sorted(self.alive - {self.own_id})
         return self.chance.sample(self.others, min(most, len(self.others)))
 
     # Updates.
@@ -532,35 +532,35 @@
         if update.address is None and known is not None:
             update = replace(update, address=known.address)
         self._hold(update)
-        before = "unknown" if known is None else known.state.name.lower()
-        after = update.state.name.lower()
-        if known is not None and update.boot_time_ms > known.boot_time_ms and update.state in HERE:
+        before = "unknown" if known is None else known.state.log_name
+        after = update.state.log_name
+        if known is not None and update.boot_time_ms > known.boot_time_ms and update.state in ALIVE_STATES:
             after += " in a new life"
         if after != before:
             self.changes.append(Change(update.member_id, before, after, why))
-        member_id, was_here = update.member_id, known is not None and known.state in HERE
+        member_id, was_here = update.member_id, known is not None and known.state in ALIVE_STATES
         self.remembered.discard(member_id)
-        if update.state in HERE and (
+        if update.state in ALIVE_STATES and (
             not was_here or (known is not None and update.boot_time_ms > known.boot_time_ms)
         ):
             self.returned.add(member_id)
             self.turn += 1
-        if (update.state in HERE) != was_here or update.state is State.BURIED:
+        if (update.state in ALIVE_STATES) != was_here or update.state is State.REMOVED:
             self.changed = self.now
-        if update.state in HERE and member_id not in self.among:
+        if update.state in ALIVE_STATES and member_id not in self.among:
             self.among.add(member_id)
             self.turn += 1
-        for times in (self.deadlines, self.suspected, self.gone):
+        for times in (self.deadlines, self.suspected_since, self.dead_since):
             times.pop(member_id, None)
         if update.state is not State.SUSPECTED:
             self.reminded.pop(member_id, None)
         if update.state is State.SUSPECTED:
-            self.suspected[member_id] = self.now
+            self.suspected_since[member_id] = self.now
             # Whoever only heard of it asks as well, in the end: all at one moment, and it can't answer them.
             late = self.chance.uniform(1.0, SPREAD) if why != "no answer" else 1.0
             self.deadlines[member_id] = self.now + late * self.suspicion_time()
-        elif update.state is State.GONE:
-            self.gone[member_id] = self.now
+        elif update.state is State.DEAD:
+            self.dead_since[member_id] = self.now
             self._raise()
 
     def _hold(self, update: Update) -> None:
@@ -573,8 +573,8 @@
         self.updates[update.member_id] = update
         self.digest ^= _mark(update)
         for member_ids, held in (
-            (self.filled, update.state in HERE),
-            (self.lost, update.state is State.GONE),
+            (self.alive, update.state in ALIVE_STATES),
+            (self.dead, update.state is State.DEAD),
         ):
             if held != (update.member_id in member_ids):
                 (member_ids.add if held else member_ids.discard)(update.member_id)
@@ -589,9 +589,9 @@
         elif (
             update.boot_time_ms == self.boot_time_ms
             and update.incarnation >= self.incarnation
-            and update.state is not State.PRESENT
+            and update.state is not State.ALIVE
         ):
-            self.changes.append(Change(self.own_id, update.state.name.lower(), "present", f"refuted, {why}"))
+            self.changes.append(Change(self.own_id, update.state.log_name, "present", f"refuted, {why}"))
             self._again(update.incarnation + 1)
         elif update.boot_time_ms == self.boot_time_ms and update.incarnation > self.incarnation:
             self._again(update.incarnation)  # said before a process of this ingress took over
@@ -602,11 +602,11 @@
         if incarnation > MAX_INCARNATION:
             self.boot_time_ms, incarnation = self.boot_time_ms + 1, 0
         self.incarnation = incarnation
-        self._hold(Update(self.own_id, self.boot_time_ms, self.incarnation, State.PRESENT, self.address))
+        self._hold(Update(self.own_id, self.boot_time_ms, self.incarnation, State.ALIVE, self.address))
 
     def _raise(self) -> None:
-        """Many are gone at once: they may hold us for gone, and the join would wait for our refutation."""
-        missing, here = len(self.lost), len(self.filled)
+        """Many are dead at once: they may hold us for dead, and the join would wait for our refutation."""
+        missing, here = len(self.dead), len(self.alive)
         if missing >= MANY * (missing + here) and self.now - self.bumped > BUMP:
             self.bumped = self.now
             self._again(self.incarnation + 1)
@@ -627,13 +627,13 @@
         self.claimed = self.now
         self.changes.append(Change(self.own_id, "present", text, why))
 
-    def _bury(self) -> None:
-        if not self.gone or self.unheard:
+    def _remove_long_dead(self) -> None:
+        if not self.dead_since or self.unheard:
             return
         major = self.major()
-        for member_id, since in list(self.gone.items()):
-            if self.now - since > BURY and (major or member_id in self.remembered):
-                self._merge(replace(self.updates[member_id], state=State.BURIED), "gone for long")
+        for member_id, since in list(self.dead_since.items()):
+            if self.now - since > REMOVE_AFTER and (major or member_id in self.remembered):
+                self._merge(replace(self.updates[member_id], state=State.REMOVED), "gone for long")
 
     # Sending.
 
@@ -669,7 +669,7 @@
         also where the walk goes on.
         """
         chosen: dict[int, Update] = {}
-        if isinstance(to, int) and to in self.updates and self.updates[to].state is not State.PRESENT:
+        if isinstance(to, int) and to in self.updates and self.updates[to].state is not State.ALIVE:
             chosen[to] = self.updates[to]
         most = self.updates_per_datagram if cursor == NO_CURSOR else self.updates_per_datagram // 4
         for member_id in nlargest(most - len(chosen), self.news, key=self.news.__getitem__):
@@ -695,5 +695,5 @@
 
 def _mark(update: Update) -> int:
     """An update's part of the digest; a suspicion passes by and is left out."""
-    state = State.PRESENT if update.state is State.SUSPECTED else update.state
+    state = State.ALIVE if update.state is State.SUSPECTED else update.state
     return crc32(packed(Update(update.member_id, update.boot_time_ms, update.incarnation, state)))
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -66,7 +66,7 @@
             self.members.run(0.1)
             for number, view in self.members.live.items():
                 seen = view.seen()
-                event = i.FleetSeen(seen.present, seen.missing, seen.major, seen.among, seen.returned)
+                event = i.FleetSeen(seen.alive, seen.missing, seen.major, seen.among, seen.returned)
                 if number in self.live and view.joined and event != self.told.get(number):
                     self.told[number] = event
                     self.deliver(number, self.live[number].handle(self.now, event))
@@ -90,7 +90,7 @@
             use = [Record("use", row[0], row[1:], "boot", self.now) for row in rows]
             view = self.members.live[number]
             lives: dict[int, tuple[int, Address | None]] = {
-                place: (view.updates[place].boot_time_ms, None) for place in view.here() - {number}
+                place: (view.updates[place].boot_time_ms, None) for place in view.alive_ids() - {number}
             }
             kept[number] = use, lives
         self.kill(*list(self.live))
@@ -191,7 +191,7 @@
     ring._pass(ring.now + 1.0)
     assert sum(ring.ask(0, f"b{n}", customer="one", ring_size=SIZE) for n in range(12)) <= 3
     assert ring.members is not None
-    assert all(not view.missing() for view in ring.members.live.values())
+    assert all(not view.dead_ids() for view in ring.members.live.values())
 
 
 @pytest.mark.parametrize("seed", range(4))
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -22,7 +22,7 @@
     key_of,
     updates_per_datagram,
 )
-from standflow.fleet.view import BURY, CLASH, LAST_ASK, PUT_OFF, SETTLE, TICK, UNHEARD, View
+from standflow.fleet.view import CLASH, LAST_ASK, PUT_OFF, REMOVE_AFTER, SETTLE, TICK, UNHEARD, View
 
 LOSSES = pytest.mark.parametrize("loss", [0.0, 0.065])
 
@@ -54,13 +54,13 @@
 
 
 @LOSSES
-def test_seven_of_ten_killed_at_once_are_gone_and_back(loss: float) -> None:
+def test_seven_of_ten_killed_at_once_are_dead_and_back(loss: float) -> None:
     members = settled(10, loss=loss)
     members.kill(*range(3, 10))
     assert members.until(members.agree, 10.0) < 10.0
     assert not any(view.major() for view in members.live.values())
-    members.run(BURY + 3.0)
-    assert not any(view.major() for view in members.live.values())  # a minority buries nobody
+    members.run(REMOVE_AFTER + 3.0)
+    assert not any(view.major() for view in members.live.values())  # a minority removes nobody
     for member_id in range(3, 10):
         members.start(member_id)
     assert members.until(members.agree, 5.0) < 5.0
@@ -72,18 +72,18 @@
     members = settled(6, loss=loss)
     cut(members, {0, 2, 4}, {1, 3, 5})
     sides = {0: {0, 2, 4}, 1: {1, 3, 5}}
-    apart = lambda: all(view.here() == sides[member_id % 2] for member_id, view in members.live.items())  # noqa: E731
+    apart = lambda: all(view.alive_ids() == sides[member_id % 2] for member_id, view in members.live.items())  # noqa: E731
     assert members.until(apart, 10.0) < 10.0
     assert {member_id for member_id, view in members.live.items() if view.major()} == {0, 2, 4}
     whole(members)
     assert members.until(members.agree, 5.0) < 5.0
 
 
-def test_after_a_burial_a_join_brings_the_buried_back() -> None:
+def test_after_a_removal_a_join_brings_the_removed_back() -> None:
     members = settled(5)
     cut(members, {0, 1, 2}, {3, 4})
-    members.run(BURY + 10.0)
-    assert members.live[0].updates[3].state is State.BURIED
+    members.run(REMOVE_AFTER + 10.0)
+    assert members.live[0].updates[3].state is State.REMOVED
     assert members.live[0].major()
     assert not members.live[3].major()
     whole(members)
@@ -113,14 +113,14 @@
     assert not members.live[1].yielded
 
 
-def test_one_stopped_for_3_s_again_and_again_is_never_gone_for_good_and_holds_nobody_for_gone() -> None:
+def test_one_stopped_for_3_s_again_and_again_is_never_dead_for_good_and_holds_nobody_for_dead() -> None:
     members = settled(6)
     for _ in range(4):
         members.hold(3)
         members.run(3.0)
         members.go_on(3)
         members.run(0.3)
-        assert not members.live[3].missing()
+        assert not members.live[3].dead_ids()
         assert members.until(members.agree, 5.0) < 5.0
 
 
@@ -129,7 +129,7 @@
     members.blocked = lambda sender, to: {sender, to} == {0, 2}
     members.run(30.0)
     assert members.agree()
-    assert all(not view.missing() for view in members.live.values())
+    assert all(not view.dead_ids() for view in members.live.values())
 
 
 def test_a_room_that_hears_but_is_not_heard_takes_itself_for_cut_off() -> None:
@@ -137,18 +137,18 @@
     members.blocked = lambda sender, to: sender in (4, 5) and to not in (4, 5)
     members.run(UNHEARD + 8.0)
     seen = {member_id: view.seen() for member_id, view in members.live.items()}
-    assert all(seen[member_id].present == {0, 1, 2, 3} and seen[member_id].major for member_id in range(4))
+    assert all(seen[member_id].alive == {0, 1, 2, 3} and seen[member_id].major for member_id in range(4))
     assert not any(seen[member_id].major for member_id in (4, 5))
     whole(members)
     assert members.until(members.agree, 5.0) < 5.0
     assert all(view.seen().major for view in members.live.values())
 
 
-def test_nobody_is_gone_for_whoever_had_no_room_to_ask() -> None:
+def test_nobody_is_dead_for_whoever_had_no_room_to_ask() -> None:
     """A suspicion that was only heard of, while there is no room for another datagram from here."""
     view = View(0, 3, 1, 0.0, updates_per_datagram(False), random.Random(1))
     address = ("127.0.0.1", 1)
-    there, suspected = Update(2, 5, 0, State.PRESENT), Update(2, 5, 0, State.SUSPECTED)
+    there, suspected = Update(2, 5, 0, State.ALIVE), Update(2, 5, 0, State.SUSPECTED)
     for serial, update in enumerate((there, suspected)):
         view.hear(0.1, Message(Kind.GOSSIP, 1, 7, 0, serial, 0, 1, 0xFFFF, (update,)), address)
     view.sends.most = view.sends.left = 0.0
@@ -166,7 +166,7 @@
     assert view.updates[2].state.name == "SUSPECTED"
     for step in range(30):
         view.tick(asked + LAST_ASK / 2 + step * TICK)
-    assert view.updates[2].state.name == "GONE"
+    assert view.updates[2].state.name == "DEAD"
 
 
 def test_who_leaves_is_not_missed_and_three_of_twelve_are_a_fleet_of_three() -> None:
@@ -181,7 +181,7 @@
         members.leave(member_id)
         members.run(0.5)
     assert members.until(members.agree, 3.0) < 3.0
-    assert all(view.major() and not view.missing() for view in members.live.values())
+    assert all(view.major() and not view.dead_ids() for view in members.live.values())
 
 
 def test_the_last_one_to_leave_holds_nobody_for_the_majority() -> None:
@@ -190,7 +190,7 @@
     for member_id in (1, 2, 0):
         members.leave(member_id)
         members.run(0.5)
-    assert not last.here()
+    assert not last.alive_ids()
     assert not last.seen().major
 
 
@@ -258,6 +258,11 @@
     assert 3 not in members.live[0].seen().among
 
 
+def test_log_lines_keep_the_names_that_operators_read() -> None:
+    names = [state.log_name for state in State]
+    assert names == ["present", "suspected", "gone", "buried", "left"]
+
+
 # Updates and datagrams.
 
 UPDATES = st.builds(
@@ -341,7 +346,7 @@
                 members.go_on(member_id)
         elif what == "noise":
             for view in members.live.values():
-                odd = Message(Kind.PING, member_id, 5, 5, 0, 0, 200, 9, (Update(99, 1, 1, State.GONE),))
+                odd = Message(Kind.PING, member_id, 5, 5, 0, 0, 200, 9, (Update(99, 1, 1, State.DEAD),))
                 view.hear(members.now, odd, ("127.0.0.1", 9))
         members.run(1.0)
     whole(members)
