--- a/lab/bench_fleet.py
+++ b/lab/bench_fleet.py
@@ -1,4 +1,4 @@
-"""The measurement of the fleet's view: `make bench-fleet`. See docs/design/fleet.md for what it says.
+"""The measurement of the fleet's membership: `make bench-fleet`. See docs/design/fleet.md for what it says.
 
 Real ingresses on loopback, and the same decisions for larger fleets in simulated time. Off against on is the
 same schedule, seed and load with and without the block `fleet`.
--- a/lab/fleet/__init__.py
+++ b/lab/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""A fleet under one command: real processes, or its views in simulated time, with faults between any two."""
+"""A fleet under one command: real processes, or simulated time, with faults between any two members."""
--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -1,4 +1,4 @@
-"""Many members' views in simulated time: the same decisions as in the ingress, on a network of our own.
+"""Many members in simulated time: the same decisions as in the ingress, on a network of our own.
 
 No sockets and no clock but the fleet's. The same seed gives the same run.
 """
@@ -9,8 +9,8 @@
 import random
 from collections.abc import Callable
 
+from standflow.fleet.membership import TICK, Membership, Send
 from standflow.fleet.messages import Message, decode, encode, key_of, updates_per_datagram
-from standflow.fleet.view import TICK, Send, View
 
 KEY = key_of("simulated")
 
@@ -25,7 +25,7 @@
         self.chance = random.Random(seed)
         self.now, self.serial = 1e6, 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.live: dict[int, View] = {}
+        self.live: dict[int, Membership] = {}
         self.stopped: dict[int, list[tuple[int, bytes]]] = {}  # held still, with what waits for them
         self.blocked: Callable[[int, int], bool] = lambda sender, to: False
         self.again = 0.0  # part of the datagrams that come twice, the second one late
@@ -35,16 +35,18 @@
             for member_id in range(size):
                 self.start(member_id)
 
-    def start(self, member_id: int, at: float | None = None) -> View:
+    def start(self, member_id: int, at: float | None = None) -> Membership:
         """A member begins, or begins anew, with nothing known."""
         self.lives += 1
         boot_time_ms = round((self.now if at is None else at) * 1000) + self.lives
         chance = random.Random(self.chance.random())
-        view = View(member_id, self.size, boot_time_ms, self.now, updates_per_datagram(False), chance)
-        self.live[member_id] = view
+        membership = Membership(
+            member_id, self.size, boot_time_ms, self.now, updates_per_datagram(False), chance
+        )
+        self.live[member_id] = membership
         self.stopped.pop(member_id, None)
-        self._after(TICK * chance.random(), lambda: self._tick(member_id, view))
-        return view
+        self._after(TICK * chance.random(), lambda: self._tick(member_id, membership))
+        return membership
 
     def kill(self, *member_ids: int) -> None:
         """They end without a message."""
@@ -85,18 +87,18 @@
     def agree(self, alive: set[int] | None = None) -> bool:
         """All live members hold the live, and nobody else, for alive."""
         wanted = set(self.live) if alive is None else alive
-        return all(view.alive_ids() == wanted for view in self.live.values())
+        return all(membership.alive_ids() == wanted for membership in self.live.values())
 
     def _after(self, delay: float, call: Callable[[], None]) -> None:
         self.serial += 1
         heapq.heappush(self.queue, (self.now + delay, self.serial, call))
 
-    def _tick(self, member_id: int, view: View) -> None:
-        if self.live.get(member_id) is not view:
+    def _tick(self, member_id: int, membership: Membership) -> None:
+        if self.live.get(member_id) is not membership:
             return
         if member_id not in self.stopped:
-            self._carry(member_id, view.tick(self.now))
-        self._after(view.pace, lambda: self._tick(member_id, view))
+            self._carry(member_id, membership.tick(self.now))
+        self._after(membership.pace, lambda: self._tick(member_id, membership))
 
     def _carry(self, sender: int, sends: list[Send]) -> None:
         for send in sends:
@@ -117,10 +119,10 @@
         if to in self.stopped:
             self.stopped[to].append((sender, content))
             return
-        view = self.live.get(to)
+        membership = self.live.get(to)
         message: Message | None = decode(content, KEY)
-        if view is not None and message is not None:
-            before = view.counts.taken
-            self._carry(to, view.hear(self.now, message, ("127.0.0.1", sender)))
-            if view.counts.taken > before:
+        if membership is not None and message is not None:
+            before = membership.counts.taken
+            self._carry(to, membership.hear(self.now, message, ("127.0.0.1", sender)))
+            if membership.counts.taken > before:
                 self.taken.setdefault(to, []).append(self.now)
--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -164,23 +164,23 @@
             self.member = self._make_member(self.peers)
 
     def _make_member(self, peers: Peers) -> Member | None:
-        """This ingress in the view of the fleet, where one is kept."""
+        """This ingress as a member of the fleet, where a membership is kept."""
         config = self.config
         if config.fleet is None:
             return None
         from standflow.fleet.member import Member, Parts
-        from standflow.fleet.view import Seen
+        from standflow.fleet.membership import Snapshot
 
         def send(to: int | tuple[str, int], content: bytes) -> None:
             if self.speaks:
                 peers.tell(to, content) if isinstance(to, int) else peers.send(to, content)
 
-        def seen(view: Seen) -> None:
-            self.driver.fleet_seen(view)
+        def changed(snapshot: Snapshot) -> None:
+            self.driver.fleet_seen(snapshot)
             if self.keeper is not None:
-                self.keeper.limits.sharers = len(view.among)
+                self.keeper.limits.sharers = len(snapshot.among)
 
-        parts = Parts(send=send, filled=peers.fill, seen=seen)
+        parts = Parts(send=send, filled=peers.fill, changed=changed)
         settings, chance = config.settings, random.Random(config.seed + 2)
         fleet, places = config.fleet, (settings.number, settings.gateways)
         member = Member(self.loop, self.log, fleet.name, *places, peers.address, fleet.seeds, chance, parts)
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -22,7 +22,7 @@
 from standflow.net.loop import Loop
 
 if TYPE_CHECKING:
-    from standflow.fleet.view import Seen
+    from standflow.fleet.membership import Snapshot
 
 OUTCOMES = {outcome: i.Outcome(outcome.value) for outcome in Outcome}
 PHASES = {
@@ -170,9 +170,9 @@
         """UseWitnessed."""
         self.feed(i.UseWitnessed(key, place, count, level))
 
-    def fleet_seen(self, seen: Seen) -> None:
+    def fleet_seen(self, seen: Snapshot) -> None:
         """FleetSeen."""
-        event = i.FleetSeen(seen.alive, seen.missing, seen.major, seen.among, seen.returned)
+        event = i.FleetSeen(seen.alive, seen.missing, seen.has_quorum, seen.among, seen.returned)
         self.feed(event)
 
     def heard(self) -> list[float]:
--- a/standflow/fleet/__init__.py
+++ b/standflow/fleet/__init__.py
@@ -1,4 +1,4 @@
-"""A view of the fleet: which ingresses are there. Off without the block `fleet` of the operator's file.
+"""Which ingresses are members of the fleet. Off without the block `fleet` of the operator's file.
 
-`words` is the wire, `view` the decisions (no I/O), `member` carries them out.
+`messages` is the wire, `membership` the decisions (no I/O), `member` carries them out.
 """
--- a/standflow/fleet/view.py
+++ b/standflow/fleet/membership.py
@@ -44,7 +44,7 @@
 PUT_OFF = 2.0  # seconds for which that call may wait for room
 REMIND = 0.4  # seconds between calls to one suspected
 REMOVE_AFTER = 10.0  # seconds after which a majority counts a dead member no more
-SETTLE = 5.0  # seconds without a change after which the view counts as settled
+SETTLE = 5.0  # seconds without a change after which the membership counts as settled
 UNHEARD = 2.5  # seconds without an answer from any that are heard: this member takes itself for cut off
 CALLS = 6  # as many calls must have stayed unanswered, as single ones get lost
 SENDS, BURST = 5.0, 5.0  # datagrams a second begun from here, and at once
@@ -54,7 +54,9 @@
 ANSWERS, MOST_ANSWERS = 9.0, 5.0  # the same of answers
 TAKES, MOST_TAKES = 16.0, 9.0  # the same of what is taken in; more is dropped
 MANY = 0.25  # of the fleet dead at once: those may hold us for dead as well
-ASSUMED = 0.8  # seconds that those of an earlier life's view have to be heard, before they count as missing
+ASSUMED = (
+    0.8  # seconds that those of an earlier life's membership have to be heard, before they count as missing
+)
 BUMP = 3.0  # seconds between two counts raised for that
 CLASH = 30.0  # seconds within which a second claim to our member id is another process
 NO_CURSOR = 0xFFFF
@@ -80,12 +82,12 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Seen:
-    """What follows from the view: who is there, who is unreachable, and whether this side may take over."""
+class Snapshot:
+    """What follows from the membership: who is alive, who is missing, and whether this side may take over."""
 
     alive: frozenset[int]
     missing: frozenset[int]
-    major: bool
+    has_quorum: bool
     among: frozenset[int]  # by whom cold next hops are divided
     returned: frozenset[int]  # come, or come back, since the last one
 
@@ -120,7 +122,7 @@
 
 @dataclass(slots=True)
 class Counts:
-    """Datagrams of the view, and what became of them."""
+    """Datagrams of the membership, and what became of them."""
 
     sent: int = 0
     taken: int = 0
@@ -128,7 +130,7 @@
 
 
 @dataclass(slots=True)
-class View:
+class Membership:
     """One member's table of the fleet. `updates_per_datagram`: how many one holds."""
 
     own_id: int
@@ -184,8 +186,8 @@
     refuted: float = -math.inf  # when we said otherwise last
     returned: set[int] = field(default_factory=set)
     among: set[int] = field(default_factory=set)
-    remembered: set[int] = field(default_factory=set)  # of an earlier life's view, not heard yet
-    turn: int = 0  # raised with whatever `seen` tells, but for what passing time alone changes
+    remembered: set[int] = field(default_factory=set)  # of an earlier life's membership, not heard yet
+    revision: int = 0  # raised with whatever `seen` tells, but for what passing time alone changes
     sends: Bucket = field(init=False)
     answers: Bucket = field(init=False)
     takes: Bucket = field(init=False)
@@ -231,7 +233,7 @@
         waits = self.probes or self.deadlines or self.news or self.unlike_since < math.inf
         return TICK if waits or not self.joined or self.now - self.born < YOUNG else CALM
 
-    def major(self) -> bool:
+    def has_quorum(self) -> bool:
         """True for the side of a cut that may take over: more than half of those that count, or just half
         with the lowest member id among them. No two sides of one fleet can both be.
         """
@@ -239,15 +241,17 @@
         ours, both = len(here), len(here) + len(missing)
         return 2 * ours > both or (0 < 2 * ours == both and min(here) < min(missing))
 
-    def seen(self) -> Seen:
+    def take_snapshot(self) -> Snapshot:
         """What follows, for now; who has returned is told once."""
         returned, among = frozenset(self.returned), frozenset(self.among)
         self.returned = set()
         counted = self.alive | self.dead
         if self.yielded or (self.unheard and len(counted) > 1):
-            return Seen(frozenset({self.own_id}), frozenset(counted - {self.own_id}), False, among, returned)
+            return Snapshot(
+                frozenset({self.own_id}), frozenset(counted - {self.own_id}), False, among, returned
+            )
         here = frozenset(self.alive - self.deaf)
-        return Seen(here, frozenset(counted - here), self.major(), among, returned)
+        return Snapshot(here, frozenset(counted - here), self.has_quorum(), among, returned)
 
     def remember(self, members: dict[int, tuple[int, Address | None]]) -> None:
         """Whom an earlier life of this member held for alive last, with their lives: whom to ask, and who
@@ -299,7 +303,7 @@
             self._ask_idle()
         self._remove_long_dead()
         if self.joined and now - self.changed >= SETTLE and self.among != self.alive:
-            self.among, self.turn = self.alive_ids(), self.turn + 1
+            self.among, self.revision = self.alive_ids(), self.revision + 1
         self.due = now + self.pace
         return self._taken()
 
@@ -333,10 +337,10 @@
         if held is not None and held.state >= State.DEAD and held.incarnation < self.incarnation:
             if now - self.refuted > UNHEARD and m.member_id not in self.deaf:
                 self.deaf.add(m.member_id)
-                self.turn += 1
+                self.revision += 1
         elif m.member_id in self.deaf:
             self.deaf.discard(m.member_id)
-            self.turn += 1
+            self.revision += 1
         for update in m.updates:
             if update.member_id < self.size and self.updates.get(update.member_id) != update:
                 self._merge(update, f"told by {m.member_id}")
@@ -544,12 +548,12 @@
             not was_here or (known is not None and update.boot_time_ms > known.boot_time_ms)
         ):
             self.returned.add(member_id)
-            self.turn += 1
+            self.revision += 1
         if (update.state in ALIVE_STATES) != was_here or update.state is State.REMOVED:
             self.changed = self.now
         if update.state in ALIVE_STATES and member_id not in self.among:
             self.among.add(member_id)
-            self.turn += 1
+            self.revision += 1
         for times in (self.deadlines, self.suspected_since, self.dead_since):
             times.pop(member_id, None)
         if update.state is not State.SUSPECTED:
@@ -579,7 +583,7 @@
             if held != (update.member_id in member_ids):
                 (member_ids.add if held else member_ids.discard)(update.member_id)
                 self.others = []
-                self.turn += 1
+                self.revision += 1
         self.news[update.member_id] = 3 * max(1, math.ceil(math.log10(len(self.updates) + 1)))
 
     def _of_us(self, update: Update, why: str) -> None:
@@ -618,7 +622,7 @@
         if boot_time_ms <= self.boot_time_ms or self.yielded or boot_time_ms >= MAX_BOOT_TIME_MS:
             return
         if self.now - self.claimed < CLASH:
-            self.yielded, self.turn = True, self.turn + 1
+            self.yielded, self.revision = True, self.revision + 1
             text = "another process fills this place; this one is silent and keeps to its part of a cut"
         else:
             text = "a life of it said to be later than this one: its clock was ahead, or two have one number"
@@ -630,9 +634,9 @@
     def _remove_long_dead(self) -> None:
         if not self.dead_since or self.unheard:
             return
-        major = self.major()
+        has_quorum = self.has_quorum()
         for member_id, since in list(self.dead_since.items()):
-            if self.now - since > REMOVE_AFTER and (major or member_id in self.remembered):
+            if self.now - since > REMOVE_AFTER and (has_quorum or member_id in self.remembered):
                 self._merge(replace(self.updates[member_id], state=State.REMOVED), "gone for long")
 
     # Sending.
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -1,4 +1,4 @@
-"""What follows from the view for quotas, the ring and cold backends: modules alone, in simulated time."""
+"""What follows from the membership for quotas, ring and cold backends: modules alone, in simulated time."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 
 
 class Ring(Pair):
-    """Modules whose views are kept by members in simulated time, on one network that can be cut."""
+    """Modules whose membership is kept by members in simulated time, on one network that can be cut."""
 
-    def __init__(self, view: bool = True, loss: float = 0.0) -> None:
-        self.members = Members(SIZE, 2, loss=loss) if view else None
+    def __init__(self, membership: bool = True, loss: float = 0.0) -> None:
+        self.members = Members(SIZE, 2, loss=loss) if membership else None
         self.chance, self.loss = random.Random(9), loss
         self.blocked: Callable[[int, int], bool] = lambda sender, to: False
         self.told: dict[int, i.FleetSeen] = {}
@@ -64,10 +64,10 @@
                 continue
             self.members.blocked = self.blocked
             self.members.run(0.1)
-            for number, view in self.members.live.items():
-                seen = view.seen()
-                event = i.FleetSeen(seen.alive, seen.missing, seen.major, seen.among, seen.returned)
-                if number in self.live and view.joined and event != self.told.get(number):
+            for number, membership in self.members.live.items():
+                seen = membership.take_snapshot()
+                event = i.FleetSeen(seen.alive, seen.missing, seen.has_quorum, seen.among, seen.returned)
+                if number in self.live and membership.joined and event != self.told.get(number):
                     self.told[number] = event
                     self.deliver(number, self.live[number].handle(self.now, event))
 
@@ -88,9 +88,10 @@
         for number, gateway in self.live.items():
             rows = handover.used(gateway, self.now - 10.0)
             use = [Record("use", row[0], row[1:], "boot", self.now) for row in rows]
-            view = self.members.live[number]
+            membership = self.members.live[number]
             lives: dict[int, tuple[int, Address | None]] = {
-                place: (view.updates[place].boot_time_ms, None) for place in view.alive_ids() - {number}
+                place: (membership.updates[place].boot_time_ms, None)
+                for place in membership.alive_ids() - {number}
             }
             kept[number] = use, lives
         self.kill(*list(self.live))
@@ -120,18 +121,18 @@
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.065])
-def test_a_cut_of_10_s_spends_at_most_110_percent_and_without_a_view_half_as_much_again(loss: float) -> None:
+def test_a_cut_of_10_s_spends_at_most_110_percent_and_without_members_half_as_much_again(loss: float) -> None:
     use = {}
-    for view in (True, False):
-        ring = Ring(view, loss)
+    for membership in (True, False):
+        ring = Ring(membership, loss)
         ring.play(8.0, ASKED)
         ring.cut(3, 4)
         ring.play(10.0, ASKED)
         ring.blocked = lambda sender, to: False
         ring.play(10.0, ASKED)
-        use[view] = ring.verdict().use
+        use[membership] = ring.verdict().use
     assert use[True] <= 1.10
-    assert use[False] > 1.3  # what the view is for
+    assert use[False] > 1.3  # what the membership is for
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -191,7 +192,7 @@
     ring._pass(ring.now + 1.0)
     assert sum(ring.ask(0, f"b{n}", customer="one", ring_size=SIZE) for n in range(12)) <= 3
     assert ring.members is not None
-    assert all(not view.dead_ids() for view in ring.members.live.values())
+    assert all(not membership.dead_ids() for membership in ring.members.live.values())
 
 
 @pytest.mark.parametrize("seed", range(4))
--- a/tests/test_fleet_view.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""The view of the fleet in simulated time: joins, crashes, cuts, clocks, and updates of any kind."""
+"""The membership of a fleet in simulated time: joins, crashes, cuts, clocks, and updates of any kind."""
 
 from __future__ import annotations
 
@@ -11,6 +11,16 @@
 from hypothesis import strategies as st
 
 from lab.fleet.simulated import KEY, Members
+from standflow.fleet.membership import (
+    CLASH,
+    LAST_ASK,
+    PUT_OFF,
+    REMOVE_AFTER,
+    SETTLE,
+    TICK,
+    UNHEARD,
+    Membership,
+)
 from standflow.fleet.messages import (
     MAX_DATAGRAM_BYTES,
     Kind,
@@ -22,7 +32,6 @@
     key_of,
     updates_per_datagram,
 )
-from standflow.fleet.view import CLASH, LAST_ASK, PUT_OFF, REMOVE_AFTER, SETTLE, TICK, UNHEARD, View
 
 LOSSES = pytest.mark.parametrize("loss", [0.0, 0.065])
 
@@ -58,13 +67,15 @@
     members = settled(10, loss=loss)
     members.kill(*range(3, 10))
     assert members.until(members.agree, 10.0) < 10.0
-    assert not any(view.major() for view in members.live.values())
+    assert not any(membership.has_quorum() for membership in members.live.values())
     members.run(REMOVE_AFTER + 3.0)
-    assert not any(view.major() for view in members.live.values())  # a minority removes nobody
+    assert not any(
+        membership.has_quorum() for membership in members.live.values()
+    )  # a minority removes nobody
     for member_id in range(3, 10):
         members.start(member_id)
     assert members.until(members.agree, 5.0) < 5.0
-    assert all(view.major() for view in members.live.values())
+    assert all(membership.has_quorum() for membership in members.live.values())
 
 
 @LOSSES
@@ -72,9 +83,16 @@
     members = settled(6, loss=loss)
     cut(members, {0, 2, 4}, {1, 3, 5})
     sides = {0: {0, 2, 4}, 1: {1, 3, 5}}
-    apart = lambda: all(view.alive_ids() == sides[member_id % 2] for member_id, view in members.live.items())  # noqa: E731
+
+    def apart() -> bool:
+        return all(one.alive_ids() == sides[member_id % 2] for member_id, one in members.live.items())
+
     assert members.until(apart, 10.0) < 10.0
-    assert {member_id for member_id, view in members.live.items() if view.major()} == {0, 2, 4}
+    assert {member_id for member_id, membership in members.live.items() if membership.has_quorum()} == {
+        0,
+        2,
+        4,
+    }
     whole(members)
     assert members.until(members.agree, 5.0) < 5.0
 
@@ -84,8 +102,8 @@
     cut(members, {0, 1, 2}, {3, 4})
     members.run(REMOVE_AFTER + 10.0)
     assert members.live[0].updates[3].state is State.REMOVED
-    assert members.live[0].major()
-    assert not members.live[3].major()
+    assert members.live[0].has_quorum()
+    assert not members.live[3].has_quorum()
     whole(members)
     assert members.until(members.agree, 5.0) < 5.0
 
@@ -98,11 +116,15 @@
         members.run(wait)
         members.start(2)
         assert members.until(members.agree, 3.0) < 3.0
-        assert {view.updates[2].boot_time_ms for view in members.live.values()} == {
+        assert {membership.updates[2].boot_time_ms for membership in members.live.values()} == {
             members.live[2].boot_time_ms
         }
         assert members.live[2].boot_time_ms > before
-        assert all(2 in view.seen().returned for member_id, view in members.live.items() if member_id != 2)
+        assert all(
+            2 in membership.take_snapshot().returned
+            for member_id, membership in members.live.items()
+            if member_id != 2
+        )
 
 
 def test_a_clock_put_back_between_two_lives_loses_nothing() -> None:
@@ -129,44 +151,47 @@
     members.blocked = lambda sender, to: {sender, to} == {0, 2}
     members.run(30.0)
     assert members.agree()
-    assert all(not view.dead_ids() for view in members.live.values())
+    assert all(not membership.dead_ids() for membership in members.live.values())
 
 
 def test_a_room_that_hears_but_is_not_heard_takes_itself_for_cut_off() -> None:
     members = settled(6)
     members.blocked = lambda sender, to: sender in (4, 5) and to not in (4, 5)
     members.run(UNHEARD + 8.0)
-    seen = {member_id: view.seen() for member_id, view in members.live.items()}
-    assert all(seen[member_id].alive == {0, 1, 2, 3} and seen[member_id].major for member_id in range(4))
-    assert not any(seen[member_id].major for member_id in (4, 5))
+    snapshots = {member_id: membership.take_snapshot() for member_id, membership in members.live.items()}
+    assert all(
+        snapshots[member_id].alive == {0, 1, 2, 3} and snapshots[member_id].has_quorum
+        for member_id in range(4)
+    )
+    assert not any(snapshots[member_id].has_quorum for member_id in (4, 5))
     whole(members)
     assert members.until(members.agree, 5.0) < 5.0
-    assert all(view.seen().major for view in members.live.values())
+    assert all(membership.take_snapshot().has_quorum for membership in members.live.values())
 
 
 def test_nobody_is_dead_for_whoever_had_no_room_to_ask() -> None:
     """A suspicion that was only heard of, while there is no room for another datagram from here."""
-    view = View(0, 3, 1, 0.0, updates_per_datagram(False), random.Random(1))
+    membership = Membership(0, 3, 1, 0.0, updates_per_datagram(False), random.Random(1))
     address = ("127.0.0.1", 1)
     there, suspected = Update(2, 5, 0, State.ALIVE), Update(2, 5, 0, State.SUSPECTED)
     for serial, update in enumerate((there, suspected)):
-        view.hear(0.1, Message(Kind.GOSSIP, 1, 7, 0, serial, 0, 1, 0xFFFF, (update,)), address)
-    view.sends.most = view.sends.left = 0.0
+        membership.hear(0.1, Message(Kind.GOSSIP, 1, 7, 0, serial, 0, 1, 0xFFFF, (update,)), address)
+    membership.sends.most = membership.sends.left = 0.0
     now = 0.1
-    while now < view.deadlines[2] + PUT_OFF / 2:
+    while now < membership.deadlines[2] + PUT_OFF / 2:
         now += TICK
-        assert view.tick(now) == []
-    assert view.updates[2].state.name == "SUSPECTED"
-    view.sends.most = view.sends.left = 5.0
+        assert membership.tick(now) == []
+    assert membership.updates[2].state.name == "SUSPECTED"
+    membership.sends.most = membership.sends.left = 5.0
     asked = now + TICK
-    while not any(send.to == 2 and send.message.kind is Kind.PING for send in view.tick(asked)):
+    while not any(send.to == 2 and send.message.kind is Kind.PING for send in membership.tick(asked)):
         asked += TICK
         assert asked < now + 1.0
-    view.tick(asked + LAST_ASK / 2)
-    assert view.updates[2].state.name == "SUSPECTED"
+    membership.tick(asked + LAST_ASK / 2)
+    assert membership.updates[2].state.name == "SUSPECTED"
     for step in range(30):
-        view.tick(asked + LAST_ASK / 2 + step * TICK)
-    assert view.updates[2].state.name == "DEAD"
+        membership.tick(asked + LAST_ASK / 2 + step * TICK)
+    assert membership.updates[2].state.name == "DEAD"
 
 
 def test_who_leaves_is_not_missed_and_three_of_twelve_are_a_fleet_of_three() -> None:
@@ -181,7 +206,7 @@
         members.leave(member_id)
         members.run(0.5)
     assert members.until(members.agree, 3.0) < 3.0
-    assert all(view.major() and not view.dead_ids() for view in members.live.values())
+    assert all(membership.has_quorum() and not membership.dead_ids() for membership in members.live.values())
 
 
 def test_the_last_one_to_leave_holds_nobody_for_the_majority() -> None:
@@ -191,14 +216,14 @@
         members.leave(member_id)
         members.run(0.5)
     assert not last.alive_ids()
-    assert not last.seen().major
+    assert not last.take_snapshot().has_quorum
 
 
 def test_two_with_one_number_are_told_and_one_gives_the_place_up() -> None:
     members = settled(4)
     first, second = (
         members.live[2],
-        View(2, 4, members.live[2].boot_time_ms + 5000, members.now, 20, random.Random(1)),
+        Membership(2, 4, members.live[2].boot_time_ms + 5000, members.now, 20, random.Random(1)),
     )
     for _ in range(int(CLASH)):
         for one in (first, second):
@@ -218,7 +243,7 @@
             for change in one.changes
         )
     given_up = first if first.yielded else second
-    assert not given_up.seen().major
+    assert not given_up.take_snapshot().has_quorum
 
 
 @LOSSES
@@ -226,7 +251,8 @@
     for size in (3, 20, 60):
         members = settled(size, loss=loss)
         before = {
-            member_id: (view.counts.sent, view.counts.taken) for member_id, view in members.live.items()
+            member_id: (membership.counts.sent, membership.counts.taken)
+            for member_id, membership in members.live.items()
         }
         members.run(10.0)
         for way in (0, 1):
@@ -241,21 +267,21 @@
             assert max(sum(at <= one < at + 1.0 for one in times) for at in times) <= 25
 
 
-def test_cold_next_hops_are_divided_among_all_places_until_the_view_has_settled() -> None:
+def test_cold_next_hops_are_divided_among_all_places_until_membership_has_settled() -> None:
     members = Members(5, 1, start=False)
     for member_id in range(3):
         members.start(member_id)
     members.run(2.0)
-    assert members.live[0].seen().among == set(range(5))
+    assert members.live[0].take_snapshot().among == set(range(5))
     members.run(SETTLE + 1.0)
-    assert members.live[0].seen().among == {0, 1, 2}
+    assert members.live[0].take_snapshot().among == {0, 1, 2}
     members.start(3)
-    assert members.until(lambda: 3 in members.live[0].seen().among, 2.0) < 2.0
+    assert members.until(lambda: 3 in members.live[0].take_snapshot().among, 2.0) < 2.0
     members.kill(3)
     members.until(members.agree, 5.0)
-    assert 3 in members.live[0].seen().among
+    assert 3 in members.live[0].take_snapshot().among
     members.run(SETTLE + 1.0)
-    assert 3 not in members.live[0].seen().among
+    assert 3 not in members.live[0].take_snapshot().among
 
 
 def test_log_lines_keep_the_names_that_operators_read() -> None:
@@ -300,16 +326,16 @@
 def test_updates_in_any_order_leave_the_same_table(updates: list[Update], chance: random.Random) -> None:
     tables = []
     for turn in range(2):
-        view = View(5, 9, 1 << 47, 1.0, 20, random.Random(turn))
+        membership = Membership(5, 9, 1 << 47, 1.0, 20, random.Random(turn))
         mixed = updates * (turn + 1)
         chance.shuffle(mixed)
         for update in mixed:
-            held = view.updates.get(update.member_id)
-            view._merge(update, "test")
+            held = membership.updates.get(update.member_id)
+            membership._merge(update, "test")
             if held is not None:  # nothing held comes back by an older update
-                now = view.updates[update.member_id]
+                now = membership.updates[update.member_id]
                 assert (now.version, now.state) >= (held.version, held.state)
-        tables.append({p: (w.version, w.state) for p, w in view.updates.items() if p != 5})
+        tables.append({p: (w.version, w.state) for p, w in membership.updates.items() if p != 5})
     assert tables[0] == tables[1]
 
 
@@ -345,9 +371,9 @@
             if member_id in members.stopped:
                 members.go_on(member_id)
         elif what == "noise":
-            for view in members.live.values():
+            for membership in members.live.values():
                 odd = Message(Kind.PING, member_id, 5, 5, 0, 0, 200, 9, (Update(99, 1, 1, State.DEAD),))
-                view.hear(members.now, odd, ("127.0.0.1", 9))
+                membership.hear(members.now, odd, ("127.0.0.1", 9))
         members.run(1.0)
     whole(members)
     assert members.until(members.agree, 20.0) < 20.0
