--- a/lab/bench_fleet.py
+++ b/lab/bench_fleet.py
@@ -80,9 +80,9 @@
     members = Members(size, 1, loss=0.065)
     found = {"start": members.until(members.agree, 30.0)}
     members.run(4.0)
-    before = sum(view.counts.sent + view.counts.taken for view in members.live.values())
+    before = sum(membership.outbox.sent + membership.counts.taken for membership in members.live.values())
     members.run(10.0)
-    after = sum(view.counts.sent + view.counts.taken for view in members.live.values())
+    after = sum(membership.outbox.sent + membership.counts.taken for membership in members.live.values())
     found["messages"] = (after - before) / size / 10.0 / 2
     members.kill(size // 2)
     found["crash"] = members.until(members.agree, 20.0)
@@ -100,10 +100,12 @@
     """How often a live member was held for gone by another, and in how many hours of members."""
     members = Members(size, seed, loss=0.065)
     members.until(members.agree, 30.0)
-    for view in members.live.values():
-        view.changes.clear()
+    for membership in members.live.values():
+        membership.changes.clear()
     members.run(seconds)
-    gone = sum(change.after == "gone" for view in members.live.values() for change in view.changes)
+    gone = sum(
+        change.after == "gone" for membership in members.live.values() for change in membership.changes
+    )
     return gone, size * seconds / 3600.0
 
 
--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -9,8 +9,9 @@
 import random
 from collections.abc import Callable
 
-from standflow.fleet.membership import TICK, Membership, Send
+from standflow.fleet.membership import TICK_SECONDS, MemberSettings, Membership
 from standflow.fleet.messages import Message, decode, encode, key_of, updates_per_datagram
+from standflow.fleet.outbox import Send
 
 KEY = key_of("simulated")
 
@@ -40,12 +41,11 @@
         self.lives += 1
         boot_time_ms = round((self.now if at is None else at) * 1000) + self.lives
         chance = random.Random(self.chance.random())
-        membership = Membership(
-            member_id, self.size, boot_time_ms, self.now, updates_per_datagram(False), chance
-        )
+        settings = MemberSettings(member_id, self.size, boot_time_ms, updates_per_datagram(False))
+        membership = Membership(settings, self.now, chance)
         self.live[member_id] = membership
         self.stopped.pop(member_id, None)
-        self._after(TICK * chance.random(), lambda: self._tick(member_id, membership))
+        self._after(TICK_SECONDS * chance.random(), lambda: self._tick(member_id, membership))
         return membership
 
     def kill(self, *member_ids: int) -> None:
--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -169,7 +169,7 @@
         if config.fleet is None:
             return None
         from standflow.fleet.member import Member, Parts
-        from standflow.fleet.membership import Snapshot
+        from standflow.fleet.snapshot import Snapshot
 
         def send(to: int | tuple[str, int], content: bytes) -> None:
             if self.speaks:
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -22,7 +22,7 @@
 from standflow.net.loop import Loop
 
 if TYPE_CHECKING:
-    from standflow.fleet.membership import Snapshot
+    from standflow.fleet.snapshot import Snapshot
 
 OUTCOMES = {outcome: i.Outcome(outcome.value) for outcome in Outcome}
 PHASES = {
--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -8,8 +8,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from standflow.fleet.membership import Membership, Send, Snapshot
+from standflow.fleet.membership import MemberSettings, Membership
 from standflow.fleet.messages import MAGIC, Address, State, decode, encode, key_of, updates_per_datagram
+from standflow.fleet.outbox import Send
+from standflow.fleet.own_member import Change
+from standflow.fleet.snapshot import Snapshot
 from standflow.net.loop import Loop
 
 
@@ -53,19 +56,18 @@
         self.loop, self.log, self.parts = loop, log, parts
         self.key, self.addresses = key_of(fleet), bool(seeds)
         boot_time_ms = round(time.time() * 1000)
-        self.membership = Membership(
+        settings = MemberSettings(
             member_id,
             size,
             boot_time_ms,
-            loop.now(),
             updates_per_datagram(self.addresses),
-            chance,
             listed=not seeds,
             address=address if seeds else None,
             seeds=tuple(seed for seed in seeds if seed != address),
         )
+        self.membership = Membership(settings, loop.now(), chance)
         self.reported: Snapshot | None = None
-        self.reported_at = (-1, False)  # the revision, and whether it took itself for cut off
+        self.reported_at: tuple[int, ...] | None = None  # the revision of that
         self.speaks = True
         self.spoiled = 0  # datagrams of another fleet, or garbled
         self.closed = False
@@ -94,13 +96,10 @@
         """
         if self.reported is None:
             return None
-        updates = (
-            (member_id, self.membership.updates[member_id])
-            for member_id in self.membership.alive - {self.membership.own_id}
-        )
+        table = self.membership.table
+        others = (table.updates[member_id] for member_id in table.alive - {table.own_id})
         return {
-            str(member_id): [update.boot_time_ms, *(update.address or ("", 0))]
-            for member_id, update in updates
+            str(update.member_id): [update.boot_time_ms, *(update.address or ("", 0))] for update in others
         }
 
     def remember(self, members: dict[str, list[Any]]) -> None:
@@ -125,16 +124,14 @@
     def figures(self) -> Figures:
         """Of now."""
         membership = self.membership
-        suspected = sum(update.state is State.SUSPECTED for update in membership.updates.values())
-        settled = round((self.loop.now() - membership.changed) * 1000)
-        dropped = self.spoiled + membership.counts.dropped
+        states = [update.state for update in membership.table.updates.values()]
         return Figures(
-            len(membership.alive),
-            suspected,
-            settled,
-            membership.counts.sent,
-            membership.counts.taken,
-            dropped,
+            present=len(membership.table.alive),
+            suspected=states.count(State.SUSPECTED),
+            settled_ms=round((self.loop.now() - membership.changed_at) * 1000),
+            sent=membership.outbox.sent,
+            taken=membership.counts.taken,
+            dropped=self.spoiled + membership.counts.dropped,
         )
 
     def _tick(self) -> None:
@@ -144,28 +141,43 @@
             self.loop.call_later(self.membership.pace, self._tick)
 
     def _carry(self, sends: list[Send]) -> None:
+        """Carries out what an event led to: datagrams, log lines, and what the module is told."""
         for send in sends:
-            to: int | Address | None = send.to
-            if isinstance(to, int) and self.addresses:
-                to = self.membership.updates[to].address if to in self.membership.updates else None
-            if to is not None:
-                self.parts.send(to, encode(send.message, self.key, self.addresses))
+            self._send(send)
         for change in self.membership.changes:
-            count = len(self.membership.alive)
-            became = f"{change.before} -> {change.after} ({change.why})"
-            self.log(f"fleet: place {change.member_id}: {became}, {count} present")
-            update = self.membership.updates.get(change.member_id)
-            if self.addresses and update is not None and update.address is not None:
-                self.parts.filled(change.member_id, update.address)
+            self._log_change(change)
         self.membership.changes.clear()
-        revision = (self.membership.revision, self.membership.unheard)
-        if self.membership.waiting:
+        self._report()
+
+    def _send(self, send: Send) -> None:
+        to: int | Address | None = send.to
+        if isinstance(to, int) and self.addresses:
+            to = self._address(to)
+        if to is not None:
+            self.parts.send(to, encode(send.message, self.key, self.addresses))
+
+    def _log_change(self, change: Change) -> None:
+        count = len(self.membership.table.alive)
+        became = f"{change.before} -> {change.after} ({change.why})"
+        self.log(f"fleet: place {change.member_id}: {became}, {count} present")
+        address = self._address(change.member_id)
+        if self.addresses and address is not None:
+            self.parts.filled(change.member_id, address)
+
+    def _address(self, member_id: int) -> Address | None:
+        update = self.membership.table.updates.get(member_id)
+        return None if update is None else update.address
+
+    def _report(self) -> None:
+        """Tells the module of a snapshot that differs from the last one."""
+        membership, revision = self.membership, self.membership.revision
+        if membership.waiting or revision == self.reported_at or not membership.joined or membership.left:
+            return
+        self.reported_at, snapshot = revision, membership.take_snapshot()
+        if snapshot == self.reported:
             return
-        if revision != self.reported_at and self.membership.joined and not self.membership.left:
-            self.reported_at, snapshot = revision, self.membership.take_snapshot()
-            if self.reported is None or snapshot != self.reported:
-                if self.reported is not None and snapshot.has_quorum != self.reported.has_quorum:
-                    may = "may" if snapshot.has_quorum else "may not"
-                    self.log(f"fleet: {may} take over for {sorted(snapshot.missing)}")
-                self.reported = snapshot
-                self.parts.changed(snapshot)
+        if self.reported is not None and snapshot.has_quorum != self.reported.has_quorum:
+            may = "may" if snapshot.has_quorum else "may not"
+            self.log(f"fleet: {may} take over for {sorted(snapshot.missing)}")
+        self.reported = snapshot
+        self.parts.changed(snapshot)
--- a/standflow/fleet/messages.py
+++ b/standflow/fleet/messages.py
@@ -13,9 +13,10 @@
 from hashlib import blake2b
 
 MAGIC = b"\xf1\xee"
-MAX_DATAGRAM_BYTES = 256  # bytes of a datagram
+MAX_DATAGRAM_BYTES = 256
 MAX_INCARNATION = 0xFFFF
 MAX_BOOT_TIME_MS = (1 << 48) - 1
+NO_CURSOR = 0xFFFF  # no updates are wanted
 
 _TAG = 6  # bytes
 _HEAD = struct.Struct(">BH6sHIIHH")  # kind, member id, boot time, incarnation, serial, digest, about, cursor
--- /dev/null
+++ b/tests/test_fleet_member.py
@@ -0,0 +1,119 @@
+"""A member's log lines, figures and reports, and the small parts of its decisions."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from itertools import chain, combinations, count
+from typing import cast
+
+import pytest
+
+from standflow.fleet.member import Member, Parts
+from standflow.fleet.rate_limit import TokenBucket
+from standflow.fleet.snapshot import Snapshot, has_quorum
+from standflow.net.loop import Loop
+
+
+class FakeLoop:
+    """Simulated time in place of the epoll loop."""
+
+    def __init__(self) -> None:
+        self.time = 1000.0
+        self.order = count()
+        self.timers: list[tuple[float, int, Callable[[], None]]] = []
+
+    def now(self) -> float:
+        return self.time
+
+    def call_later(self, delay: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self.timers, (self.time + delay, next(self.order), call))
+
+    def run(self, seconds: float) -> None:
+        end = self.time + seconds
+        while self.timers and self.timers[0][0] <= end:
+            self.time, _, call = heapq.heappop(self.timers)
+            call()
+        self.time = end
+
+
+class Two:
+    """Two members on one loop; a cut between them drops what they send."""
+
+    def __init__(self) -> None:
+        self.loop, self.is_cut = FakeLoop(), False
+        self.logs: list[list[str]] = [[], []]
+        self.reports: list[list[Snapshot]] = [[], []]
+        self.members = [self._member(own_id) for own_id in (0, 1)]
+
+    def _member(self, own_id: int) -> Member:
+        def send(to: object, content: bytes) -> None:
+            if not self.is_cut:
+                self.loop.call_later(0.001, lambda: self._deliver(1 - own_id, content))
+
+        parts = Parts(send, lambda number, address: None, self.reports[own_id].append)
+        log = self.logs[own_id].append
+        loop = cast(Loop, self.loop)
+        return Member(loop, log, "lab", own_id, 2, ("127.0.0.1", 1), (), random.Random(own_id), parts)
+
+    def _deliver(self, to: int, content: bytes) -> None:
+        assert self.members[to].hear(content, ("127.0.0.1", 1))
+
+
+def test_log_lines_figures_and_reports_of_a_cut_and_its_end() -> None:
+    two = Two()
+    two.loop.run(2.0)
+    for own_id in (0, 1):
+        assert two.logs[own_id] == [
+            f"fleet: this is place {own_id} of 2 in lab",
+            f"fleet: place {1 - own_id}: unknown -> present (heard), 2 present",
+        ]
+        assert two.reports[own_id][-1].has_quorum
+        assert two.members[own_id].figures().present == 2
+    two.is_cut = True
+    two.loop.run(8.0)
+    assert two.logs[1][2:] == [
+        "fleet: place 0: present -> suspected (no answer), 2 present",
+        "fleet: place 0: suspected -> gone (silent), 1 present",
+        "fleet: may not take over for [0]",
+    ]
+    assert two.reports[0][-1].has_quorum
+    assert two.reports[1][-1] == Snapshot(
+        frozenset({1}), frozenset({0}), False, frozenset({0, 1}), frozenset()
+    )
+    figures = two.members[1].figures()
+    assert (figures.present, figures.suspected) == (1, 0)
+    assert figures.sent > 0 < figures.taken
+    two.is_cut = False
+    two.loop.run(3.0)
+    assert "fleet: may take over for []" in two.logs[1]
+    assert [report.returned for report in two.reports[1]].count(frozenset({0})) == 2  # each time once
+    assert two.reports[1][-1].has_quorum
+    assert all(member.figures().present == 2 for member in two.members)
+
+
+def test_an_orderly_end_is_logged_as_such() -> None:
+    two = Two()
+    two.loop.run(2.0)
+    two.members[0].leave()
+    two.members[0].close()
+    two.loop.run(1.0)
+    assert two.logs[1][-1].startswith("fleet: place 0: present -> left (told by 0)")
+
+
+@pytest.mark.parametrize("size", range(1, 7))
+def test_one_side_of_each_cut_and_no_more_has_a_quorum(size: int) -> None:
+    members = set(range(size))
+    sides = chain.from_iterable(combinations(members, taken) for taken in range(size + 1))
+    for side in map(set, sides):
+        assert has_quorum(side, members - side) != has_quorum(members - side, side)
+
+
+def test_a_token_bucket_lets_a_burst_through_and_then_its_rate() -> None:
+    bucket = TokenBucket.full(2.0, 3.0, 10.0)
+    assert [bucket.take(10.0) for _ in range(4)] == [True, True, True, False]
+    assert not bucket.take(10.4)
+    assert bucket.take(10.5)
+    assert bucket.take(99.0, 3)
+    assert not bucket.take(99.0)
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -90,7 +90,7 @@
             use = [Record("use", row[0], row[1:], "boot", self.now) for row in rows]
             membership = self.members.live[number]
             lives: dict[int, tuple[int, Address | None]] = {
-                place: (membership.updates[place].boot_time_ms, None)
+                place: (membership.table.updates[place].boot_time_ms, None)
                 for place in membership.alive_ids() - {number}
             }
             kept[number] = use, lives
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,16 +11,8 @@
 from hypothesis import strategies as st
 
 from lab.fleet.simulated import KEY, Members
-from standflow.fleet.membership import (
-    CLASH,
-    LAST_ASK,
-    PUT_OFF,
-    REMOVE_AFTER,
-    SETTLE,
-    TICK,
-    UNHEARD,
-    Membership,
-)
+from standflow.fleet.failure_detector import LAST_ASK_SECONDS, PUT_OFF_SECONDS, REMOVE_AFTER_SECONDS
+from standflow.fleet.membership import SETTLE_SECONDS, TICK_SECONDS, MemberSettings, Membership
 from standflow.fleet.messages import (
     MAX_DATAGRAM_BYTES,
     Kind,
@@ -32,6 +24,8 @@
     key_of,
     updates_per_datagram,
 )
+from standflow.fleet.own_member import CLASH_SECONDS
+from standflow.fleet.reachability import UNHEARD_SECONDS
 
 LOSSES = pytest.mark.parametrize("loss", [0.0, 0.065])
 
@@ -68,7 +62,7 @@
     members.kill(*range(3, 10))
     assert members.until(members.agree, 10.0) < 10.0
     assert not any(membership.has_quorum() for membership in members.live.values())
-    members.run(REMOVE_AFTER + 3.0)
+    members.run(REMOVE_AFTER_SECONDS + 3.0)
     assert not any(
         membership.has_quorum() for membership in members.live.values()
     )  # a minority removes nobody
@@ -100,8 +94,8 @@
 def test_after_a_removal_a_join_brings_the_removed_back() -> None:
     members = settled(5)
     cut(members, {0, 1, 2}, {3, 4})
-    members.run(REMOVE_AFTER + 10.0)
-    assert members.live[0].updates[3].state is State.REMOVED
+    members.run(REMOVE_AFTER_SECONDS + 10.0)
+    assert members.live[0].table.updates[3].state is State.REMOVED
     assert members.live[0].has_quorum()
     assert not members.live[3].has_quorum()
     whole(members)
@@ -111,15 +105,15 @@
 def test_a_member_back_within_the_suspicions_time_and_after_it_is_told_from_its_former_life() -> None:
     members = settled(5)
     for wait in (0.3, 6.0):
-        before = members.live[2].boot_time_ms
+        before = members.live[2].table.own.boot_time_ms
         members.kill(2)
         members.run(wait)
         members.start(2)
         assert members.until(members.agree, 3.0) < 3.0
-        assert {membership.updates[2].boot_time_ms for membership in members.live.values()} == {
-            members.live[2].boot_time_ms
+        assert {membership.table.updates[2].boot_time_ms for membership in members.live.values()} == {
+            members.live[2].table.own.boot_time_ms
         }
-        assert members.live[2].boot_time_ms > before
+        assert members.live[2].table.own.boot_time_ms > before
         assert all(
             2 in membership.take_snapshot().returned
             for member_id, membership in members.live.items()
@@ -132,7 +126,7 @@
     members.kill(1)
     members.start(1, at=members.now - 3600.0)
     assert members.until(members.agree, 3.0) < 3.0
-    assert not members.live[1].yielded
+    assert not members.live[1].own.yielded
 
 
 def test_one_stopped_for_3_s_again_and_again_is_never_dead_for_good_and_holds_nobody_for_dead() -> None:
@@ -157,7 +151,7 @@
 def test_a_room_that_hears_but_is_not_heard_takes_itself_for_cut_off() -> None:
     members = settled(6)
     members.blocked = lambda sender, to: sender in (4, 5) and to not in (4, 5)
-    members.run(UNHEARD + 8.0)
+    members.run(UNHEARD_SECONDS + 8.0)
     snapshots = {member_id: membership.take_snapshot() for member_id, membership in members.live.items()}
     assert all(
         snapshots[member_id].alive == {0, 1, 2, 3} and snapshots[member_id].has_quorum
@@ -169,29 +163,50 @@
     assert all(membership.take_snapshot().has_quorum for membership in members.live.values())
 
 
+def test_one_that_nobody_answers_takes_itself_for_cut_off_before_it_is_held_for_dead() -> None:
+    members = settled(6)
+    mute = members.live[5]
+    members.blocked = lambda sender, to: sender == 5
+    assert members.until(lambda: mute.unheard, UNHEARD_SECONDS + 5.0) < UNHEARD_SECONDS + 5.0
+    assert not mute.reachability.deaf
+    assert not mute.take_snapshot().has_quorum
+    whole(members)
+    assert members.until(lambda: mute.take_snapshot().has_quorum, 5.0) < 5.0
+
+
+def test_a_suspicion_has_all_its_time_though_the_member_stood_still() -> None:
+    members = settled(4)
+    members.kill(3)
+    one = members.live[0]
+    assert members.until(lambda: 3 in one.detector.deadlines, 5.0) < 5.0
+    deadline = one.detector.deadlines[3]
+    one.tick(members.now + 3.0)  # it was due within TICK_SECONDS
+    assert one.detector.deadlines[3] > deadline + 3.0 - 2 * TICK_SECONDS
+
+
 def test_nobody_is_dead_for_whoever_had_no_room_to_ask() -> None:
     """A suspicion that was only heard of, while there is no room for another datagram from here."""
-    membership = Membership(0, 3, 1, 0.0, updates_per_datagram(False), random.Random(1))
+    membership = Membership(MemberSettings(0, 3, 1, updates_per_datagram(False)), 0.0, random.Random(1))
     address = ("127.0.0.1", 1)
     there, suspected = Update(2, 5, 0, State.ALIVE), Update(2, 5, 0, State.SUSPECTED)
     for serial, update in enumerate((there, suspected)):
         membership.hear(0.1, Message(Kind.GOSSIP, 1, 7, 0, serial, 0, 1, 0xFFFF, (update,)), address)
-    membership.sends.most = membership.sends.left = 0.0
+    membership.outbox.sends.burst = membership.outbox.sends.tokens = 0.0
     now = 0.1
-    while now < membership.deadlines[2] + PUT_OFF / 2:
-        now += TICK
+    while now < membership.detector.deadlines[2] + PUT_OFF_SECONDS / 2:
+        now += TICK_SECONDS
         assert membership.tick(now) == []
-    assert membership.updates[2].state.name == "SUSPECTED"
-    membership.sends.most = membership.sends.left = 5.0
-    asked = now + TICK
+    assert membership.table.updates[2].state.name == "SUSPECTED"
+    membership.outbox.sends.burst = membership.outbox.sends.tokens = 5.0
+    asked = now + TICK_SECONDS
     while not any(send.to == 2 and send.message.kind is Kind.PING for send in membership.tick(asked)):
-        asked += TICK
+        asked += TICK_SECONDS
         assert asked < now + 1.0
-    membership.tick(asked + LAST_ASK / 2)
-    assert membership.updates[2].state.name == "SUSPECTED"
+    membership.tick(asked + LAST_ASK_SECONDS / 2)
+    assert membership.table.updates[2].state.name == "SUSPECTED"
     for step in range(30):
-        membership.tick(asked + LAST_ASK / 2 + step * TICK)
-    assert membership.updates[2].state.name == "DEAD"
+        membership.tick(asked + LAST_ASK_SECONDS / 2 + step * TICK_SECONDS)
+    assert membership.table.updates[2].state.name == "DEAD"
 
 
 def test_who_leaves_is_not_missed_and_three_of_twelve_are_a_fleet_of_three() -> None:
@@ -221,28 +236,35 @@
 
 def test_two_with_one_number_are_told_and_one_gives_the_place_up() -> None:
     members = settled(4)
-    first, second = (
-        members.live[2],
-        Membership(2, 4, members.live[2].boot_time_ms + 5000, members.now, 20, random.Random(1)),
-    )
-    for _ in range(int(CLASH)):
+    first = members.live[2]
+    later = MemberSettings(2, 4, first.table.own.boot_time_ms + 5000, 20)
+    second = Membership(later, members.now, random.Random(1))
+    for _ in range(int(CLASH_SECONDS)):
         for one in (first, second):
             members.live[2] = one
             for other in (0, 1, 3):
-                boot_time_ms = members.live[other].boot_time_ms
-                about = members.live[other].updates[2]
+                boot_time_ms = members.live[other].table.own.boot_time_ms
+                about = members.live[other].table.updates[2]
                 said = Message(
-                    Kind.PING, other, boot_time_ms, members.live[other].incarnation, 1, 0, 2, 0xFFFF, (about,)
+                    Kind.PING,
+                    other,
+                    boot_time_ms,
+                    members.live[other].table.own.incarnation,
+                    1,
+                    0,
+                    2,
+                    0xFFFF,
+                    (about,),
                 )
                 one.hear(members.now, said, ("127.0.0.1", 1))
             members.run(0.5)
-    assert [one.yielded for one in (first, second)].count(True) == 1
+    assert [one.own.yielded for one in (first, second)].count(True) == 1
     for one in (first, second):
         assert any(
             "two have one number" in change.after or "another process" in change.after
             for change in one.changes
         )
-    given_up = first if first.yielded else second
+    given_up = first if first.own.yielded else second
     assert not given_up.take_snapshot().has_quorum
 
 
@@ -251,13 +273,13 @@
     for size in (3, 20, 60):
         members = settled(size, loss=loss)
         before = {
-            member_id: (membership.counts.sent, membership.counts.taken)
+            member_id: (membership.outbox.sent, membership.counts.taken)
             for member_id, membership in members.live.items()
         }
         members.run(10.0)
         for way in (0, 1):
             rates = [
-                ((v.counts.sent, v.counts.taken)[way] - before[p][way]) / 10.0
+                ((v.outbox.sent, v.counts.taken)[way] - before[p][way]) / 10.0
                 for p, v in members.live.items()
             ]
             assert sum(rates) / size <= 8.0
@@ -273,14 +295,14 @@
         members.start(member_id)
     members.run(2.0)
     assert members.live[0].take_snapshot().among == set(range(5))
-    members.run(SETTLE + 1.0)
+    members.run(SETTLE_SECONDS + 1.0)
     assert members.live[0].take_snapshot().among == {0, 1, 2}
     members.start(3)
     assert members.until(lambda: 3 in members.live[0].take_snapshot().among, 2.0) < 2.0
     members.kill(3)
     members.until(members.agree, 5.0)
     assert 3 in members.live[0].take_snapshot().among
-    members.run(SETTLE + 1.0)
+    members.run(SETTLE_SECONDS + 1.0)
     assert 3 not in members.live[0].take_snapshot().among
 
 
@@ -326,16 +348,16 @@
 def test_updates_in_any_order_leave_the_same_table(updates: list[Update], chance: random.Random) -> None:
     tables = []
     for turn in range(2):
-        membership = Membership(5, 9, 1 << 47, 1.0, 20, random.Random(turn))
+        membership = Membership(MemberSettings(5, 9, 1 << 47, 20), 1.0, random.Random(turn))
         mixed = updates * (turn + 1)
         chance.shuffle(mixed)
         for update in mixed:
-            held = membership.updates.get(update.member_id)
-            membership._merge(update, "test")
+            held = membership.table.updates.get(update.member_id)
+            membership.merge(update, "test")
             if held is not None:  # nothing held comes back by an older update
-                now = membership.updates[update.member_id]
+                now = membership.table.updates[update.member_id]
                 assert (now.version, now.state) >= (held.version, held.state)
-        tables.append({p: (w.version, w.state) for p, w in membership.updates.items() if p != 5})
+        tables.append({p: (w.version, w.state) for p, w in membership.table.updates.items() if p != 5})
     assert tables[0] == tables[1]
 
 
