--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -1,4 +1,4 @@
-"""Many members' views in simulated time: the same decisions as in the ingress, on a network of our own.
+"""Many members in simulated time: the same decisions as in the ingress, on a network of our own.
 
 No sockets and no clock but the fleet's. The same seed gives the same run.
 """
@@ -9,8 +9,9 @@
 import random
 from collections.abc import Callable
 
-from standflow.fleet.view import TICK, Send, View
-from standflow.fleet.words import Message, decode, encode, key_of, room
+from standflow.fleet.membership import TICK_SECONDS, MemberSettings, Membership
+from standflow.fleet.messages import Message, decode, encode, key_of, updates_per_datagram
+from standflow.fleet.outbox import Send
 
 KEY = key_of("simulated")
 
@@ -25,45 +26,46 @@
         self.chance = random.Random(seed)
         self.now, self.serial = 1e6, 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.live: dict[int, View] = {}
+        self.live: dict[int, Membership] = {}
         self.stopped: dict[int, list[tuple[int, bytes]]] = {}  # held still, with what waits for them
         self.blocked: Callable[[int, int], bool] = lambda sender, to: False
         self.again = 0.0  # part of the datagrams that come twice, the second one late
         self.taken: dict[int, list[float]] = {}  # when a member took something in, for its worst second
         self.lives = 0
         if start:
-            for place in range(size):
-                self.start(place)
+            for member_id in range(size):
+                self.start(member_id)
 
-    def start(self, place: int, at: float | None = None) -> View:
+    def start(self, member_id: int, at: float | None = None) -> Membership:
         """A member begins, or begins anew, with nothing known."""
         self.lives += 1
-        life = round((self.now if at is None else at) * 1000) + self.lives
+        boot_time_ms = round((self.now if at is None else at) * 1000) + self.lives
         chance = random.Random(self.chance.random())
-        view = View(place, self.size, life, self.now, room(False), chance)
-        self.live[place] = view
-        self.stopped.pop(place, None)
-        self._after(TICK * chance.random(), lambda: self._tick(place, view))
-        return view
-
-    def kill(self, *places: int) -> None:
-        """They are gone without a word."""
-        for place in places:
-            del self.live[place]
-
-    def leave(self, place: int) -> None:
+        settings = MemberSettings(member_id, self.size, boot_time_ms, updates_per_datagram(False))
+        membership = Membership(settings, self.now, chance)
+        self.live[member_id] = membership
+        self.stopped.pop(member_id, None)
+        self._after(TICK_SECONDS * chance.random(), lambda: self._tick(member_id, membership))
+        return membership
+
+    def kill(self, *member_ids: int) -> None:
+        """They end without a message."""
+        for member_id in member_ids:
+            del self.live[member_id]
+
+    def leave(self, member_id: int) -> None:
         """One ends in order."""
-        self._carry(place, self.live[place].leave())
-        del self.live[place]
+        self._carry(member_id, self.live[member_id].leave())
+        del self.live[member_id]
 
-    def hold(self, place: int) -> None:
+    def hold(self, member_id: int) -> None:
         """One stands still, as by SIGSTOP; what comes waits."""
-        self.stopped[place] = []
+        self.stopped[member_id] = []
 
-    def go_on(self, place: int) -> None:
+    def go_on(self, member_id: int) -> None:
         """It goes on, and reads what waited."""
-        for sender, content in self.stopped.pop(place):
-            self._hear(sender, place, content)
+        for sender, content in self.stopped.pop(member_id):
+            self._hear(sender, member_id, content)
 
     def run(self, seconds: float) -> None:
         """Lets time pass."""
@@ -82,21 +84,21 @@
             self.run(0.1)
         return self.now - began
 
-    def agree(self, present: set[int] | None = None) -> bool:
-        """All live members hold the live, and nobody else, for present."""
-        wanted = set(self.live) if present is None else present
-        return all(view.here() == wanted for view in self.live.values())
+    def agree(self, alive: set[int] | None = None) -> bool:
+        """All live members hold the live, and nobody else, for alive."""
+        wanted = set(self.live) if alive is None else alive
+        return all(membership.alive_ids() == wanted for membership in self.live.values())
 
     def _after(self, delay: float, call: Callable[[], None]) -> None:
         self.serial += 1
         heapq.heappush(self.queue, (self.now + delay, self.serial, call))
 
-    def _tick(self, place: int, view: View) -> None:
-        if self.live.get(place) is not view:
+    def _tick(self, member_id: int, membership: Membership) -> None:
+        if self.live.get(member_id) is not membership:
             return
-        if place not in self.stopped:
-            self._carry(place, view.tick(self.now))
-        self._after(view.pace, lambda: self._tick(place, view))
+        if member_id not in self.stopped:
+            self._carry(member_id, membership.tick(self.now))
+        self._after(membership.pace, lambda: self._tick(member_id, membership))
 
     def _carry(self, sender: int, sends: list[Send]) -> None:
         for send in sends:
@@ -117,10 +119,10 @@
         if to in self.stopped:
             self.stopped[to].append((sender, content))
             return
-        view = self.live.get(to)
+        membership = self.live.get(to)
         message: Message | None = decode(content, KEY)
-        if view is not None and message is not None:
-            before = view.counts.taken
-            self._carry(to, view.hear(self.now, message, ("127.0.0.1", sender)))
-            if view.counts.taken > before:
+        if membership is not None and message is not None:
+            before = membership.counts.taken
+            self._carry(to, membership.hear(self.now, message, ("127.0.0.1", sender)))
+            if membership.counts.taken > before:
                 self.taken.setdefault(to, []).append(self.now)
--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -1,4 +1,4 @@
-"""Carries a member's view out: its datagrams, its clock, its log lines, and what the module is told of it."""
+"""Carries a member's decisions out: its datagrams, clock and log lines, and what the module is told."""
 
 from __future__ import annotations
 
@@ -8,18 +8,21 @@
 from dataclasses import dataclass
 from typing import Any
 
-from standflow.fleet.view import Seen, Send, View
-from standflow.fleet.words import MAGIC, Address, State, decode, encode, key_of, room
+from standflow.fleet.membership import MemberSettings, Membership
+from standflow.fleet.messages import MAGIC, Address, State, decode, encode, key_of, updates_per_datagram
+from standflow.fleet.outbox import Send
+from standflow.fleet.own_member import Change
+from standflow.fleet.snapshot import Snapshot
 from standflow.net.loop import Loop
 
 
 @dataclass(slots=True)
 class Parts:
-    """What the view asks of the ingress."""
+    """What the membership asks of the ingress."""
 
-    send: Callable[[int | Address, bytes], None]  # to a place, or to an address that fills none yet
-    filled: Callable[[int, Address], None]  # a place is filled at this address, where none is listed
-    seen: Callable[[Seen], None]  # what follows, each time it is another
+    send: Callable[[int | Address, bytes], None]  # to a member, or to an address whose member is not known
+    filled: Callable[[int, Address], None]  # a member's address, where none is listed
+    changed: Callable[[Snapshot], None]  # with what follows, each time it is another
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,7 +34,7 @@
     settled_ms: int  # since the last change of who is there
     sent: int
     taken: int
-    dropped: int  # garbled, of another fleet, of an earlier life, or more than is taken in
+    dropped: int  # garbled, of another fleet, of an earlier start, or more than is taken in
 
 
 class Member:
@@ -42,73 +45,77 @@
         loop: Loop,
         log: Callable[[str], None],
         fleet: str,
-        place: int,
-        places: int,
+        member_id: int,
+        size: int,
         address: Address,
         seeds: tuple[Address, ...],
         chance: random.Random,
         parts: Parts,
     ) -> None:
-        """`seeds`: some to join by, where the places' addresses are not listed; else none."""
+        """`seeds`: some to join by, where the members' addresses are not listed; else none."""
         self.loop, self.log, self.parts = loop, log, parts
         self.key, self.addresses = key_of(fleet), bool(seeds)
-        life = round(time.time() * 1000)
-        self.view = View(
-            place,
-            places,
-            life,
-            loop.now(),
-            room(self.addresses),
-            chance,
+        boot_time_ms = round(time.time() * 1000)
+        settings = MemberSettings(
+            member_id,
+            size,
+            boot_time_ms,
+            updates_per_datagram(self.addresses),
             listed=not seeds,
             address=address if seeds else None,
             seeds=tuple(seed for seed in seeds if seed != address),
         )
-        self.told: Seen | None = None
-        self.told_at = (-1, False)  # the view's turn, and whether it took itself for cut off
+        self.membership = Membership(settings, loop.now(), chance)
+        self.reported: Snapshot | None = None
+        self.reported_at: tuple[int, ...] | None = None  # the revision of that
         self.speaks = True
         self.spoiled = 0  # datagrams of another fleet, or garbled
         self.closed = False
-        log(f"fleet: this is place {place} of {places} in {fleet}")
-        loop.call_later(self.view.pace, self._tick)
+        log(f"fleet: this is place {member_id} of {size} in {fleet}")
+        loop.call_later(self.membership.pace, self._tick)
 
     def hear(self, content: bytes, sender: Address) -> bool:
-        """True for a datagram that looks like a view's, sound or not; the ring's are none of it."""
+        """True for a datagram that looks like a membership's, sound or not; the ring's are none of it."""
         if not content.startswith(MAGIC):
             return False
         message = decode(content, self.key)
         if message is None:
             self.spoiled += 1
         elif self.speaks:
-            self._carry(self.view.hear(self.loop.now(), message, sender))
+            self._carry(self.membership.hear(self.loop.now(), message, sender))
         return True
 
-    def ring(self, place: int) -> None:
+    def ring(self, member_id: int) -> None:
         """A datagram of the ring came from there."""
-        self.view.ring(self.loop.now(), place)
+        self.membership.ring(self.loop.now(), member_id)
 
-    def present(self) -> dict[str, list[Any]] | None:
-        """The others that are there, for a later life: by place, their lives and addresses; None while who
-        is there is not known yet.
+    def alive_members(self) -> dict[str, list[Any]] | None:
+        """The others that are there, for the next start: by member id, their boot times and addresses.
+
+        None while who is there is not known yet.
         """
-        if self.told is None:
+        if self.reported is None:
             return None
-        words = ((place, self.view.words[place]) for place in self.view.filled - {self.view.own})
-        return {str(place): [word.life, *(word.address or ("", 0))] for place, word in words}
+        table = self.membership.table
+        others = (table.updates[member_id] for member_id in table.alive - {table.own_id})
+        return {
+            str(update.member_id): [update.boot_time_ms, *(update.address or ("", 0))] for update in others
+        }
 
     def remember(self, members: dict[str, list[Any]]) -> None:
-        """What an earlier life kept of it."""
+        """What the process before kept of it."""
         known = {
-            int(n): (int(life), (host, port) if host else None) for n, (life, host, port) in members.items()
+            int(n): (int(boot_time_ms), (host, port) if host else None)
+            for n, (boot_time_ms, host, port) in members.items()
         }
-        self.view.remember(known)
+        self.membership.remember(known)
         if known:
             self.log(f"fleet: {sorted(known)} were there in an earlier life: asked, and missing until heard")
 
     def leave(self) -> None:
         """The ingress ends in order: the others are told, and miss nobody."""
         if self.speaks:
-            self._carry(self.view.leave())
+            self._carry(self.membership.leave())
 
     def close(self) -> None:
         """Ends it."""
@@ -116,42 +123,61 @@
 
     def figures(self) -> Figures:
         """Of now."""
-        view = self.view
-        suspected = sum(word.state is State.SUSPECTED for word in view.words.values())
-        settled = round((self.loop.now() - view.changed) * 1000)
-        dropped = self.spoiled + view.counts.dropped
-        return Figures(len(view.filled), suspected, settled, view.counts.sent, view.counts.taken, dropped)
+        membership = self.membership
+        states = [update.state for update in membership.table.updates.values()]
+        return Figures(
+            present=len(membership.table.alive),
+            suspected=states.count(State.SUSPECTED),
+            settled_ms=round((self.loop.now() - membership.changed_at) * 1000),
+            sent=membership.outbox.sent,
+            taken=membership.counts.taken,
+            dropped=self.spoiled + membership.counts.dropped,
+        )
 
     def _tick(self) -> None:
         if not self.closed:
             if self.speaks:
-                self._carry(self.view.tick(self.loop.now()))
-            self.loop.call_later(self.view.pace, self._tick)
+                self._carry(self.membership.tick(self.loop.now()))
+            self.loop.call_later(self.membership.pace, self._tick)
 
     def _carry(self, sends: list[Send]) -> None:
+        """Carries out what an event led to: datagrams, log lines, and what the module is told."""
         for send in sends:
-            to: int | Address | None = send.to
-            if isinstance(to, int) and self.addresses:
-                to = self.view.words[to].address if to in self.view.words else None
-            if to is not None:
-                self.parts.send(to, encode(send.message, self.key, self.addresses))
-        for change in self.view.changes:
-            count = len(self.view.filled)
-            became = f"{change.before} -> {change.after} ({change.why})"
-            self.log(f"fleet: place {change.place}: {became}, {count} present")
-            word = self.view.words.get(change.place)
-            if self.addresses and word is not None and word.address is not None:
-                self.parts.filled(change.place, word.address)
-        self.view.changes.clear()
-        turn = (self.view.turn, self.view.unheard)
-        if self.view.waiting:
+            self._send(send)
+        for change in self.membership.changes:
+            self._log_change(change)
+        self.membership.changes.clear()
+        self._report()
+
+    def _send(self, send: Send) -> None:
+        to: int | Address | None = send.to
+        if isinstance(to, int) and self.addresses:
+            to = self._address(to)
+        if to is not None:
+            self.parts.send(to, encode(send.message, self.key, self.addresses))
+
+    def _log_change(self, change: Change) -> None:
+        count = len(self.membership.table.alive)
+        became = f"{change.before} -> {change.after} ({change.why})"
+        self.log(f"fleet: place {change.member_id}: {became}, {count} present")
+        address = self._address(change.member_id)
+        if self.addresses and address is not None:
+            self.parts.filled(change.member_id, address)
+
+    def _address(self, member_id: int) -> Address | None:
+        update = self.membership.table.updates.get(member_id)
+        return None if update is None else update.address
+
+    def _report(self) -> None:
+        """Tells the module of a snapshot that differs from the last one."""
+        membership, revision = self.membership, self.membership.revision
+        if membership.waiting or revision == self.reported_at or not membership.joined or membership.left:
+            return
+        self.reported_at, snapshot = revision, membership.take_snapshot()
+        if snapshot == self.reported:
             return
-        if turn != self.told_at and self.view.joined and not self.view.left:
-            self.told_at, seen = turn, self.view.seen()
-            if self.told is None or seen != self.told:
-                if self.told is not None and seen.major != self.told.major:
-                    self.log(
-                        f"fleet: {'may' if seen.major else 'may not'} take over for {sorted(seen.missing)}"
-                    )
-                self.told = seen
-                self.parts.seen(seen)
+        if self.reported is not None and snapshot.has_quorum != self.reported.has_quorum:
+            may = "may" if snapshot.has_quorum else "may not"
+            self.log(f"fleet: {may} take over for {sorted(snapshot.missing)}")
+        self.reported = snapshot
+        self.parts.changed(snapshot)
