--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -68,7 +68,7 @@
         self.stores = Stores(settings.count_limit, lambda action: self.actions.append(action))
         # where a lap takes longer than a window the members without use are skipped
         window = min((plan.burst / plan.rate for plan in settings.plans if plan.rate), default=math.inf)
-        self.long_ring = settings.may_tell_peers and settings.gateways * self.epoch > window / 2
+        self.long_ring = settings.may_tell_peers and settings.gateways * self.epoch > window
         self.epoch = IDLE_FOR / 4 if self.long_ring else self.epoch
         self.coordination = Coordination(self, self._admit, self._within_quota)
 
