A silent ring member is gone where another gateway is heard: the whole quota, not a tenth

Ruled out: failed and hanging attempts (18 connect_failed in all), the room (6.5 of 7 servers busy, 1 to 4% refused for it), the server list.

At fault: _arrive, where `quota.alone` already took such members for gone and drained at the whole rate, but `told` did not. Now both go by the same sign, once a gateway has run for four epochs or ASKING, whichever is more, as with a view of the fleet.

Tests: the first new one fails without the change of `told` (4 admitted instead of 10), the third without the line in _start (10 instead of 4); the second guards what the lost member had used and passed before.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -72,6 +72,7 @@
             self.actions.append(i.Subscribe(True))
         if isinstance(event, i.Started):
             self.actions.append(i.SetTimer(self.epoch, 0))  # handle 0 is the epoch
+            self.asks_until = self.now + max(ASKING, 4 * self.epoch)
 
     def _arrive(self, event: i.RequestArrived) -> None:
         kind, plan = self.classes[event.class_name], self.plans[event.plan]
@@ -93,7 +94,7 @@
         else:
             others = self.members(quota, quota.place)[1:]
             heard, read = sum(map(self._answers, others)), self.now - quota.witnessed
-            told = heard > 0 or not others or read < WITNESSED_FOR
+            told = heard > 0 or not others or read < WITNESSED_FOR or self._silent_are_gone()
             if self.fleet is not None:  # those that are there are known, and their use after some epochs
                 told = not others or self.now >= self.asks_until
             quota.silent = len(others) - heard if read < WITNESSED_FOR else 0
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -227,6 +227,10 @@
         peer = self.peers[number]
         return self.now >= peer.skip_until if self.long_ring else self.now - peer.heard < 4 * self.epoch
 
+    def _silent_are_gone(self) -> bool:
+        """Another gateway is heard, so this one is not cut off, and it has listened long enough."""
+        return self.now >= self.asks_until and any(self._answers(number) for number in self.peers)
+
     def used(self) -> set[str]:
         """The classes of what is open or still out."""
         requests = {request.kind.name for request in self.requests.values()}
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -283,3 +283,33 @@
     later = [gateway.handle(1.5, i.TimerFired(timer.handle)) for timer in of(actions, i.SetTimer)]
     assert not any(map(sends, later))
     assert gateway.requests == {}
+
+
+def test_a_silent_member_of_a_ring_is_gone_where_another_gateway_is_heard() -> None:
+    """A zone lost with its ingresses: the survivors granted a tenth of an even share beside idle servers."""
+    fleet = Pair(3)
+    fleet.epochs(4)
+    del fleet.live[1]
+    fleet.epochs(10)
+    assert admitted(fleet, 0, 20) == BASIC.burst
+
+
+def test_what_a_lost_member_had_used_still_counts() -> None:
+    fleet = Pair(3)
+    fleet.epochs(4)
+    assert admitted(fleet, 1, 6, "a") == 6
+    fleet.epochs(1)
+    del fleet.live[1]
+    fleet.epochs(5)
+    drained = BASIC.rate * 6 * fleet.live[0].epoch
+    assert admitted(fleet, 0, 20, "b") <= BASIC.burst - 6 + drained + 1
+
+
+def test_one_that_has_just_started_does_not_take_silent_members_for_gone() -> None:
+    """It hears one gateway before another, whose ring may have used the window already."""
+    fleet = Pair(3)
+    del fleet.live[1]
+    fleet.epochs(4)
+    fleet.restart(0)
+    fleet.epochs(2)
+    assert admitted(fleet, 0, 20) <= 4  # the largest request's units
