--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -85,6 +85,7 @@
         if isinstance(event, i.Started):
             self.started_at = self.now
             self.actions.append(i.SetTimer(self.epoch, 0))  # handle 0 is the epoch
+            self.asks_until = self.now + max(ASKING, 4 * self.epoch)
 
     def _arrive(self, event: i.RequestArrived) -> None:
         kind, plan = self.classes[event.class_name], self.plans[event.plan]
@@ -109,7 +110,7 @@
         else:
             others = self.members(quota, quota.place)[1:]
             heard, read = sum(map(self.answers, others)), self.now - quota.witnessed
-            told = heard > 0 or not others or read < WITNESSED_FOR
+            told = heard > 0 or not others or read < WITNESSED_FOR or self._silent_are_gone()
             if self.fleet is not None:  # those that are there are known, and their use after some epochs
                 told = not others or self.now >= self.asks_until
             quota.silent = len(others) - heard if read < WITNESSED_FOR else 0
@@ -353,7 +354,8 @@
         ratio = min(0.5, quota.others_rate * self.epoch * (quota.size - 1) / max(left, 1 / SCALE))
         if not told:  # part of an even share, one request at least if none was refused before
             least = 0.0 if quota.refusals else self.settings.max_units
-            left = min(left, max(least, self.allowance * plan.burst / quota.size))
+            part = max(self.allowance, self._part_alone(quota))
+            left = min(left, max(least, part * plan.burst / quota.size))
         # own use drains at the rate and so is the local bucket too
         return not plan.rate or quota.own + units / quota.part <= (1 - ratio) * left
 
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -9,6 +9,7 @@
 
 from hoistfold import interface as i
 from hoistfold.ceiling import ceiling_parts
+from hoistfold.tries import UsualTime
 
 SCALE = 4  # fractions of a unit that counts are of
 ONCE, TWICE, FORGOTTEN = range(1, 4)  # how a place is still to be told, the last to its own member
@@ -200,7 +201,7 @@
         self.busy = 0.0  # attempts out, on average over the last requests
         self.room = 0.0  # attempts that may be out at once from here
         self.requests: dict[str, Request] = {}
-        self.usual_left: dict[str, float] = {}
+        self.usual_left: dict[str, UsualTime] = {}
         self.open: dict[tuple[str, int], Attempt] = {}
         self.timers: dict[int, Request] = {}
         self.serial = 0
@@ -266,6 +267,21 @@
         peer = self.peers[number]
         return self.now >= peer.skip_until if self.long_ring else self.now - peer.heard < 4 * self.epoch
 
+    def _silent_are_gone(self) -> bool:
+        """Another gateway is heard, so this one is not cut off, and it has listened long enough."""
+        return self.now >= self.asks_until and any(self.answers(number) for number in self.peers)
+
+    def _part_alone(self, quota: Quota) -> float:
+        """Of an even share, what one that hears nobody any more may use: what all may use stays one quota.
+
+        The others fell silent within four epochs, and what they used in that time is taken off. Nothing is
+        known before a gateway has listened that long; where a second witness is silent too, it is cut off.
+        """
+        plan, cut_off = quota.plan, self.settings.witness
+        if not quota.alone or not plan.rate or cut_off or self.now < self.asks_until:
+            return 0.0
+        return 1 - 4 * self.epoch * plan.rate / plan.burst
+
     def used(self) -> set[str]:
         """The classes of what is open or still out."""
         requests = {request.kind.name for request in self.requests.values()}
@@ -295,10 +311,10 @@
         return ring[begin:] + ring[:begin]
 
     def _late(self, kind: i.RequestClass, left: float) -> bool:
-        """Most tries are given the same time; one with less tells how long its client has waited."""
-        usual, step = self.usual_left.get(kind.name, left), kind.deadline / 500
-        usual = self.usual_left[kind.name] = min(left, usual + 4 * step) if left > usual else usual - step
-        return left < 0.95 * usual and kind.deadline - left + self.base[kind.name] > kind.aim
+        """Its client has waited so long that an answer can hardly be in time."""
+        usual = self.usual_left.setdefault(kind.name, UsualTime(kind.deadline))
+        waited = usual.waited(left)
+        return waited > 0 and waited + self.base[kind.name] > kind.aim
 
     def set_timer(self, delay: float, request: Request) -> None:
         self.serial += 1
