Discovery: a change is known 6 s after it could be heard, whatever call failed before

By the code a call refused with 503 was followed by a pause of up to 8 s, and a late head (4 s), silence after it (2.6 s) and the pause (2 s) added up to 8.6 s, as did a call given up at 4 s and its pause: a change counts as told 6 s after discovery had it and could be reached, also after failed, refused and given-up calls. One back-off was shared by all kinds of failure, so that a pause for a refusal went on into the one after a watch that ended. Lines at fault: LAST_TURNED_AWAY, LONGEST_HEAD_LIMIT, Routes._again and the shared back_off in net/routes.py.

The pacing is a module without I/O now (net/watch_timing.py): a back-off for each kind of failure, pauses counted from the beginning of the failed call, the head due by the beginning of its call, refusals up to 4 s.

test_a_discovery_that_turns_away_... asked for pauses of 3.9 to 8 s, which the 6 s forbid: it asks for 2.5 to 4 s. Its names follow the module.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -19,7 +19,8 @@
 from standflow.net.loop import Loop
 from standflow.net.nexthop import REST, NextHops
 from standflow.net.peers import Peers
-from standflow.net.routes import LAST_BACK_OFF, Routes, read_routes, write_route
+from standflow.net.routes import Routes, read_routes, write_route
+from standflow.net.watch_timing import LAST_BACK_OFF
 from standflow.reloading import Parts as ReloadParts
 from standflow.reloading import Reloading
 from standflow.tally import EVERY, Tally
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -14,20 +14,12 @@
 
 from standflow.exchange import Phase, Route, RouteSet
 from standflow.net.loop import IN, TICK, Coroutine, Loop, Task, Timer, broken
+from standflow.net.watch_timing import CONNECT_LIMIT, LAST_BACK_OFF, SILENCE, CallEnd, WatchTiming
 
 PHASES = {"SERVING": Phase.SERVING, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
-FIRST_BACK_OFF = 0.05
-LAST_BACK_OFF = 2.0
-# Turned away by a discovery that is overbooked: all ingresses come back at such times, so rarely and apart.
-FIRST_TURNED_AWAY, LAST_TURNED_AWAY = 1.0, 8.0
-SILENCE = 2.6  # seconds without a whole object or an empty line that break a watch: one comes every 2 s
-CONNECT_LIMIT = 1.0
-HEAD_LIMIT = 1.0  # and without the head of an answer, which comes at once where nobody waits
-# Where it doesn't, the call may stand in a line of all ingresses' calls: given up and repeated it makes that
-# longer, so each is waited for twice as long as the one before, up to a time in which a list must not age.
-LONGEST_HEAD_LIMIT = 4.0
 NOWHERE = ("0.0.0.0", 0)  # of one that is gone, whose address is of no use
 MAX_LINE = 4 * 1024 * 1024  # and of an object that is indented over several
+ENDS = {"status:503": CallEnd.TURNED_AWAY, "peer_closed": CallEnd.ENDED}  # by the reason in the log
 STRINGS = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
@@ -171,10 +163,9 @@
         last_back_off: float = LAST_BACK_OFF,
     ) -> None:
         self.loop, self.log, self.address, self.zones, self.told = loop, log, address, zones, told
-        self.last_back_off = last_back_off
+        self.timing = WatchTiming(last_back_off)
         self.revision = revision
         self.chance, self.tally = chance, tally
-        self.back_off, self.patience, self.turned_away = FIRST_BACK_OFF, HEAD_LIMIT, 0.0
         self.task: Task | None = None
         self.pending: Timer | None = None  # the next attempt, while no watch is open
         self.ending = "fetch"  # why the watch is ended from here
@@ -184,11 +175,12 @@
         """Opens the watch."""
         self.tally("routes.asked")
         self.pending = None
+        self.timing.begin(self.loop.now())
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError as error:
             self.log(f"routes: no socket: {error}")
-            self._again()
+            self._again(CallEnd.FAILED)
             return
         self.task = self.loop.spawn(sock.fileno(), self._live(sock))
 
@@ -201,7 +193,8 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """Takes the watch to another address, at once and at the revision reached."""
-        self.address, self.back_off, self.patience, self.turned_away = address, 0.0, HEAD_LIMIT, 0.0
+        self.address = address
+        self.timing.move()
         if self.pending is not None:
             self.pending.cancel()
             self.connect()
@@ -225,13 +218,12 @@
             sock.close()
             reason = reason or ("shutdown" if self.closed else self.ending)
             self.log(f"end routes {reason} age={self.loop.now() - made:.2f}")
-            self._again()
+            self._again(ENDS.get(reason, CallEnd.FAILED))
 
-    def _again(self) -> None:
-        if self.closed:
-            return
-        self.pending = self.loop.call_later(self.back_off * self.chance.uniform(0.5, 1.0), self.connect)
-        self.back_off = min(self.last_back_off, max(FIRST_BACK_OFF, 2 * self.back_off))
+    def _again(self, end: CallEnd) -> None:
+        if not self.closed:
+            pause = self.timing.pause(end, self.loop.now(), self.chance)
+            self.pending = self.loop.call_later(pause, self.connect)
 
     def _watch(self, sock: socket.socket) -> Coroutine[str]:
         failed = yield from self.loop.connect(sock, self.address, CONNECT_LIMIT)
@@ -254,30 +246,26 @@
             return "bad_json"
 
     def _read(self, sock: socket.socket, http: h11.Connection) -> Coroutine[str]:
-        objects, due = Objects(), self.loop.now() + self.patience
+        objects, due = Objects(), self.timing.head_due(self.loop.now())
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
                 # Bytes alone are no sign of life: what drips would keep a watch that never tells anything.
                 if (yield from self.loop.wait(IN, max(0.0, due - self.loop.now()))) == TICK:
-                    self.patience = min(LONGEST_HEAD_LIMIT, 2 * self.patience)
+                    self.timing.silent()
                     return "silent"
                 try:
                     http.receive_data(sock.recv(65536))
                 except BlockingIOError:
                     continue
             elif isinstance(event, h11.Response):
-                if event.status_code == 503:
-                    self.turned_away = min(LAST_TURNED_AWAY, max(FIRST_TURNED_AWAY, 2 * self.turned_away))
-                    self.back_off = self.turned_away
                 if event.status_code != 200:
                     return f"status:{event.status_code}"
                 due = self.loop.now() + SILENCE
             elif isinstance(event, h11.Data):
                 try:
                     for text in objects.feed(bytes(event.data)):
-                        # It is open and well, so that the next break is the first one again.
-                        self.back_off, self.patience, self.turned_away = FIRST_BACK_OFF, HEAD_LIMIT, 0.0
+                        self.timing.alive()
                         due = self.loop.now() + SILENCE
                         self._object(text)
                 except LineTooLongError:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -18,7 +18,8 @@
 from standflow.log import MAX_LINES, Log
 from standflow.net.loop import IN, Coroutine
 from standflow.net.peers import Peers
-from standflow.net.routes import LONGEST_HEAD_LIMIT, RouteError, Routes, read_routes, zone_of
+from standflow.net.routes import RouteError, Routes, read_routes, zone_of
+from standflow.net.watch_timing import LONGEST_HEAD_LIMIT
 from standflow.tally import MOST_HOPS, Tally
 from tests.test_legs import Recorder
 from tests.wire import config, listener, read_until, turn_until
@@ -193,12 +194,12 @@
         assert waits() <= 1.5  # an agent that is there answers at once
         line = b'{"revision": 8, "complete": true, "members": []}\n'
         sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(line), line))
-        routes.patience = routes.turned_away = 4.0
+        routes.timing.patience = routes.timing.turned_away = 4.0
         turn_until(at.loop, lambda: told[-1] == 8)
-        assert (routes.patience, routes.turned_away) == (1.0, 0.0)  # it is there again
+        assert (routes.timing.patience, routes.timing.turned_away) == (1.0, 0.0)  # it is there again
         assert 2.0 < waits() <= 3.0  # a sign of life is due every 2 s
         turn_until(at.loop, lambda: any("end routes silent" in line for line in at.log))
-        assert routes.patience == 2.0  # the next is waited for longer, it may stand in a line
+        assert routes.timing.patience == 2.0  # the next is waited for longer, it may stand in a line
         sock.close()
     routes.close()
     at.close()
@@ -226,10 +227,11 @@
         for _ in range(6):
             turned_away()
         assert 0.4 < waits[0] <= 1.0
-        assert all(3.9 < wait <= 8.0 for wait in waits[3:])
-        routes.patience = LONGEST_HEAD_LIMIT
+        # up to 8 s until a change counted as told 6 s after discovery had it, also after a refused call
+        assert all(2.5 < wait <= 4.0 for wait in waits[3:])
+        routes.timing.patience = LONGEST_HEAD_LIMIT
         routes.move(agent.getsockname())  # another one starts afresh
-        assert (routes.patience, routes.turned_away) == (1.0, 0.0)
+        assert (routes.timing.patience, routes.timing.turned_away) == (1.0, 0.0)
     routes.close()
     at.close()
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -20,8 +20,9 @@
 from standflow.net.caller import MAX_PIPELINED, CallerSide
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.nexthop import REST, NextHops
-from standflow.net.routes import HEAD_LIMIT, LAST_BACK_OFF, Objects, Routes
+from standflow.net.routes import Objects, Routes
 from standflow.net.stream import PlainStream, Stream
+from standflow.net.watch_timing import HEAD_LIMIT, LAST_BACK_OFF
 from tests.test_legs import Recorder
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
 
@@ -428,11 +429,12 @@
 def test_a_watch_that_is_open_and_well_makes_the_next_break_the_first_one() -> None:
     """An empty line is enough: pause, slow head and silence together would outlast what counts as told."""
     with agent() as one:
-        one.routes.back_off = one.routes.patience = one.routes.turned_away = 4.0
+        timing = one.routes.timing
+        timing.back_off = timing.patience = timing.turned_away = 4.0
         one.say(b"\n")
-        turn_until(one.at.loop, lambda: one.routes.patience == HEAD_LIMIT)
-        assert one.routes.back_off < 0.1
-        assert not one.routes.turned_away
+        turn_until(one.at.loop, lambda: timing.patience == HEAD_LIMIT)
+        assert timing.back_off < 0.1
+        assert not timing.turned_away
 
 
 def test_a_change_that_cannot_be_read_is_asked_for_again_and_the_good_ones_hold() -> None:
@@ -477,7 +479,7 @@
     assert ingress.routes is not None
     ingress.routes.connect()
     turn_until(loop, lambda: sum("end routes connect_failed" in line for line in log) >= 8)
-    assert ingress.routes.back_off == longest
+    assert ingress.routes.timing.back_off == longest
     assert ingress.routes.pending is not None
     assert ingress.routes.pending.when - loop.now() <= longest
     ingress.close()
