A close is heard before anything begins in the same round, and behind an unread request

Two ways led to an attempt for a client that had gone. A round's events were handled in the poll's order, so that a connection that had come up was written to before the close of the client that it was for, however late the loop was (Loop.turn).

Closes come first among a round's events; a look asks the poll for the close too.

--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -371,12 +371,16 @@
             return False
         if not self._spare(leg):
             if self._unread(leg):
-                self.loop.resume(leg.task, READABLE)
+                self._read(leg, leg.task)
             return False
         leg.reason = reason
         self.loop.end(leg.task)
         return True
 
+    def _read(self, leg: Leg, task: Task) -> None:
+        """Has a leg take what has come; whether its caller has closed behind that must be known first."""
+        self.loop.resume(task, READABLE | self.loop.ready(leg.sock.fileno(), IN))
+
     def _spare(self, leg: Leg) -> bool:
         """True for an idle leg with no request on its way, as far as can be known."""
         age = self.loop.now() - leg.made
@@ -515,7 +519,7 @@
     def _last_call(self, leg: Leg) -> None:
         """A leg leaves; a command that has come is taken first, and is its last."""
         if leg.task is not None and self._unread(leg):
-            self.loop.resume(leg.task, READABLE)
+            self._read(leg, leg.task)
         self._leave(leg)
 
     def dismiss(self) -> None:
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -153,6 +153,19 @@
         finally:
             timer.cancel()
 
+    def _urgency(self, event: tuple[int, int]) -> int:
+        """The order of a round's events: who has closed is heard before anything is begun for it."""
+        fd, ready = event
+        if fd in self.first:
+            return 0
+        return 1 if ready & (LEFT | BROKEN) else 2
+
+    def ready(self, fd: int, mask: int) -> int:
+        """The events that a descriptor has now, without waiting."""
+        poll = select.poll()
+        poll.register(fd, mask)
+        return sum(events for _, events in poll.poll(0))
+
     def connect(self, sock: socket.socket, address: tuple[str, int], limit: float) -> Coroutine[str]:
         """Within a coroutine: connects a socket; what is returned is empty or the reason why not."""
         code = sock.connect_ex(address)
@@ -186,8 +199,8 @@
         else:
             events = self.epoll.poll(wait, 256)
             self.heard = self.polled = time.monotonic()
-        if self.first and len(events) > 1:
-            events.sort(key=lambda event: event[0] not in self.first)
+        if len(events) > 1:
+            events.sort(key=self._urgency)
         self.round += 1
         tasks = self.tasks
         for fd, ready in events:
