Without a descriptor left, discovery and backends take an idle client's

Only the listener made room where idle clients held every descriptor: the watch of discovery, once down, and new connections to backends got EMFILE as long as the clients stayed, so that discovery's return was not heard and every request was refused (Routes.connect, NextHops._dial; seen with the limit lowered under a running process).

Loop.open_socket asks once for room, which is an idle client's place, and tries again. Room is not made within the making of room: requests taken on the way would nest as deep as there are clients.

The client of the counter still opens its socket alone.

--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -313,6 +313,8 @@
         self.paused = self.shared
         self.sock = listening(address) if passed is None else adopted(passed)
         self.address: tuple[str, int] = self.sock.getsockname()
+        self.making_room = False
+        loop.make_room = self._make_room
         self.listener: Task | None = loop.spawn(self.sock.fileno(), self._listen())
         loop.call_later(SWEEP_EVERY, self._sweep)
 
@@ -363,7 +365,13 @@
 
     def _make_room(self) -> bool:
         """At the cap the leg idle longest makes way; one with something open never does."""
-        return any(self._end(leg, "cap") for leg in list(self.idle))
+        if self.making_room:  # a request taken on the way wants a descriptor too: one in hand is enough
+            return False
+        self.making_room = True
+        try:
+            return any(self._end(leg, "cap") for leg in list(self.idle))
+        finally:
+            self.making_room = False
 
     def _end(self, leg: Leg, reason: str) -> bool:
         """Ends an idle leg unless a request has come on it meanwhile: that one is taken first."""
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -22,6 +22,7 @@
 BROKEN = select.EPOLLHUP | select.EPOLLERR
 TICK = 0
 SHORT_ROUND = 0.001
+NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
 
 Ended = TypeVar("Ended")
 Coroutine = Generator[int, int, Ended]
@@ -68,6 +69,8 @@
         self.serial = 0
         self.round = 0
         self.stopped = False
+        # Ends a connection that nobody needs where no descriptor is left; false where there is none.
+        self.make_room: Callable[[], bool] = lambda: False
         self.first: set[int] = set()  # descriptors whose events don't wait for the others of a round
         self.polled = time.monotonic()
         # The earliest moment at which what is being read now can have come: the loop's own lateness is taken
@@ -166,6 +169,15 @@
         poll.register(fd, mask)
         return sum(events for _, events in poll.poll(0))
 
+    def open_socket(self) -> socket.socket:
+        """A TCP socket to connect from, before idle clients if no descriptor is left; else OSError."""
+        try:
+            return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as error:
+            if error.errno not in NO_DESCRIPTOR or not self.make_room():
+                raise
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+
     def connect(self, sock: socket.socket, address: tuple[str, int], limit: float) -> Coroutine[str]:
         """Within a coroutine: connects a socket; what is returned is empty or the reason why not."""
         code = sock.connect_ex(address)
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -484,7 +484,7 @@
     def _dial(self, hop: Hop, errand: Errand | None) -> bool:
         connection = Connection(self, hop, errand)
         try:
-            connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            connection.sock = self.loop.open_socket()
         except OSError as error:  # no descriptor left: the command was never written
             self.log(f"nexthop: no socket: {error}")
             return False
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -177,7 +177,7 @@
         self.pending = None
         self.timing.begin(self.loop.now())
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = self.loop.open_socket()
         except OSError as error:
             self.log(f"routes: no socket: {error}")
             self._again(CallEnd.FAILED)
