Every command that was read is answered, however many come at once

A client that sends more than 64 commands in one piece got 64 answers where each was given at once (PING, a request refused as it comes): the rest lay in the buffer, nothing woke the connection, and 2.5 s later it was ended with 'no whole command in time', and the requests with it (Leg._serve took once and flushed once). Commands read behind those that were open were dropped as a connection began to drain, and opened in the last 50 ms of the process, when abandon_all made room for them before dismiss was called.

Commands are taken and answers written in turns; what was read before a drain is still taken; in the last moment of the process it is refused, and connections are dismissed before what is open is answered.

Tests: test_always_answered.py; seen to fail without the turns, without taking behind a drain, without the refusal in the last moment, with the order of the two calls as before, and with a count of open requests that leaks.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -496,8 +496,8 @@
 
     def _last_moment(self) -> None:
         """What came late may be owed for longer than this process is left to live."""
+        self.callers.dismiss()  # first: what is answered makes room for what was read behind it
         self.exchange.abandon_all()
-        self.callers.dismiss()
         self.loop.call_later(LAST_WORDS, self.loop.stop)
 
     def close(self) -> None:
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -63,7 +63,8 @@
         self.slots: deque[Slot] = deque()
         self.out = bytearray()
         self.reason = "shutdown"
-        self.last_words = False  # after what is to be written the leg ends
+        self.last_words = False  # nothing more is read, and after what is to be written the leg ends
+        self.framing_lost = False  # what was read behind that is no command
         self.answered = 0
         self.stalls = 0
         self.made = side.loop.now()
@@ -108,8 +109,7 @@
                     self.held_since = None
                 elif ready & BROKEN:
                     return "broken"
-                self._take()
-                self._flush()
+                self._work()
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -139,23 +139,39 @@
 
         That the caller leaves is heard all the same.
         """
-        full = len(self.slots) >= MAX_PIPELINED or len(self.out) > PAUSE_OUT
-        paused = full or self.last_words or self.waits or not self.side.ready
+        paused = self._full() or self.last_words or self.waits or not self.side.ready
         if paused and self.held_since is None:
             self.held_since = self.side.loop.now()
         return (LEFT if paused else IN) | (OUT if self.out else 0)
 
+    def _full(self) -> bool:
+        """Too much is open or unread for another command."""
+        return len(self.slots) >= MAX_PIPELINED or len(self.out) > PAUSE_OUT
+
+    def _work(self) -> None:
+        """Takes commands and writes answers in turns: those answered at once make room for the next."""
+        self._take()
+        while self._full():
+            self._flush()
+            if self._full():
+                return
+            self._take()
+        self._flush()
+
     def _take(self) -> None:
-        """Reads whole commands as long as the leg may have more open."""
-        while len(self.slots) < MAX_PIPELINED and len(self.out) <= PAUSE_OUT and not self.last_words:
+        """Takes the whole commands that were read, as long as the leg may have more open.
+
+        Also those read before the leg began to drain: each is owed an answer.
+        """
+        while not self._full() and not self.framing_lost:
             try:
                 parts = self.buffer.command()
             except resp.FramingError as error:
                 self.slots.append(Slot(resp.error(str(error))))
-                self.last_words, self.reason = True, "bad_framing"
+                self.last_words, self.framing_lost, self.reason = True, True, "bad_framing"
                 return
             if parts is None:
-                if self.buffer.body > resp.MAX_VALUE and not self.room:
+                if self.buffer.body > resp.MAX_VALUE and not self.room and not self.last_words:
                     self._reserve(self.buffer.body)
                 return
             room, self.room = self.room, 0
@@ -168,6 +184,8 @@
                 command = resp.decode_command(parts)
                 if isinstance(command, resp.Ping):
                     slot.answer = self.side.pong()
+                elif self.side.dismissed:
+                    slot.answer = encode_final(Refused(self.side.exchange.come_back))
                 elif self.left:
                     self.side.exchange.tally("left.unread")  # never opened: the end of the leg comes next
                 else:
@@ -303,6 +321,7 @@
         self.ready = False
         self.draining = False  # each leg ends when it has nothing open
         self.pressing = False  # and takes no command more
+        self.dismissed = False  # what was read and not opened yet is refused
         self.evacuated = False  # by an operator: no front should send callers
         self.evacuated_at = 0.0
         self.drains = 0
@@ -531,8 +550,8 @@
         self._leave(leg)
 
     def dismiss(self) -> None:
-        """The process is about to end: no leg takes another command."""
-        self.draining = self.pressing = True
+        """The process is about to end: no leg opens another request."""
+        self.draining = self.pressing = self.dismissed = True
         for leg in list(self.legs):
             self._leave(leg)
 
--- /dev/null
+++ b/tests/test_always_answered.py
@@ -0,0 +1,186 @@
+"""Every request that was read gets its answer, however many come at once and whatever ends meanwhile."""
+
+from __future__ import annotations
+
+import select
+import socket
+from pathlib import Path
+
+import pytest
+
+from standflow.assembly import Ingress
+from standflow.config import read
+from standflow.exchange import Branch, Result, Transaction
+from standflow.net import resp
+from standflow.net.caller import MAX_PIPELINED, CallerSide
+from standflow.net.loop import Loop
+from tests.test_endings import Wired, known
+from tests.test_legs import Recorder
+from tests.wire import LIMIT, command, config, listener, program, read_until, turn_until
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+MANY = 2 * MAX_PIPELINED + 20  # commands in one write, and in one read of the ingress
+BUSY = resp.busy(0.25)  # as the recorder's exchange refuses by itself
+
+
+class Pipelined:
+    """A client that sends many commands at once, and what the ingress makes of them."""
+
+    def __init__(self) -> None:
+        self.at = Recorder()
+        self.side = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
+        self.side.open()
+        self.client = socket.create_connection(self.side.address)
+        self.got = b""
+
+    def send(self, number: int) -> None:
+        """So many requests in one piece."""
+        self.client.sendall(b"".join(command(f"{n:04x}") for n in range(number)))
+
+    def refuse_at_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Each request is decided as it comes."""
+
+        def opened(transaction: Transaction) -> None:
+            self.at.opened.append(transaction)
+            self.at.exchange.refuse(transaction.name, 0.25)
+
+        monkeypatch.setattr(self.at, "transaction_opened", opened)
+
+    def reads(self, end: int) -> bool:
+        """Reads what has come; true where so many bytes have."""
+        while len(self.got) < end and select.select([self.client], [], [], 0)[0]:
+            more = self.client.recv(65536)
+            assert more, f"closed after {len(self.got)} of {end} bytes"
+            self.got += more
+        return len(self.got) >= end
+
+    def answered(self, expected: bytes) -> None:
+        """Waits for just these answers."""
+        turn_until(self.at.loop, lambda: self.reads(len(expected)))
+        assert self.got == expected
+
+    def ended(self) -> None:
+        """The ingress has ended the connection, by no reset."""
+        turn_until(self.at.loop, lambda: select.select([self.client], [], [], 0)[0])
+        assert self.client.recv(100) == b""
+
+    def close(self) -> None:
+        """All ends."""
+        self.client.close()
+        self.at.close()
+
+
+class Undecided:
+    """A decision module that leaves everything open."""
+
+    def transaction_opened(self, transaction: Transaction) -> None:
+        """Nothing."""
+
+    def transaction_gone(self, transaction: Transaction) -> None:
+        """Nothing."""
+
+    def branch_began(self, branch: Branch, latency: float) -> None:
+        """Nothing."""
+
+    def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
+        """Nothing."""
+
+
+def test_more_commands_than_may_be_open_are_all_answered_though_each_is_at_once() -> None:
+    """The rest lay in the ingress until something more came, and the connection was ended over it."""
+    one = Pipelined()
+    one.client.sendall(MANY * PING)
+    one.answered(MANY * b"+PONG\r\n")
+    one.close()
+
+
+def test_requests_that_are_refused_as_they_come_are_all_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    one = Pipelined()
+    one.refuse_at_once(monkeypatch)
+    one.send(MANY)
+    one.answered(MANY * BUSY)
+    assert len(one.at.opened) == MANY
+    one.close()
+
+
+@pytest.mark.parametrize("pressing", [True, False])
+def test_what_was_read_before_a_connection_drains_is_answered_before_its_end(pressing: bool) -> None:
+    """Also what could not be opened yet, as too many were open."""
+    one = Pipelined()
+    if pressing:
+        turn_until(one.at.loop, lambda: one.side.legs)
+        one.side.draining = one.side.pressing = True
+    one.send(MANY)
+    turn_until(one.at.loop, lambda: len(one.at.opened) == MAX_PIPELINED)
+    leg = next(iter(one.side.legs))
+    assert leg.buffer.data
+    if not pressing:
+        one.side._leave(leg)
+    for number in range(MANY):
+        due = number + 1
+        turn_until(one.at.loop, lambda: len(one.at.opened) >= due)  # noqa: B023
+        one.at.exchange.refuse(one.at.opened[number].name, 0.25)
+    one.answered(MANY * BUSY)
+    one.ended()
+    one.close()
+
+
+def test_what_was_read_before_the_process_ends_is_refused_and_not_opened(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """There is no time left for an attempt."""
+    log: list[str] = []
+    with listener() as hop:
+        loop = Loop(log.append)
+        ingress = Ingress(read(config(known=known(hop)), log.append), loop, log.append)
+        ingress.start()
+        turn_until(loop, lambda: ingress.callers.ready)
+        monkeypatch.setattr(ingress.exchange, "decisions", Undecided())
+        client = socket.create_connection(ingress.callers.address, LIMIT)
+        client.sendall(b"".join(command(f"{n:04x}", d=60_000) for n in range(MANY)))
+        turn_until(loop, lambda: ingress.exchange.open_count == MAX_PIPELINED)
+        ingress._last_moment()
+        assert ingress.exchange.open_count == 0
+        assert ingress.exchange.ends["look"].taken == MAX_PIPELINED
+        turn_until(loop, lambda: loop.stopped)
+        ingress.close()
+        got = b""
+        while more := client.recv(65536):
+            got += more
+        assert got.count(b"-BUSY") == MANY
+        client.close()
+        loop.epoll.close()
+
+
+def test_a_whole_program_answers_a_long_row_of_requests_that_it_must_refuse(tmp_path: Path) -> None:
+    with program(tmp_path, config()) as running:  # there is no backend at all
+        client = running.call()
+        client.sendall(b"".join(command(f"{n:04x}") for n in range(MANY)) + PING)
+        got = read_until(client, b"+PONG\r\n")
+        assert got.count(b"-BUSY") == MANY
+
+
+def test_after_a_row_of_failures_of_every_kind_the_next_request_is_taken_and_sent_on() -> None:
+    """Nothing that ended badly is still counted as open."""
+    with listener() as hop:
+        wired = Wired(hop.getsockname(), rest=0.0)
+        wired.at.exchange.max_open = 2
+        for number in range(12):
+            client, ended = wired.ask(f"aa{number:02}"), len(wired.at.ended)
+            wired.send()
+            at_backend = wired.accept(hop)
+            if number % 4 == 0:
+                client.close()
+                turn_until(wired.at.loop, lambda: wired.at.exchange.open_count == 0)
+            if number % 4 != 1:
+                at_backend.sendall((b"-BUSY\r\n", b"", b"*9\r\n", b"-ERR failed\r\n")[number % 4])
+            at_backend.close()
+            turn_until(wired.at.loop, lambda: len(wired.at.ended) > ended)  # noqa: B023
+            wired.at.exchange.fail(wired.at.opened[-1].name)
+            client.close()
+            turn_until(wired.at.loop, lambda: not wired.hops.connections)
+        assert wired.hops.forwards == 12
+        assert wired.at.exchange.open_count == 0
+        assert wired.at.exchange.transactions == {}
+        assert wired.at.exchange.idents == set()
+        wired.at.close()
