No connection is closed over unread bytes, and all that wait are accepted at the end

A request that came between the look into the kernel and the close of a resting connection (the cap, a stuck one, the process's end) made that close a reset, which can take back the answer, or the reason, just written; half a line of a backend did the same on its side (CallerSide.closed and NextHops.closed closed at once; only connections that had drained or lost their framing were read out). As the listener ended, 64 of those that waited were accepted and the rest was reset with it (CallerSide.stop).

Both sides end the sending, read out and drop what has come, and close (net/closing.py); the listener accepts until nobody waits. TCP_NODELAY was set on both sides already.

Tests: test_orderly_close.py; seen to fail with a plain close on either side, with one go of accepting, without TCP_NODELAY on either side, and with a drained connection that reads on.

--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -20,6 +20,7 @@
 )
 from standflow.net import resp
 from standflow.net.bodies import Bodies
+from standflow.net.closing import close_in_order
 from standflow.net.flow import Flow
 from standflow.net.loop import BROKEN, IN, LEFT, OUT, READABLE, TICK, Coroutine, Loop, Task, broken
 
@@ -40,6 +41,8 @@
 LINGER = 1.0  # seconds for the last answer to arrive after framing was lost
 JUST_COME = 1.0  # seconds in which a leg that has asked nothing is left to ask: its command is under way
 PRESS = 1.5  # seconds of a drain after which no leg takes another command: what it has open may finish
+BACKLOG = 1024  # connections that may wait to be accepted
+ACCEPTED_IN_ONE_GO = 64
 ACCEPT_PAUSE = 0.1  # seconds without accepting when descriptors run out
 
 
@@ -345,16 +348,17 @@
         finally:
             self.sock.close()
 
-    def _accept(self) -> None:
-        for number in range(64):
+    def _accept(self) -> bool:
+        """Accepts those that wait, a bounded number in one go; true where more may wait."""
+        for number in range(ACCEPTED_IN_ONE_GO):
             if len(self.legs) >= self.max_legs and not any(map(self._spare, self.idle)):
                 if not number:  # somebody waits, that's known; later the poll tells
                     self._pause()
-                return
+                return False
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
-                return
+                return False
             except ConnectionError:
                 continue  # it was gone before it was taken
             except OSError as error:
@@ -362,7 +366,7 @@
                 self.log(f"caller: accept: {error}")
                 if not self._make_room():
                     self._pause()
-                    return
+                    return False
                 continue
             if len(self.legs) >= self.max_legs:  # only now: nobody makes way for a caller that isn't there
                 self._make_room()
@@ -372,6 +376,7 @@
             self.legs.add(leg)
             self.idle[leg] = None
             leg.task = self.loop.spawn(sock.fileno(), leg.live())
+        return True
 
     def _pause(self) -> None:
         self.paused = True
@@ -482,7 +487,7 @@
         if leg.room:
             self.bodies.release(leg.room)
         self.unread -= len(leg.out)
-        leg.sock.close()
+        close_in_order(leg.sock)
         age = self.loop.now() - leg.made
         self.log(f"end caller {leg.reason} answered={leg.answered} open={len(leg.slots)} age={age:.2f}")
 
@@ -505,7 +510,10 @@
         """No new legs; each leg ends when it has nothing open."""
         if self.listener is not None:
             if not self.shared:
-                self._accept()  # what the kernel has taken in already would be reset with the listener
+                # What the kernel has taken in already would be reset with the listener.
+                for _ in range(BACKLOG // ACCEPTED_IN_ONE_GO):
+                    if not self._accept():
+                        break
             self.loop.end(self.listener)
             self.listener = None
         self._drain()
@@ -565,7 +573,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(address)
-    sock.listen(1024)
+    sock.listen(BACKLOG)
     return sock
 
 
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -13,6 +13,7 @@
 
 from standflow.exchange import Branch, Exchange, Outcome, Phase, Result, Route, RouteSet
 from standflow.net import resp
+from standflow.net.closing import close_in_order
 from standflow.net.flow import Flow, Flows
 from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task, broken
 from standflow.net.stream import READ_SIZE, PlainStream, Stream
@@ -527,7 +528,7 @@
         if connection in hop.idle:
             hop.idle.remove(connection)
         connection.stream.close()
-        connection.sock.close()
+        close_in_order(connection.sock)
         if self.admission is not None and connection.up:
             self.admission.ended(connection)
         self.connections -= 1
--- /dev/null
+++ b/tests/test_orderly_close.py
@@ -0,0 +1,144 @@
+"""Bytes that come as a connection is shut or closed cause no reset, and no request of them is sent on."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from standflow.net.caller import MAX_HALF, SPEAK_WITHIN, CallerSide, Leg
+from standflow.net.nexthop import Connection
+from tests.test_endings import Wired
+from tests.test_legs import Recorder
+from tests.wire import LIMIT, command, listener, read_until, turn_until
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+VALUE = b"*3\r\n$2\r\nva\r\n$-1\r\n$-1\r\n"
+
+
+class Resting:
+    """A client whose connection rests after an answer."""
+
+    def __init__(self, sent: bytes = PING) -> None:
+        self.at = Recorder()
+        self.side = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
+        self.side.open()
+        self.client = socket.create_connection(self.side.address)
+        self.client.settimeout(LIMIT)
+        self.client.sendall(sent)
+        turn_until(self.at.loop, lambda: self.side.legs)
+        self.leg = next(iter(self.side.legs))
+        turn_until(self.at.loop, lambda: self.leg.answered or self.leg.buffer.data or not sent)
+
+    def crosses(self, monkeypatch: pytest.MonkeyPatch, name: str, sent: bytes) -> None:
+        """Right after this look at the connection more comes."""
+        look: Callable[[Leg], bool] = getattr(self.side, name)
+
+        def looked(leg: Leg) -> bool:
+            seen = look(leg)
+            if sent and not seen:
+                self.client.sendall(sent)
+            return seen
+
+        monkeypatch.setattr(self.side, name, looked)
+
+    def close(self) -> None:
+        """All ends."""
+        self.client.close()
+        self.at.close()
+
+
+def test_a_request_that_crosses_the_shutdown_is_read_and_not_sent_on() -> None:
+    one = Resting()
+    one.side.evacuate(True, 1.0)  # shut now
+    one.client.sendall(command("aa01"))
+    assert read_until(one.client, b"\r\n") == b"+PONG\r\n"
+    assert one.client.recv(100) == b""
+    one.client.sendall(command("aa02"))
+    one.client.close()
+    turn_until(one.at.loop, lambda: not one.side.legs)
+    assert one.at.opened == []
+    one.close()
+
+
+@pytest.mark.parametrize("ends", ["at the cap", "with the process"])
+def test_a_request_that_crosses_a_close_does_not_reset_the_answer_before_it(
+    ends: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one = Resting()
+    if ends == "at the cap":
+        one.crosses(monkeypatch, "_more", command("aa01"))
+        one.side._make_room()
+    else:
+        one.client.sendall(command("aa01"))
+        one.side.close()
+    assert not one.side.legs
+    assert read_until(one.client, b"\r\n") == b"+PONG\r\n"
+    assert one.client.recv(100) == b""  # no reset
+    assert one.at.opened == []
+    one.close()
+
+
+@pytest.mark.parametrize("sent", [b"*1\r\n$4\r\nPI", b""])
+def test_what_comes_with_the_end_of_a_stuck_connection_does_not_reset_its_reason(
+    sent: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one = Resting(sent)
+    one.crosses(monkeypatch, "_more", b"NG\r\n")
+    one.leg.made -= SPEAK_WITHIN + 1
+    one.leg.stalls = MAX_HALF + 1
+    one.side._sweep()
+    assert read_until(one.client, b"\r\n").startswith(b"-ERR no whole command")
+    assert one.client.recv(100) == b""
+    one.close()
+
+
+@pytest.mark.parametrize("ends", ["idle", "given up"])
+def test_half_a_line_of_a_backend_that_crosses_a_close_does_not_reset_the_connection(ends: str) -> None:
+    with listener() as hop:
+        wired = Wired(hop.getsockname(), rest=0.0)
+        client = wired.ask("aa01")
+        wired.send()
+        at_backend = wired.accept(hop)
+        if ends == "idle":
+            at_backend.sendall(VALUE)
+            assert wired.answered(client) == b"$2\r\nva\r\n"
+        at_backend.sendall(b"*3\r\n$")
+        if ends == "idle":
+            wired.hops.close_idle("s-1")
+        else:
+            wired.at.exchange.cancel(wired.at.opened[0].name, 0)
+        assert not wired.hops.connections
+        assert at_backend.recv(100) == b""
+        for sock in (client, at_backend):
+            sock.close()
+        wired.at.close()
+
+
+def test_all_that_wait_to_be_accepted_are_served_as_the_listener_ends() -> None:
+    """More than are accepted in one go: the rest was reset with the listener."""
+    at = Recorder()
+    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 500)
+    side.open()
+    clients = [socket.create_connection(side.address) for _ in range(150)]
+    side.stop()
+    assert len(side.legs) == len(clients)
+    for client in clients:
+        client.close()
+    at.close()
+
+
+def test_small_writes_are_held_back_on_neither_side() -> None:
+    with listener() as hop:
+        wired = Wired(hop.getsockname())
+        client = wired.ask("aa01")
+        wired.send()
+        at_backend = wired.accept(hop)
+        ends: list[Leg | Connection] = [*wired.callers.legs, *wired.hops.hops["s-1"].connections]
+        assert len(ends) == 2
+        for end in ends:
+            assert end.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        for sock in (client, at_backend):
+            sock.close()
+        wired.at.close()
