A lack of connections or descriptors of its own is not blamed on a backend

Where the ingress had no room for another connection, or no descriptor, the attempt ended as connect_failed, and the module suspects a backend at once for that: one after another of the sound ones, until all that came was turned away (NextHops._carry). It ends as moot now, as an attempt does for which the limit on handshakes leaves no connection.

Test: test_a_lack_of_its_own_is_not_blamed_on_a_backend, with the real module; seen to fail for either lack with connect_failed in its place.

--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -454,12 +454,13 @@
             if connection.begin(errand):
                 return
             self._end(connection, "stale")
+        # A lack of this ingress's own is no word on the next hop, which would be avoided for it.
         if self.connections >= self.max_connections and not self._make_room():
-            self._fail(errand)
+            self._fail(errand, Outcome.MOOT)
             return
         refusal = None if self.admission is None else self.admission.refusal(name)
         if refusal is not None or not self._dial(hop, errand):
-            self._fail(errand, refusal or Outcome.CONNECT_FAILED)
+            self._fail(errand, refusal or Outcome.MOOT)
 
     def _rested(self, hop: Hop) -> Connection | None:
         """Of the idle connections that have rested the one used last: it is the least likely to be closed."""
--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
 import select
 import socket
 from pathlib import Path
@@ -184,3 +186,46 @@
         assert wired.at.exchange.transactions == {}
         assert wired.at.exchange.idents == set()
         wired.at.close()
+
+
+@pytest.mark.parametrize("lack", ["connections", "descriptors"])
+def test_a_lack_of_its_own_is_not_blamed_on_a_backend(lack: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Backends that were avoided for it left none to send to, and all was turned away."""
+
+    def none_left() -> socket.socket:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    log: list[str] = []
+    with listener() as hop, contextlib.ExitStack() as stack:
+        loop = Loop(log.append)
+        ingress = Ingress(read(config(known=known(hop)), log.append), loop, log.append)
+        ingress.start()
+        turn_until(loop, lambda: ingress.callers.ready)
+
+        def ask(ident: str) -> socket.socket:
+            client = stack.enter_context(socket.create_connection(ingress.callers.address, LIMIT))
+            client.sendall(command(ident, d=60_000))
+            return client
+
+        def sent_on() -> socket.socket:
+            turn_until(loop, lambda: select.select([hop], [], [], 0)[0])
+            at_backend = stack.enter_context(hop.accept()[0])
+            turn_until(loop, lambda: select.select([at_backend], [], [], 0)[0])
+            return at_backend
+
+        ask("aa01")
+        sent_on()
+        with monkeypatch.context() as lacking:
+            if lack == "connections":
+                lacking.setattr(ingress.next_hops, "max_connections", 1)
+            else:
+                lacking.setattr(loop, "open_socket", none_left)
+            for number in range(5):
+                refused = ask(f"bb{number:02}")
+                turn_until(loop, lambda: select.select([refused], [], [], 0)[0])  # noqa: B023
+                assert refused.recv(100).startswith(b"-BUSY")
+        assert ingress.driver.avoided() == set()
+        ask("aa02")
+        sent_on()
+        ingress.close()
+        loop.epoll.close()
