What a request waited to be accepted is off its time

Where every connection has a request open, new ones wait in the kernel, 0.1 s at a time; a request that lay on one was taken as just sent, so that its attempts told more time than its client had, and its answer could come after it (CallerSide._accept). While callers may have waited, one with bytes there counts as sent when the waiting began.

Test: test_the_wait_to_be_accepted_...; seen to fail without it, and with the wait charged to a client that had sent nothing.

--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -330,6 +330,7 @@
         self.drains = 0
         self.legs: set[Leg] = set()
         self.idle: OrderedDict[Leg, None] = OrderedDict()  # legs with nothing open, the longest idle first
+        self.waiting_since: float | None = None  # since when callers may have waited to be accepted
         self.unread = 0  # bytes written by no leg yet
         self.shared = passed is not None
         self.paused = self.shared
@@ -358,6 +359,7 @@
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
+                self.waiting_since = None
                 return False
             except ConnectionError:
                 continue  # it was gone before it was taken
@@ -373,6 +375,8 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             leg = Leg(self, sock)
+            if self.waiting_since is not None and self._more(leg):
+                leg.held_since = self.waiting_since  # its caller may have waited so long to be accepted
             self.legs.add(leg)
             self.idle[leg] = None
             leg.task = self.loop.spawn(sock.fileno(), leg.live())
@@ -380,6 +384,8 @@
 
     def _pause(self) -> None:
         self.paused = True
+        if self.waiting_since is None:
+            self.waiting_since = self.loop.heard
         self.loop.call_later(ACCEPT_PAUSE, self._unpause)
 
     def _unpause(self) -> None:
--- a/tests/test_attempt_time.py
+++ b/tests/test_attempt_time.py
@@ -7,8 +7,10 @@
 import socket
 import time
 
+from standflow.net.caller import CallerSide
 from tests.test_endings import Greeted, Wired
-from tests.wire import listener, turn_until
+from tests.test_legs import Recorder
+from tests.wire import command, listener, turn_until
 
 TIME_MS = 60_000  # that the client of `Wired.ask` waits
 PASSES = 0.06  # seconds
@@ -84,3 +86,34 @@
         for sock in (asked.client, first, second):
             sock.close()
         wired.at.close()
+
+
+def test_the_wait_to_be_accepted_is_the_time_of_a_request_that_was_sent_before() -> None:
+    """At the cap nobody is accepted while all have a request open."""
+    at = Recorder()
+    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 1)
+    side.open()
+    clients = [socket.create_connection(side.address) for _ in range(3)]
+
+    def accepted(opened: int) -> None:
+        turn_until(at.loop, lambda: len(at.opened) == opened)
+
+    clients[0].sendall(command("aa01", d=TIME_MS))
+    accepted(1)
+    clients[1].sendall(command("aa02", d=TIME_MS))
+    sent = at.loop.now()
+    end = sent + PASSES
+    turn_until(at.loop, lambda: at.loop.now() > end)
+    clients[0].close()
+    accepted(2)
+    assert at.opened[1].deadline - TIME_MS / 1000 <= sent
+    clients[1].close()
+    turn_until(
+        at.loop, lambda: len(at.gone) == 2 and side.legs
+    )  # the third has come to wait, and sent nothing
+    earliest = at.loop.polled
+    clients[2].sendall(command("aa03", d=TIME_MS))
+    accepted(3)
+    assert at.opened[2].deadline - TIME_MS / 1000 >= earliest
+    clients[2].close()
+    at.close()
