--- /dev/null
+++ b/standflow/net/client_connection.py
@@ -0,0 +1,293 @@
+"""One connection of a client: reads commands, writes final answers in the order of the commands."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+from standflow.exchange import Failed, Final, Refused, Request, Served, Transaction, UnacceptableError
+from standflow.net import resp
+from standflow.net.flow import Flow
+from standflow.net.loop import BROKEN, IN, LEFT, OUT, READABLE, TICK, Coroutine, Task, broken
+
+if TYPE_CHECKING:
+    from standflow.net.caller import CallerSide
+
+READ_SIZE = 65536
+MAX_PIPELINED = 64  # commands of one leg that wait for their answers; more stay in the kernel
+PAUSE_OUT = 256 * 1024  # bytes that a slow reader may leave unread before no more is taken from it
+MAX_OUT = 1024 * 1024  # and before it is given up
+PIECE = 64 * 1024  # bytes of a long value that a leg has on its own, written or not, at most
+LINGER = 1.0  # seconds for the last answer to arrive after framing was lost
+
+
+class Slot:
+    """The place of one command's answer in a leg's order."""
+
+    __slots__ = ("answer", "flow", "transaction")
+
+    def __init__(self, answer: bytes | None = None) -> None:
+        self.answer = answer
+        self.flow: Flow | None = None  # what follows the answer's first bytes
+        self.transaction: Transaction | None = None
+
+
+class Leg:
+    """One connection of a caller."""
+
+    def __init__(self, side: CallerSide, sock: socket.socket) -> None:
+        self.side, self.sock = side, sock
+        self.buffer = resp.Buffer()
+        self.slots: deque[Slot] = deque()
+        self.out = bytearray()
+        self.reason = "shutdown"
+        self.last_words = False  # nothing more is read, and after what is to be written the leg ends
+        self.framing_lost = False  # what was read behind that is no command
+        self.answered = 0
+        self.stalls = 0
+        self.made = side.loop.now()
+        self.heard = self.made  # when the bytes read last can have come at the earliest
+        self.held_since: float | None = None
+        self.moved = self.made  # when bytes came last
+        self.room = 0  # reserved for the body that is being read
+        self.waits = False  # for such room
+        self.left = False  # the caller has closed: what is read now was sent before, and nobody waits for it
+        self.task: Task | None = None
+
+    def live(self) -> Coroutine[None]:
+        """The whole life of the leg."""
+        try:
+            self.reason = yield from self._serve()
+            if self.reason in ("bad_framing", "drained"):
+                yield from self._linger()
+        finally:
+            self.side.closed(self)
+            for slot in self.slots:
+                if slot.transaction is not None:
+                    self.side.exchange.caller_gone(slot.transaction)
+
+    def _serve(self) -> Coroutine[str]:
+        while True:
+            ready = yield self.mask()
+            try:
+                if ready & LEFT and not ready & READABLE:
+                    return "peer_closed"  # while reading paused: what lies unread is nobody's any more
+                if ready & OUT:
+                    self._push()
+                if ready & IN and not self.last_words:
+                    self.left = bool(ready & LEFT)
+                    data = self.sock.recv(READ_SIZE)
+                    if not data:
+                        return "peer_closed"
+                    self.buffer.feed(data)
+                    self.stalls = 0
+                    self.moved = self.side.loop.now()
+                    # what lay in the kernel while reading paused has used up its caller's time all the same
+                    self.heard = self.held_since or self.side.loop.heard
+                    self.held_since = None
+                elif ready & BROKEN:
+                    return "broken"
+                self._work()
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                return broken(error)
+            if self.slots and (flow := self.slots[0].flow) is not None and flow.broken:
+                return "cut_off"  # in the middle of the value: the caller can tell
+            if self.last_words and not self.out and not self.slots:
+                return self.reason
+            if self.too_slow():
+                return "slow_reader"
+
+    def _linger(self) -> Coroutine[None]:
+        """Reads what still comes and drops it: closing over unread bytes would take the answer back."""
+        loop, end = self.side.loop, self.side.loop.now() + LINGER
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+            while (yield from loop.wait(IN, end - loop.now())) and self.sock.recv(READ_SIZE):
+                continue
+
+    def too_slow(self) -> bool:
+        """What waits for slow readers must not outgrow the memory."""
+        size = len(self.out)
+        return size > MAX_OUT or (size > PAUSE_OUT and self.side.unread > self.side.max_unread)
+
+    def mask(self) -> int:
+        """Reading pauses while too much of this leg is open or unread, and until callers are served.
+
+        That the caller leaves is heard all the same.
+        """
+        paused = self._full() or self.last_words or self.waits or not self.side.ready
+        if paused and self.held_since is None:
+            self.held_since = self.side.loop.now()
+        return (LEFT if paused else IN) | (OUT if self.out else 0)
+
+    def _full(self) -> bool:
+        """Too much is open or unread for another command."""
+        return len(self.slots) >= MAX_PIPELINED or len(self.out) > PAUSE_OUT
+
+    def _work(self) -> None:
+        """Takes commands and writes answers in turns: those answered at once make room for the next."""
+        self._take()
+        while self._full():
+            self._flush()
+            if self._full():
+                return
+            self._take()
+        self._flush()
+
+    def _take(self) -> None:
+        """Takes the whole commands that were read, as long as the leg may have more open.
+
+        Also those read before the leg began to drain: each is owed an answer.
+        """
+        while not self._full() and not self.framing_lost:
+            try:
+                parts = self.buffer.command()
+            except resp.FramingError as error:
+                self.slots.append(Slot(resp.error(str(error))))
+                self.last_words, self.framing_lost, self.reason = True, True, "bad_framing"
+                return
+            if parts is None:
+                if self.buffer.body > resp.MAX_VALUE and not self.room and not self.last_words:
+                    self._reserve(self.buffer.body)
+                return
+            room, self.room = self.room, 0
+            self.side.idle.pop(self, None)
+            if self.side.pressing:
+                self.last_words, self.reason = True, "drained"
+            slot = Slot()
+            self.slots.append(slot)
+            try:
+                command = resp.decode_command(parts)
+                if isinstance(command, resp.Ping):
+                    slot.answer = self.side.pong()
+                elif self.side.dismissed:
+                    slot.answer = encode_final(Refused(self.side.exchange.come_back))
+                elif self.left:
+                    self.side.exchange.tally("left.unread")  # never opened: the end of the leg comes next
+                else:
+                    self._open(slot, command, room)
+                    room = 0  # the exchange gives it back
+            except (resp.CommandError, UnacceptableError) as error:
+                slot.answer = resp.error(str(error))
+            if room:
+                self.side.bodies.release(room)
+
+    def _reserve(self, size: int) -> None:
+        """A long body is read on when there is room for it."""
+
+        def granted() -> None:
+            self.room, self.waits, self.moved = size, False, self.side.loop.now()
+            if self.task is not None and not self.task.running:
+                self.side.loop.watch(self.task, self.mask())
+
+        if self.side.bodies.reserve(self, size, granted):
+            self.room = size
+        else:
+            self.waits = True
+
+    def _open(self, slot: Slot, ask: resp.Ask, room: int) -> None:
+        exchange = self.side.exchange
+        if (said := exchange.effects(ask.class_name)) and ask.safe not in said:
+            raise resp.CommandError("the class goes with the other command")
+        request = Request(
+            ask.class_name,
+            ask.plan,
+            ask.customer,
+            ask.patience,
+            ask.units,
+            ask.spread,
+            ask.first,
+            ask,
+            ask.ident,
+            (lambda: self.side.bodies.release(room)) if room else None,
+        )
+
+        def reply(final: Final) -> None:
+            if isinstance(final, Served) and isinstance(final.value, Flow):
+                slot.answer, slot.flow = resp.bulk_head(final.value.size), final.value
+                final.value.wake = lambda: self._woken(slot)
+            else:
+                slot.answer, slot.transaction = encode_final(final), None  # a circle else: it holds this call
+            if self.task is not None and not self.task.running and self.slots[0] is slot:
+                self._answered()
+
+        transaction = exchange.open(request, self.heard, reply)
+        if slot.answer is None:
+            slot.transaction = transaction
+
+    def _woken(self, slot: Slot) -> None:
+        """More of a long value has come, or its end."""
+        flow = slot.flow
+        if flow is not None and flow.over:
+            slot.transaction, flow.wake = None, _nothing
+        if self.task is not None and not self.task.running and self.slots and self.slots[0] is slot:
+            self._answered()
+
+    def _answered(self) -> None:
+        """An answer has come from outside the coroutine: it leaves at once."""
+        with contextlib.suppress(OSError):  # the poll tells the coroutine
+            self._flush()
+        if self.task is None:
+            return
+        cut = bool(self.slots) and self.slots[0].flow is not None and self.slots[0].flow.broken
+        if self.last_words or self.buffer.data or cut or self.too_slow():
+            # the leg may be done, or what was held back for room may go on
+            self.side.loop.resume(self.task, TICK)
+        else:
+            self.side.loop.watch(self.task, self.mask())
+
+    def _flush(self) -> None:
+        """Moves the answers that are next in order out."""
+        slots, ready = self.slots, bytearray()
+        while slots and slots[0].answer is not None:
+            slot = slots[0]
+            ready += slot.answer or b""
+            if slot.flow is not None:
+                slot.answer = b""
+                ready += slot.flow.take(max(0, PIECE - len(ready) - len(self.out)))
+                if not slot.flow.ended:
+                    break
+                ready += b"\r\n"
+            slots.popleft()
+            self.answered += 1
+        if ready:
+            self.side.unread += len(ready)
+            if self.out:
+                self.out += ready
+            else:
+                self.out = ready
+                self._push()
+        if not slots and not self.out and not self.last_words:
+            self.side.rest(self)
+
+    def _push(self) -> None:
+        """Writes at once; the poll is armed only for what was not taken."""
+        if self.out:
+            try:
+                taken = self.sock.send(self.out)
+            except BlockingIOError:
+                return
+            del self.out[:taken]
+            self.stalls = 0
+            self.side.unread -= taken
+            if taken and self.slots and self.slots[0].flow is not None and len(self.out) <= PIECE // 2:
+                self._flush()
+
+
+def _nothing() -> None:
+    """A value that has ended wakes nobody."""
+
+
+def encode_final(final: Final) -> bytes:
+    """A final answer on the wire."""
+    if isinstance(final, Served):
+        return resp.bulk(final.value)
+    if isinstance(final, Refused):
+        return resp.busy(final.retry_after)
+    if isinstance(final, Failed):
+        return resp.error(final.reason)
+    raise TypeError(final)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -13,7 +13,8 @@
 from standflow.config import read
 from standflow.exchange import Outcome, Served
 from standflow.net import resp
-from standflow.net.caller import MAX_PIPELINED, PAUSE_OUT, CallerSide
+from standflow.net.caller import CallerSide
+from standflow.net.client_connection import MAX_PIPELINED, PAUSE_OUT
 from standflow.net.loop import Loop
 from tests.test_endings import Wired, known
 from tests.test_legs import Recorder
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,7 +17,8 @@
 from standflow.assembly import Ingress
 from standflow.config import read
 from standflow.exchange import Outcome, Phase, Route, RouteSet
-from standflow.net.caller import MAX_PIPELINED, CallerSide
+from standflow.net.caller import CallerSide
+from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.nexthop import REST, NextHops
 from standflow.net.routes import Objects, Routes
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -27,7 +27,8 @@
     Transaction,
 )
 from standflow.net import resp
-from standflow.net.caller import MAX_HALF, MAX_PIPELINED, SPEAK_WITHIN, CallerSide
+from standflow.net.caller import MAX_HALF, SPEAK_WITHIN, CallerSide
+from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
 from tests.wire import command, listener, read_until, turn_until
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from standflow.net.caller import MAX_HALF, SPEAK_WITHIN, CallerSide, Leg
+from standflow.net.caller import MAX_HALF, SPEAK_WITHIN, CallerSide
+from standflow.net.client_connection import Leg
 from standflow.net.nexthop import Connection
 from tests.test_endings import Wired
 from tests.test_legs import Recorder
