--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -19,7 +19,8 @@
 from standflow.net.loop import Loop
 from standflow.net.nexthop import REST, NextHops
 from standflow.net.peers import Peers
-from standflow.net.routes import LAST_BACK_OFF, Routes, read_routes, write_route
+from standflow.net.routes import Routes, read_routes, write_route
+from standflow.net.watch_timing import LAST_BACK_OFF
 from standflow.reloading import Parts as ReloadParts
 from standflow.reloading import Reloading
 from standflow.tally import EVERY, Tally
@@ -495,8 +496,8 @@
 
     def _last_moment(self) -> None:
         """What came late may be owed for longer than this process is left to live."""
+        self.callers.dismiss()  # first: what is answered makes room for what was read behind it
         self.exchange.abandon_all()
-        self.callers.dismiss()
         self.loop.call_later(LAST_WORDS, self.loop.stop)
 
     def close(self) -> None:
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -13,6 +13,7 @@
 
 from standflow.exchange import Branch, Exchange, Outcome, Phase, Result, Route, RouteSet
 from standflow.net import resp
+from standflow.net.closing import close_in_order
 from standflow.net.flow import Flow, Flows
 from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task, broken
 from standflow.net.stream import READ_SIZE, PlainStream, Stream
@@ -453,12 +454,13 @@
             if connection.begin(errand):
                 return
             self._end(connection, "stale")
+        # A lack of this ingress's own is no word on the next hop, which would be avoided for it.
         if self.connections >= self.max_connections and not self._make_room():
-            self._fail(errand)
+            self._fail(errand, Outcome.MOOT)
             return
         refusal = None if self.admission is None else self.admission.refusal(name)
         if refusal is not None or not self._dial(hop, errand):
-            self._fail(errand, refusal or Outcome.CONNECT_FAILED)
+            self._fail(errand, refusal or Outcome.MOOT)
 
     def _rested(self, hop: Hop) -> Connection | None:
         """Of the idle connections that have rested the one used last: it is the least likely to be closed."""
@@ -484,7 +486,7 @@
     def _dial(self, hop: Hop, errand: Errand | None) -> bool:
         connection = Connection(self, hop, errand)
         try:
-            connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            connection.sock = self.loop.open_socket()
         except OSError as error:  # no descriptor left: the command was never written
             self.log(f"nexthop: no socket: {error}")
             return False
@@ -527,7 +529,7 @@
         if connection in hop.idle:
             hop.idle.remove(connection)
         connection.stream.close()
-        connection.sock.close()
+        close_in_order(connection.sock)
         if self.admission is not None and connection.up:
             self.admission.ended(connection)
         self.connections -= 1
