Counter calls pass by a connection that has fallen silent

So the counter was not full: Client._connection took the connection with the fewest open calls, whether or not it had answered since, until _sweep ended it after 2 s.

A connection whose oldest call has waited for the limit with no byte heard is quiet now; calls take another one, and a new one is opened where all are quiet, four at most.

--- a/standflow/counter/client.py
+++ b/standflow/counter/client.py
@@ -26,6 +26,7 @@
 DIAL_LIMIT = 0.25  # seconds until a connection must be up
 IDLE_LIMIT = 3.0  # seconds; the counter closes what stands idle for about 10 s or less
 WAIT_LIMIT = 2.0  # seconds without any answer after which a connection with open calls is given up
+MOST_QUIET = 4  # connections that owe an answer beside which another one is opened
 PIPELINE = 16  # calls open on one connection; more open another one, while there may be more
 MAX_BODY = 64  # bytes; seven digits, a point and an exponent are far less
 MAX_LIFE = 60.0
@@ -97,6 +98,10 @@
         """Calls that are not answered."""
         return len(self.calls) + len(self.unwritten)
 
+    def quiet(self, now: float, limit: float) -> bool:
+        """Whether its oldest call has waited for so long, with no byte heard meanwhile."""
+        return bool(self.calls) and now - max(self.heard, self.calls[0].began) >= limit
+
     def live(self) -> Coroutine[None]:
         """The whole life of the connection."""
         try:
@@ -289,9 +294,13 @@
         self.settle(call, How.UNCERTAIN, None)
 
     def _connection(self) -> Connection | None:
-        """The one with the fewest calls open; a new one where all have many."""
-        best = min(self.connections, key=lambda one: one.load, default=None)
-        if best is not None and (best.load < self.depth or len(self.connections) >= self.most):
+        """The one with the fewest calls open; a new one where all have many, or have fallen silent."""
+        now = self.loop.now()
+        answering = [one for one in self.connections if not one.quiet(now, self.limit)]
+        all_quiet = not answering and len(self.connections) < MOST_QUIET
+        best = min(answering or self.connections, key=lambda one: one.load, default=None)
+        full = len(self.connections) >= self.most
+        if best is not None and (full or best.load < self.depth and not all_quiet):
             return best
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -320,7 +329,7 @@
             if not connection.load and now - connection.heard > IDLE_LIMIT:
                 connection.reason = "idle"
                 self._end(connection)
-            elif connection.calls and now - max(connection.heard, connection.calls[0].began) > WAIT_LIMIT:
+            elif connection.quiet(now, WAIT_LIMIT):
                 connection.reason = "silent"
                 self._end(connection)
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from lab.counter import Door, Store, Way
-from standflow.counter.client import MAX_BODY, PIPELINE, Client, Counted, How, encode, read_total
+from standflow.counter.client import MAX_BODY, MOST_QUIET, PIPELINE, Client, Counted, How, encode, read_total
 from standflow.net.loop import Loop
 from tests.wire import LIMIT, listener, read_until, turn_until
 
@@ -121,6 +121,31 @@
         assert at.until(at.add("a"))[0].total == 1.0  # on another connection
 
 
+def test_after_a_connection_fell_silent_calls_take_another_one() -> None:
+    with listener() as hop, rig(hop.getsockname(), 0.02) as at:
+        lost = at.add("a")
+        silent = accepted(hop)
+        assert at.until(lost)[0].how is How.UNCERTAIN
+        calls = [at.add("a")]
+
+        def written() -> bool:
+            if calls[-1]:  # on a busy machine it may be given up before it is written
+                calls.append(at.add("a"))
+            return len(at.client.connections) > 1 and bool(at.client.connections[1].calls)
+
+        turn_until(at.loop, written)
+        with silent, accepted(hop) as other:
+            other.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")
+            turn_until(at.loop, lambda: any(end.total == 7.0 for call in calls for end in call))
+
+
+def test_a_counter_that_answers_nobody_is_sent_few_connections() -> None:
+    with Door(Store(parts=1), Way(cut={0})) as door, rig(door.address, 0.02) as at:
+        for _ in range(3 * MOST_QUIET):
+            at.until(at.add("a"))
+        assert len(at.client.connections) <= MOST_QUIET
+
+
 @pytest.mark.parametrize(
     ("answer", "how", "reason"),
     [
