No counter call where no backend has room; mostly empty stores are let in unasked

_arrive asks _choose first and refuses for room without a call. Quota.mostly_empty: where the counter told in the last 5 s that half of the burst is unused, the level told and twice what was let in here since may reach that half without a call.

--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -17,7 +17,7 @@
 
 from hoistfold import interface as i
 from hoistfold.counted import PERIOD, TOLERATED, Stores
-from hoistfold.state import Quota, Request
+from hoistfold.state import LATELY, Quota, Request
 from lab.box import Box
 from lab.callers import command, kind_of, read
 from lab.counted import CountedFleet
@@ -170,11 +170,27 @@
     assert not world.ask(0, "b")
 
 
+@pytest.mark.parametrize(
+    ("used", "waits", "let_in"),
+    [(0, 0.1, 2), (4, 0.1, 0), (0, LATELY + 0.1, 0)],  # mostly empty; near half of the burst; too long ago
+)
+def test_of_a_store_told_to_be_mostly_empty_a_part_is_let_in_unasked(
+    used: int, waits: float, let_in: int
+) -> None:
+    world = Counting(100, max_units=1.0)  # an even share is a tenth of a request
+    assert sum(world.ask(1, f"a{n}") for n in range(used)) == used
+    assert world.ask(0, "b")
+    world.outcome = i.Outcome.FULL
+    world.now += waits
+    assert sum(world.ask(0, f"c{n}") for n in range(9)) == let_in
+
+
 def test_room_that_is_not_there_takes_nothing_from_a_quota() -> None:
     world = Counting(3)
     world.live[0].handle(world.now, i.BackendsListed(i.ListKind.FULL, ()))  # nowhere to send to
     assert not world.ask(0, "a")
     assert spent(world, 1) == 0
+    assert not world.calls  # nor a call of the counter, which has few
     assert sum(world.ask(1, f"b{n}") for n in range(30)) == BASIC.burst
 
 
