--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -88,7 +88,7 @@
         if self.long_ring and quota.size > 1 and plan.rate:
             self._ask(request)
         elif self.counting and quota.size > 1 and (plan.rate or plan.max_open and not plan.ceiling_rate):
-            share = self._within_quota(quota, event.units, quota.mostly_empty(self.now))
+            share = self._within_quota(quota, event.units, False)
             if self._choose(request) is None:  # no call of the counter for what can't be sent on anyway
                 self._refuse(request, kind.aim / 2, "room")
             else:
@@ -349,8 +349,8 @@
         quota = request.quota
         self._drain(quota)
         if used is not None:
-            quota.level, quota.told_at, quota.others, quota.since = used, self.now, used - quota.own, 0.0
-        within = self._within_quota(quota, request.units, used is not None or quota.mostly_empty(self.now))
+            quota.level, quota.told_at, quota.others = used, self.now, used - quota.own
+        within = self._within_quota(quota, request.units, used is not None)
         if used is not None and not quota.plan.rate:
             within = used < quota.plan.max_open
         if request.name in self.requests:
--- a/hoistfold/call_budget.py
+++ b/hoistfold/call_budget.py
@@ -1,9 +1,8 @@
 """Which requests are worth a call of the counter, of as many as it answers in time.
 
-The share of the requests that is asked for follows the counter: it falls where answers are slow or calls are
-turned away, and grows with the answers in time. A call without any answer says less, as a connection may have
-fallen silent: the share falls too, and is back with the first quick answer. Of the requests those are asked
-for first where an answer most likely changes the decision, weighed by what that is worth.
+The share of the requests that is asked for follows the counter: it falls where answers are slow or missing or
+calls are turned away, and grows with the answers in time. Of the requests those are asked for first where an
+answer most likely changes the decision, weighed by what that is worth.
 """
 
 from __future__ import annotations
@@ -13,9 +12,7 @@
 from hoistfold import interface as i
 
 SLOW = 0.5  # of the limit: a queue as long as that is about to answer nobody in time
-QUICK = 0.25  # of the limit: an answer that shows that there is no queue
 STEP = 0.0125  # by which the share grows with each answer in time
-GROWTH = 0.5  # of itself it grows each second besides, however few are asked for
 DECREASE, LEAST_SHARE = 0.7, 0.02
 MEMORY = 200.0  # requests over which the parts of the kinds are reckoned
 UNSEEN = 0.3  # of a kind's asks, the part that is taken to find no room before any has been answered
@@ -31,8 +28,6 @@
         """`limit`: seconds after which a call counts as unanswered."""
         self.limit = limit
         self.share = 1.0  # of the requests, those that are asked for
-        self.before_silence: float | None = None  # the share, where only silence made it fall since
-        self.grown_at: float | None = None
         self.fell_at = -math.inf
         self.beyond: dict[Kind, float] = {}  # of the asks, the part that found no room
         self.requests: dict[Kind, float] = {}  # recent ones, whether they were asked for or not
@@ -41,25 +36,10 @@
     def answered(self, now: float, outcome: i.Outcome, latency: float) -> None:
         """What the end of a call says of the counter."""
         if outcome is i.Outcome.OK and latency < SLOW * self.limit:
-            self._grow(now)
-            if latency < QUICK * self.limit and self.before_silence is not None:
-                self.share = max(self.share, self.before_silence)
-                self.before_silence = None
-            return
-        pressed = outcome in (i.Outcome.OK, i.Outcome.FULL)
-        if pressed:
-            self.before_silence = None
-        if now - self.fell_at < self.limit:  # of the same queue, or the same silence
-            return
-        if not pressed and self.before_silence is None and now - self.fell_at > 1.0:
-            self.before_silence = self.share
-        self.fell_at = self.grown_at = now
-        self.share = max(LEAST_SHARE, self.share * DECREASE)
-
-    def _grow(self, now: float) -> None:
-        passed = 0.0 if self.grown_at is None else now - self.grown_at
-        self.grown_at = now
-        self.share = min(1.0, self.share * (1 + GROWTH * min(1.0, passed)) + STEP)
+            self.share = min(1.0, self.share + STEP)
+        elif now - self.fell_at >= self.limit:  # else of the same queue
+            self.fell_at = now
+            self.share = max(LEAST_SHARE, self.share * DECREASE)
 
     def learn(self, kind: Kind, beyond: bool) -> None:
         """Whether an ask found no room."""
--- a/hoistfold/counted.py
+++ b/hoistfold/counted.py
@@ -136,11 +136,9 @@
             refused()
         else:
             told(event.total if event.outcome is i.Outcome.OK else None)
-        if self.owed and event.outcome is i.Outcome.OK:
-            self._correct(*self.owed.popleft())
 
     def again(self, now: float) -> None:
-        """At each epoch, which may be long: what the service turned away is still owed to it."""
+        """Now and then: what the service turned away is still owed to it."""
         self.now = now
         for _ in range(min(AT_ONCE, len(self.owed))):
             self._correct(*self.owed.popleft())
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -9,8 +9,6 @@
 from hoistfold import interface as i
 
 SCALE = 4  # fractions of a unit that counts are of
-LATELY = 5.0  # seconds for which a level that the counter told is taken for what it still may be
-OTHERS_TOO = 2.0  # units by all for each that was let in here since
 FORGIVEN = 5.0  # seconds in which what was seen of a backend's speed loses most of its weight
 
 
@@ -125,10 +123,6 @@
         """What must at least be used of the whole store, by what the counter told last."""
         return self.level - self.plan.rate * (now - self.told_at)
 
-    def mostly_empty(self, now: float) -> bool:
-        """The counter told lately that half of the store is unused, and little was let in here since."""
-        return now - self.told_at < LATELY and self.level + OTHERS_TOO * self.since <= self.plan.burst / 2
-
 
 @dataclass(slots=True, frozen=True)
 class Entry:
