--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -106,7 +106,10 @@
                 self.coordination.arrive(request)
         elif self.counting and quota.size > 1 and (plan.rate or plan.max_open and not plan.ceiling_rate):
             share = self._within_quota(quota, event.units, False)
-            self.stores.ask(self.now, request, share, lambda used: self._counted(request, used))
+            if self._choose(request) is None:  # no call of the counter for what can't be sent on anyway
+                self._refuse(request, kind.aim / 2, "room")
+            else:
+                self.stores.ask(self.now, request, share, lambda used: self._counted(request, used))
         else:
             others = self.members(quota, quota.place)[1:]
             heard, read = sum(map(self.answers, others)), self.now - quota.witnessed
--- a/lab/vast.py
+++ b/lab/vast.py
@@ -124,13 +124,13 @@
     def step(self, number: int, event: i.Event | None) -> None:
         """One event of a gateway; None is its next request."""
         if event is None:
-            event = self.request(number)
+            number, event = self.request(number)
         began = time.process_time()
         actions = self.live[number].handle(self.now, event)
         self.spent += time.process_time() - began
         self.carry(number, actions)
 
-    def request(self, number: int) -> i.RequestArrived:
+    def request(self, number: int) -> tuple[int, i.RequestArrived]:
         """The next request at a gateway, of a customer whose set is half of the fleet."""
         self.post(self.random.expovariate(self.rate), number, None)
         self.requests += 1
@@ -138,7 +138,7 @@
         first = (number - self.random.randrange(size)) % len(self.live)
         kind = CHANGE if self.random.random() < 0.18 else VIEW
         customer = f"c{first}-{self.random.randrange(8)}"
-        return i.RequestArrived(
+        return number, i.RequestArrived(
             f"r{self.requests}", kind.name, "full", customer, kind.deadline, 1.0, size, first
         )
 
