--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -12,6 +12,7 @@
 from hoistfold.codec import ENTRY, ROOM, opened, packed, seal
 from hoistfold.coordinators import Coordination
 from hoistfold.counted import Stores
+from hoistfold.overload import ClassPriority
 from hoistfold.state import (
     FORGOTTEN,
     ONCE,
@@ -28,6 +29,7 @@
 
 FIRST_LIMIT = 8.0  # attempts out at a backend at first, from all gateways together
 FIRST_PAUSE, LONGEST_PAUSE = 1.0, 8.0  # seconds between trials of a suspected backend
+LATE_PART = 0.4  # of the room, that may be taken before late retries are refused
 SPARE = 0.5  # of the room, the part that may be taken by what is beyond a quota
 SHARERS = 3.0  # gateways at least that work with one backend, so that their loads even out
 MOST_TAKEN = 2.0  # seconds of usual work a second that a warm backend is trusted with, whatever is seen
@@ -70,6 +72,7 @@
         window = min((plan.burst / plan.rate for plan in settings.plans if plan.rate), default=math.inf)
         self.long_ring = settings.may_tell_peers and settings.gateways * self.epoch > window
         self.epoch = IDLE_FOR / 4 if self.long_ring else self.epoch
+        self.priority = ClassPriority()
         self.coordination = Coordination(self, self._admit, self._within_quota)
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -257,10 +260,15 @@
         took = min(MOST_TAKEN, max(1.0, self.sharers * self.busy / max(1, len(fit))))
         self.took += 0.01 * (self.busy < SPARE * room) * (took - self.took)
         # a late retry would make the others late too; what earns little for its work yields to the rest
-        earns = [k.worth / self.base[k.name] for k in (request.kind, *self.classes.values())]
-        part = 0.4 if request.late else 0.7 + 0.3 * earns[0] / max(earns)
+        best = max(kind.worth / self.base[kind.name] for kind in self.classes.values())
+        earnings = min(1.0, request.kind.worth / self.base[request.kind.name] / best)
+        part = self.priority.part_of_room(earnings)
+        part = min(part, LATE_PART if request.late else 1.0, SPARE if request.spare else 1.0)
         # where all are suspected no room is known: only trials tell that they are back
-        return bool(fit) and self.busy >= room * (SPARE if request.spare else part)
+        pressed = bool(fit) and self.busy >= room * part
+        if not (request.late or request.spare or request.attempts):
+            self.priority.observe(earnings, pressed)
+        return pressed
 
     def _doors(self, backend: Backend) -> float:
         """Gateways that work with it; while it is cold few, each with a whole request, who weigh it more."""
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,64 @@
+"""What yields first while the backends are overloaded."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hoistfold.brain import Gateway
+from hoistfold.overload import LEAST_RESERVED, MOST_RESERVED, ClassPriority
+from tests.world import BASIC, READ, request, sends, started
+
+CHEAP = replace(READ, name="cheap", worth=1.0)
+DEAR = replace(READ, name="dear", worth=4.0)
+PAYING = replace(BASIC, excess_worth=0.3, excess_cost=0.0)
+
+
+def sent_until_refused(gateway: Gateway, class_name: str) -> int:
+    """How many requests of a class are out when the first is refused, each of its own customer."""
+    count = 0
+    while sends(gateway.handle(1.0, request(f"r{count}", class_name=class_name, customer=f"c{count}"))):
+        count += 1
+        assert count < 1000
+    return count
+
+
+def after_refusals(refused: bool) -> Gateway:
+    """A gateway whose best class was refused again and again, or never."""
+    gateway = started(gateways=1, classes=(CHEAP, DEAR))
+    for _ in range(50):
+        gateway.priority.observe(1.0, refused)
+    return gateway
+
+
+def test_cheap_work_leaves_room_where_the_best_class_finds_none() -> None:
+    """It took 0.78 of the room all the same, and work of four times its worth was refused."""
+    best = sent_until_refused(after_refusals(True), "dear")
+    assert 0.3 * best <= sent_until_refused(after_refusals(True), "cheap") <= 0.5 * best
+
+
+def test_cheap_work_alone_takes_most_of_the_room() -> None:
+    best = sent_until_refused(after_refusals(False), "dear")
+    assert sent_until_refused(after_refusals(False), "cheap") >= 0.7 * best
+
+
+def test_what_is_beyond_a_quota_yields_no_later_than_cheap_work_inside_it() -> None:
+    gateway = started(gateways=1, classes=(CHEAP, DEAR), plans=(PAYING,))
+    for _ in range(50):
+        gateway.priority.observe(1.0, True)
+    held = sent_until_refused(gateway, "cheap")
+    assert held > 0
+    for n in range(20):  # one customer, far beyond its quota: nothing of it is sent while the room is taken
+        assert not sends(gateway.handle(1.0, request(f"b{n}", class_name="cheap", customer="greedy")))
+
+
+def test_the_reserve_grows_with_refusals_of_the_best_class_alone() -> None:
+    priority = ClassPriority()
+    priority.observe(0.5, True)
+    assert priority.part_of_room(0.0) == 1.0 - LEAST_RESERVED
+    for _ in range(200):
+        priority.observe(1.0, True)
+    assert abs(priority.part_of_room(0.0) - (1.0 - MOST_RESERVED)) < 1e-6
+    assert priority.part_of_room(1.0) == 1.0
+    for _ in range(200):
+        priority.observe(1.0, False)
+    assert priority.part_of_room(0.0) > 0.99 * (1.0 - LEAST_RESERVED)
