--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= .venv/bin/python
 
-.PHONY: build test lint run sites bench-tls bench-vast bench-counter bench-ops bench-fleet bench-power regression
+.PHONY: build test lint run sites bench-tls bench-vast bench-cold bench-counter bench-ops bench-fleet bench-power regression
 
 build:
 	test -d .venv || python3 -m venv .venv
@@ -23,6 +23,10 @@
 bench-vast:
 	$(PYTHON) -m lab.vast
 
+# A burst while a part of the next hops is cold, with 3 to 200 ingresses in simulated time.
+bench-cold:
+	$(PYTHON) -m lab.cold_start
+
 # The promise on quotas, with the ring, the counter, both and neither; its cost.
 bench-counter:
 	$(PYTHON) -m lab.bench_counter
--- a/lab/vast.py
+++ b/lab/vast.py
@@ -53,6 +53,7 @@
     slow: float = 1.0
     free: list[float] = field(default_factory=lambda: [0.0] * CORES)
     got: list[tuple[float, float]] = field(default_factory=list)  # when, and seconds of work sent to it
+    overdue: int = 0  # of these, answered after their aim or never
 
     def serve(self, now: float, work: float, from_: float, span: float) -> float:
         """When an answer comes; a cold one rises evenly from a part of its speed."""
@@ -63,6 +64,18 @@
         self.got.append((now, work))
         return self.free[core]
 
+    def windows(self, span: float, mean: float, until: float) -> list[tuple[float, float]]:
+        """For each send before a time: when, and the work sent from it on within a span, in mean requests."""
+        found, work, end = [], 0.0, 0
+        for at, own in self.got:
+            while end < len(self.got) and self.got[end][0] < at + span:
+                work += self.got[end][1]
+                end += 1
+            if at < until:
+                found.append((at, work / mean))
+            work -= own
+        return found
+
 
 class Fleet:
     """Gateways, their messages, their connections by count, and next hops."""
@@ -78,6 +91,7 @@
     ) -> None:
         """`changes`: of the settings, for each gateway."""
         self.random, self.fast = random.Random(seed), fast  # fast: times the speed of the next hops
+        self.warm_up = 0.3, 11.0  # the part that a next hop does at its start, and when it does all
         self.rate = rate  # requests a second at each gateway
         self.now, self.serial, self.requests = 0.0, 0, 0
         self.queue: list[tuple[float, int, int, i.Event | None]] = []
@@ -156,6 +170,7 @@
                 self.post(action.delay, number, i.TimerFired(action.handle))
             elif isinstance(action, i.Refuse):
                 self.counts["refused"] += 1
+                self.counts[f"refused for {action.reason}"] += 1
                 self.refuse(number, action)
 
     def refuse(self, number: int, action: i.Refuse) -> None:
@@ -185,13 +200,16 @@
         gateway = self.live[number]
         kind = gateway.requests[action.request].kind.name
         work = self.random.expovariate(1 / WORK[kind]) / self.fast
-        done = self.boxes[action.backend].serve(self.now, work, 0.3, 11.0) + 0.002
+        done = self.boxes[action.backend].serve(self.now, work, *self.warm_up) + 0.002
         attempt = len(gateway.requests[action.request].attempts) - 1
         latency = done - self.now
         late = latency > gateway.classes[kind].deadline
         outcome = i.Outcome.TIMEOUT if late else i.Outcome.OK
         latency = min(latency, gateway.classes[kind].deadline)
         self.counts["late" if late else "served"] += 1
+        overdue = latency > gateway.classes[kind].aim
+        self.counts["overdue"] += overdue
+        self.boxes[action.backend].overdue += overdue
         ended = i.AttemptEnded(action.request, action.backend, attempt, latency, outcome, True, 0.0, 0.0, ())
         self.idle[key].append(self.now + latency + IDLE)
         self.post(latency, number, ended)
