--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -4,9 +4,10 @@
 
 from dataclasses import replace
 
+from hoistfold import interface as i
 from hoistfold.brain import Gateway
 from hoistfold.overload import LEAST_RESERVED, MOST_RESERVED, ClassPriority
-from tests.world import BASIC, READ, request, sends, started
+from tests.world import BASIC, READ, ended, request, sends, started
 
 CHEAP = replace(READ, name="cheap", worth=1.0)
 DEAR = replace(READ, name="dear", worth=4.0)
@@ -45,9 +46,11 @@
     gateway = started(gateways=1, classes=(CHEAP, DEAR), plans=(PAYING,))
     for _ in range(50):
         gateway.priority.observe(1.0, True)
-    held = sent_until_refused(gateway, "cheap")
-    assert held > 0
-    for n in range(20):  # one customer, far beyond its quota: nothing of it is sent while the room is taken
+    for n in range(int(PAYING.burst)):  # one customer uses all of its quota
+        first = sends(gateway.handle(0.9, request(f"q{n}", class_name="cheap", customer="greedy")))
+        gateway.handle(0.9, ended(first[0], i.Outcome.OK))
+    assert sent_until_refused(gateway, "cheap") > 0
+    for n in range(20):  # nothing more of it is sent while cheap work inside quotas is refused
         assert not sends(gateway.handle(1.0, request(f"b{n}", class_name="cheap", customer="greedy")))
 
 
