--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -10,7 +10,7 @@
 from hoistfold.ceiling import ceiling_parts
 from hoistfold.codec import packed, seal
 from hoistfold.coordinators import SKIP_SECONDS, WAITING_KEPT
-from hoistfold.state import SCALE, MessageKind, coordinator_place
+from hoistfold.state import SCALE, MessageKind, Quota, coordinator_place
 from hoistfold.token_bucket import TokenBucket
 from lab.tenants import CHAMBERS, Tenant, TenantFleet
 from tests.test_ring import keepers_of, key_of
@@ -82,16 +82,26 @@
     return keepers[0], next(n for n in range(250, 300) if n not in keepers)
 
 
-def test_units_granted_ahead_and_not_used_are_given_back_at_the_next_ask() -> None:
+def common_quota(ring: LongRing, number: int) -> Quota:
+    """What a gateway keeps of the common tenant."""
+    return ring.live[number].quotas[key_of("basic c1")]
+
+
+def with_a_lease() -> tuple[LongRing, int, int]:
+    """A ring, a coordinator and a member that was granted one unit more than it asked for."""
     ring = LongRing()
     coordinator, member = coordinator_and_member(ring)
     ring.now += 100.0
     gateway = ring.live[member]
     gateway.now = ring.now
-    quota = gateway.quota_of(key_of("basic c1"), BASIC, 250, 100)
-    quota.own_rate = 8.0  # busy of late: a lease of one more is worth its while
+    gateway.quota_of(key_of("basic c1"), BASIC, 250, 100).own_rate = 8.0  # busy of late
     assert ring.ask(member, "a")
-    at_coordinator = ring.live[coordinator].quotas[key_of("basic c1")]
+    return ring, coordinator, member
+
+
+def test_units_granted_ahead_and_not_used_are_given_back_at_the_next_ask() -> None:
+    ring, coordinator, member = with_a_lease()
+    quota, at_coordinator = common_quota(ring, member), common_quota(ring, coordinator)
     assert quota.lease == 1.0
     assert at_coordinator.member_use == 2.0
     assert ring.ask(member, "b")  # by the lease, with no message
@@ -109,16 +119,10 @@
 
 def test_use_told_while_a_lease_is_out_gives_nothing_of_it_back() -> None:
     """The member may use the lease all the same, and the coordinator would grant its units again."""
-    ring = LongRing()
-    coordinator, member = coordinator_and_member(ring)
-    ring.now += 100.0
+    ring, coordinator, member = with_a_lease()
     gateway = ring.live[member]
-    gateway.now = ring.now
-    quota = gateway.quota_of(key_of("basic c1"), BASIC, 250, 100)
-    quota.own_rate = 8.0
-    assert ring.ask(member, "a")
+    quota, at_coordinator = common_quota(ring, member), common_quota(ring, coordinator)
     assert quota.lease == 1.0
-    at_coordinator = ring.live[coordinator].quotas[key_of("basic c1")]
     report = packed(gateway.settings.plans, quota, MessageKind.TELL, quota.place, quota.own)
     ring.live[coordinator].handle(ring.now, i.PeerMessage(member, seal(report)))
     assert at_coordinator.counts[quota.place] == quota.counts[quota.place] + SCALE
