A try with less time than an answer takes yields under pressure

The former rule took any time below the usual for late; since the mend of last tries such a time may be the usual one itself, and its tries took room as fresh ones. Line at fault: Kept._late.

--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -13,6 +13,7 @@
 
 SCALE = 4  # fractions of a unit that counts are of
 ONCE, TWICE, FORGOTTEN = range(1, 4)  # how a place is still to be told, the last to its own member
+HASTY = 2.0  # times the usual latency: a client that waits for less seldom gets its answer
 FORGIVEN = 5.0  # seconds in which what was seen of a backend's speed loses most of its weight
 
 
@@ -311,10 +312,11 @@
         return ring[begin:] + ring[:begin]
 
     def _late(self, kind: i.RequestClass, left: float) -> bool:
-        """Its client has waited so long that an answer can hardly be in time."""
+        """Its client has waited so long, or waits for so short, that an answer can hardly be in time."""
         usual = self.usual_left.setdefault(kind.name, UsualTime(kind.deadline))
         waited = usual.waited(left)
-        return waited > 0 and waited + self.base[kind.name] > kind.aim
+        hasty = left < HASTY * self.base[kind.name]
+        return hasty or waited > 0 and waited + self.base[kind.name] > kind.aim
 
     def set_timer(self, delay: float, request: Request) -> None:
         self.serial += 1
