--- a/lab/box.py
+++ b/lab/box.py
@@ -92,6 +92,7 @@
         self.work, self.cores, self.cold_from, self.cold_time = work, cores, cold_from, cold_time
         self.started = 0.0  # Unix time; long ago
         self.counts = Counts()
+        self.arrived: set[str] = set()  # ids of requests that have come whole; several boxes may share it
         self.lock = threading.Lock()
         self.free_at = 0.0
         self.wires: set[Wire] = set()
@@ -240,6 +241,7 @@
         ident = parts[2].decode()
         with self.lock:
             self.counts.runs[ident] += 1
+            self.arrived.add(ident)
             if parts[0] == b"Q.DO":
                 self.counts.changes[ident] += 1
         if self.work:
--- /dev/null
+++ b/lab/shutdown.py
@@ -0,0 +1,204 @@
+"""A planned restart as the platform does it: SIGTERM, clients that go on sending, SIGKILL when it may come.
+
+The clients' side of one ingress is recorded: what was sent when, counted from SIGTERM, and what came back
+until the process was killed. A request is lost if it has no whole answer, unless its connection had been
+ended in order when it was sent (then its client sends it once more elsewhere) and no backend got it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import selectors
+import signal
+import socket
+import subprocess
+import time
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from lab.callers import command
+
+LONGEST_COUNTED = 3.0  # seconds that a longest deadline counts as at most (protocol page, planned restarts)
+KILL_AFTER = 0.7  # seconds beyond it after which SIGKILL may come, from SIGTERM
+CROSSING = 0.02  # seconds before a connection's end in which what was sent has crossed it
+AFTER_KILL = 0.3  # seconds in which what was written before SIGKILL is read
+
+
+def kill_time(longest_deadline: float) -> float:
+    """Seconds from SIGTERM to the earliest SIGKILL, for a deployment's longest deadline in seconds."""
+    return min(longest_deadline, LONGEST_COUNTED) + KILL_AFTER
+
+
+@dataclass(slots=True)
+class Sent:
+    """One request; times in seconds from SIGTERM."""
+
+    ident: str
+    safe: bool
+    at: float
+    answer: bytes = b""
+    answered_at: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """One connection and the requests on it, in their order; `sends`: when, and whether safe."""
+
+    sends: list[tuple[float, bool]]
+    connects_at: float = -1.0
+    sock: socket.socket | None = None
+    sent: list[Sent] = field(default_factory=list)
+    data: bytes = b""
+    ended_at: float | None = None
+    ended_by: str = ""
+
+
+@dataclass(slots=True)
+class Shutdown:
+    """What came of one planned restart."""
+
+    sent: list[Sent]
+    lost: list[Sent]
+    reset: int  # connections that ended with a reset before SIGKILL
+    ended_at: float | None  # when the process ended by itself, seconds from SIGTERM; None: it was killed
+
+
+def shut_down(
+    process: subprocess.Popen[bytes],
+    address: tuple[str, int],
+    clients: list[Client],
+    longest_deadline: float,
+    wait: float,
+    arrived: Collection[str],
+    signals: Iterable[tuple[float, int]] = (),
+) -> Shutdown:
+    """Plays the clients against an ingress that gets SIGTERM at second 0 and SIGKILL when it may come.
+
+    `wait`: seconds that each client says it waits; `arrived`: filled by backends with the ids they got;
+    `signals`: further ones, by their time.
+    """
+    play = _Play(address, clients, wait)
+    begin = min([client.connects_at for client in clients] + [0.0])
+    play.zero = time.monotonic() - begin
+    due = sorted([(0.0, int(signal.SIGTERM)), *signals])
+    kill_at, ended_at = kill_time(longest_deadline), None
+    while (now := play.now()) < kill_at:
+        while due and due[0][0] <= now:
+            process.send_signal(due.pop(0)[1])
+        play.step(0.002)
+        if ended_at is None and now > 0 and process.poll() is not None:
+            ended_at = play.now()
+    process.kill()
+    killed_at = play.now()
+    process.wait()
+    while play.now() < killed_at + AFTER_KILL:
+        play.read(0.01)
+    play.close()
+    everything = [sent for client in clients for sent in client.sent]
+    lost = [sent for client in clients for sent in client.sent if _lost(client, sent, arrived)]
+    reset = sum(client.ended_by == "reset" and (client.ended_at or 0) < kill_at for client in clients)
+    return Shutdown(everything, lost, reset, ended_at)
+
+
+def _lost(client: Client, sent: Sent, arrived: Collection[str]) -> bool:
+    if sent.answered_at is not None:
+        return False
+    in_order = client.ended_by == "closed" and client.ended_at is not None
+    return not in_order or sent.at < (client.ended_at or 0.0) - CROSSING or sent.ident in arrived
+
+
+class _Play:
+    """All clients in one thread."""
+
+    def __init__(self, address: tuple[str, int], clients: list[Client], wait: float) -> None:
+        self.address, self.clients, self.wait = address, clients, wait
+        self.zero = 0.0
+        self.serial = 0
+        self.selector = selectors.DefaultSelector()
+
+    def now(self) -> float:
+        return time.monotonic() - self.zero
+
+    def step(self, pause: float) -> None:
+        """Connects and sends what is due, and reads what has come."""
+        for client in self.clients:
+            if client.sock is None and not client.ended_by and self.now() >= client.connects_at:
+                self._connect(client)
+            while client.sends and client.sends[0][0] <= self.now():
+                self._send(client, client.sends.pop(0)[1])
+        self.read(pause)
+
+    def _connect(self, client: Client) -> None:
+        try:
+            client.sock = socket.create_connection(self.address, 2.0)
+        except OSError:
+            client.ended_by, client.ended_at = "refused", self.now()
+            return
+        client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client.sock.setblocking(False)
+        self.selector.register(client.sock, selectors.EVENT_READ, client)
+
+    def _send(self, client: Client, safe: bool) -> None:
+        self.read(0.0)  # what has been closed is known first
+        if client.sock is None:
+            return
+        self.serial += 1
+        ident = f"{self.serial:016x}"
+        options = (
+            f"c={'look' if safe else 'change'},t=plain,d={self.wait * 1000:.0f},units=1,spread=1,first=0"
+        )
+        parts = [b"Q.ASK" if safe else b"Q.DO", b"%016x" % self.serial, ident.encode(), options.encode()]
+        at = self.now()
+        try:
+            client.sock.sendall(command(parts))
+        except OSError:
+            self._ended(client, "reset")
+            return
+        client.sent.append(Sent(ident, safe, at))
+
+    def read(self, pause: float) -> None:
+        """Reads what has come, waiting so many seconds for it."""
+        for key, _ in self.selector.select(pause):
+            client: Client = key.data
+            assert client.sock is not None
+            try:
+                data = client.sock.recv(65536)
+            except BlockingIOError:
+                continue
+            except OSError:
+                self._ended(client, "reset")
+                continue
+            if not data:
+                self._ended(client, "closed")
+                continue
+            client.data += data
+            self._answers(client)
+
+    def _answers(self, client: Client) -> None:
+        """Takes whole answers off what has come: lines, and bulk strings."""
+        for sent in client.sent:
+            if sent.answered_at is not None:
+                continue
+            line, found, rest = client.data.partition(b"\r\n")
+            if not found:
+                return
+            if line.startswith(b"$") and line != b"$-1":
+                size = int(line[1:])
+                if len(rest) < size + 2:
+                    return
+                line, rest = rest[:size], rest[size + 2 :]
+            client.data, sent.answer, sent.answered_at = rest, line, self.now()
+
+    def _ended(self, client: Client, how: str) -> None:
+        client.ended_by, client.ended_at = how, self.now()
+        sock, client.sock = client.sock, None
+        if sock is not None:
+            self.selector.unregister(sock)
+            with contextlib.suppress(OSError):
+                sock.close()
+
+    def close(self) -> None:
+        for client in self.clients:
+            if client.sock is not None:
+                self._ended(client, "open")
+        self.selector.close()
