What must outlive a fault does: listeners, signals, datagrams, the watch, periodic work

On the version before: setsockopt failing once in three ended the listener for good; ENFILE, ENOBUFS or EPERM at accept closed idle clients or lost requests; connect with EINTR, EADDRNOTAVAIL, ENETUNREACH, ENOBUFS was laid on the backend; an early SIGHUP ended the process (six delays, 0 to 0.25 s).

--- a/standflow/counter/client.py
+++ b/standflow/counter/client.py
@@ -218,7 +218,7 @@
         self.loop, self.log, self.address, self.limit, self.most = loop, log, address, limit, most
         self.connections: list[Connection] = []
         self.depth = PIPELINE  # halved where a connection's end takes calls along
-        loop.call_later(1.0, self._sweep)
+        loop.every(1.0, self._sweep)
 
     def add(self, name: str, amount: float, life: float, ended: Ended) -> None:
         """Adds an amount. `ended` is called once in `limit` seconds, and again where that was uncertain
@@ -303,14 +303,18 @@
         if best is not None and (full or best.load < self.depth and not all_quiet):
             return best
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = self.loop.open_socket()
         except OSError as error:
             self.log(f"counter: no socket: {error}")
             return best
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(self, sock)
         self.connections.append(connection)
-        connection.task = self.loop.spawn(sock.fileno(), connection.live())
+        try:
+            connection.task = self.loop.spawn(sock.fileno(), connection.live())
+        except OSError as error:
+            connection.reason = broken(error)
+            self.closed(connection)
+            return best
         return connection
 
     def _end(self, connection: Connection) -> None:
@@ -322,7 +326,6 @@
 
     def _sweep(self) -> None:
         """Idle ones are closed before the counter would; one that says nothing for long is given up."""
-        self.loop.call_later(1.0, self._sweep)
         self.depth = min(PIPELINE, self.depth + 1)
         now = self.loop.now()
         for connection in list(self.connections):
--- a/standflow/counter/witness.py
+++ b/standflow/counter/witness.py
@@ -42,8 +42,8 @@
         self.budget = Budget(options.calls, loop.now())
         # One offset for the whole run: steps of the wall clock must not reach the periods.
         self.offset = time.time() - time.monotonic()
-        loop.call_later(options.every, self._tick)
-        loop.call_later(FORGET_EVERY, self._forget)
+        loop.every(options.every, self._tick)
+        loop.every(FORGET_EVERY, self._forget)
 
     def noted(self, key: bytes, size: int, place: int, count: int, level: float, fullness: float) -> None:
         """The module's note of its own use; see hoistfold.interface.UseNoted."""
@@ -57,7 +57,6 @@
         return self.loop.now() + self.offset
 
     def _tick(self) -> None:
-        self.loop.call_later(self.options.every, self._tick)
         now = self.loop.now()
         before = self.health.state
         if self.health.look(now) is not None:
@@ -95,5 +94,4 @@
             self.told(told)
 
     def _forget(self) -> None:
-        self.loop.call_later(FORGET_EVERY, self._forget)
         self.ledger.forget(self._now())
--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -72,7 +72,7 @@
         self.spoiled = 0  # datagrams of another fleet, or garbled
         self.closed = False
         log(f"fleet: this is place {member_id} of {size} in {fleet}")
-        loop.call_later(self.membership.pace, self._tick)
+        loop.every(lambda: self.membership.pace, self._tick)
 
     def hear(self, content: bytes, sender: Address) -> bool:
         """True for a datagram that looks like a membership's, sound or not; the ring's are none of it."""
@@ -135,10 +135,8 @@
         )
 
     def _tick(self) -> None:
-        if not self.closed:
-            if self.speaks:
-                self._carry(self.membership.tick(self.loop.now()))
-            self.loop.call_later(self.membership.pace, self._tick)
+        if self.speaks and not self.closed:
+            self._carry(self.membership.tick(self.loop.now()))
 
     def _carry(self, sends: list[Send]) -> None:
         """Carries out what an event led to: datagrams, log lines, and what the module is told."""
--- a/standflow/log.py
+++ b/standflow/log.py
@@ -36,7 +36,7 @@
     def serve(self, loop: Loop) -> None:
         """Writes what there is, now and again and again."""
         self.flush()
-        loop.call_later(FLUSH_EVERY, self.serve, loop)
+        loop.every(FLUSH_EVERY, self.flush)
 
     def flush(self) -> None:
         """Writes as much as can be written without waiting."""
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
@@ -13,7 +14,19 @@
 from standflow.net.client_connection import Leg
 from standflow.net.closing import MOST_READS, close_in_order
 from standflow.net.listening import BACKLOG, adopted, listening
-from standflow.net.loop import IN, READABLE, TICK, Coroutine, Loop, Task
+from standflow.net.loop import (
+    IN,
+    LACK_PAUSE,
+    MOMENTARY_LACK,
+    MOST_TRIES,
+    READABLE,
+    TICK,
+    Coroutine,
+    Loop,
+    Task,
+    broken,
+    send_at_once,
+)
 
 MAX_BODIES = 16 * 1024 * 1024  # bytes of long bodies, where nothing else is said
 MAX_UNREAD = 32 * 1024 * 1024  # bytes that all legs together may leave unread, where nothing else is said
@@ -27,6 +40,14 @@
 JUST_COME = 1.0  # seconds in which a leg that has asked nothing is left to ask: its command is under way
 PRESS = 1.5  # seconds of a drain after which no leg takes another command: what it has open may finish
 ACCEPTED_IN_ONE_GO = 64
+# What accept(2) tells of the connection that was to be accepted: the next one is another matter.
+GONE_BEFORE = frozenset(
+    (
+        *(errno.ECONNABORTED, errno.ECONNRESET, errno.EPIPE, errno.EPERM, errno.EPROTO, errno.ENOPROTOOPT),
+        *(errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENETDOWN, errno.ENETUNREACH, errno.ENONET),
+        *(errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.EINTR),
+    )
+)
 ACCEPT_PAUSE = 0.1  # seconds without accepting when descriptors run out
 
 
@@ -68,54 +89,78 @@
         self.making_room = False
         loop.make_room = self._make_room
         self.listener: Task | None = loop.spawn(self.sock.fileno(), self._listen())
-        loop.call_later(SWEEP_EVERY, self._sweep)
+        loop.every(SWEEP_EVERY, self._sweep)
 
     def _listen(self) -> Coroutine[None]:
         try:
-            while True:
-                yield 0 if self.paused else IN
-                self._accept()
+            yield from self.loop.supervised(self._accept_on)
         finally:
             self.sock.close()
 
+    def _accept_on(self) -> Coroutine[None]:
+        while True:
+            yield 0 if self.paused else IN
+            self._accept()
+
     def _accept(self) -> bool:
         """Accepts those that wait, a bounded number in one go; true where more may wait."""
+        lacks = 0
         for number in range(ACCEPTED_IN_ONE_GO):
             if len(self.legs) >= self.max_legs and not any(map(self._spare, self.idle)):
                 if not number:  # somebody waits, that's known; later the poll tells
-                    self._pause()
+                    self._pause(ACCEPT_PAUSE)
                 return False
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
                 self.waiting_since = None
                 return False
-            except ConnectionError:
-                continue  # it was gone before it was taken
             except OSError as error:
-                # Out of descriptors the listener stays ready: without a pause the loop would spin on it.
-                self.log(f"caller: accept: {error}")
-                if not self._make_room():
-                    self._pause()
+                if not self._accept_again(error, lacks):
                     return False
+                lacks += error.errno in MOMENTARY_LACK
                 continue
             if len(self.legs) >= self.max_legs:  # only now: nobody makes way for a caller that isn't there
                 self._make_room()
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            leg = Leg(self, sock)
-            if self.waiting_since is not None and self.has_more(leg):
-                leg.held_since = self.waiting_since  # its caller may have waited so long to be accepted
-            self.legs.add(leg)
-            self.idle[leg] = None
-            leg.task = self.loop.spawn(sock.fileno(), leg.live())
+            self._welcome(sock)
         return True
 
-    def _pause(self) -> None:
+    def _accept_again(self, error: OSError, lacks: int) -> bool:
+        """True where the next accept may go well after this error; `lacks`: failures for want so far."""
+        if error.errno in GONE_BEFORE:
+            return True
+        self.log(f"caller: accept: {error}")
+        # Whatever it is, the listener stays ready: without a pause the loop would spin on it.
+        if error.errno in MOMENTARY_LACK:
+            if lacks < MOST_TRIES:
+                return True
+            self._pause(LACK_PAUSE)
+            return False
+        if error.errno == errno.EMFILE and self._make_room():
+            return True
+        self._pause(ACCEPT_PAUSE)
+        return False
+
+    def _welcome(self, sock: socket.socket) -> None:
+        """Serves a connection that was accepted: whatever fails now, a request may be on it."""
+        sock.setblocking(False)
+        send_at_once(sock)
+        leg = Leg(self, sock)
+        if self.waiting_since is not None and self.has_more(leg):
+            leg.held_since = self.waiting_since  # its caller may have waited so long to be accepted
+        self.legs.add(leg)
+        self.idle[leg] = None
+        try:
+            leg.task = self.loop.spawn(sock.fileno(), leg.live())
+        except OSError as error:
+            leg.reason = broken(error)
+            self.closed(leg)
+
+    def _pause(self, seconds: float) -> None:
         self.paused = True
         if self.waiting_since is None:
             self.waiting_since = self.loop.heard
-        self.loop.call_later(ACCEPT_PAUSE, self._unpause)
+        self.loop.call_later(seconds, self._unpause)
 
     def _unpause(self) -> None:
         self.paused = False
@@ -168,7 +213,6 @@
 
     def _sweep(self) -> None:
         """A leg that never asks, or is stuck in a command or an answer, holds its place for nothing."""
-        self.loop.call_later(SWEEP_EVERY, self._sweep)
         now = self.loop.now()
         if self.pressing:
             for leg in [leg for leg in self.idle if now - leg.made > SWEEP_EVERY]:
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -21,8 +21,16 @@
 OUT = select.EPOLLOUT
 BROKEN = select.EPOLLHUP | select.EPOLLERR
 TICK = 0
+ASIDE = select.EPOLLONESHOT  # nothing is heard of the descriptor but its first event
 SHORT_ROUND = 0.001
 NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
+# What the system may lack for a moment (accept(2), connect(2), socket(2)): the call is made again.
+MOMENTARY_LACK = frozenset((errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+# The same for a dial; that there is no route is told at once too.
+MOMENTARY_DIAL = MOMENTARY_LACK | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENETUNREACH}
+MOST_TRIES = 3  # of a call that fails for a moment
+LACK_PAUSE = 0.02  # seconds between two tries to dial
+RESTART_PAUSE = 0.05  # seconds before a supervised coroutine that a fault has ended is begun anew
 
 Ended = TypeVar("Ended")
 Coroutine = Generator[int, int, Ended]
@@ -33,6 +41,16 @@
     return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
 
 
+def send_at_once(sock: socket.socket) -> None:
+    """Has small writes leave at once; where the system can't, the connection is of use all the same."""
+    for _ in range(MOST_TRIES):
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            return
+        except OSError:
+            continue
+
+
 class Timer:
     """A call that is due once, unless it is cancelled before."""
 
@@ -93,13 +111,42 @@
         return self.call_at(time.monotonic() + max(0.0, delay), call, *args)
 
     def spawn(self, fd: int, coroutine: Coroutine[None]) -> Task:
-        """Starts a coroutine at once; from its first yield on it waits on this descriptor."""
+        """Starts a coroutine at once; from its first yield on it waits on this descriptor.
+
+        OSError where it can't be waited on; then nothing was started.
+        """
+        for number in range(MOST_TRIES):
+            try:
+                self.epoll.register(fd, 0)
+                break
+            except OSError as error:
+                if error.errno not in MOMENTARY_LACK or number == MOST_TRIES - 1:
+                    raise
         task = Task(fd, coroutine, self.round)
         self.tasks[fd] = task
-        self.epoll.register(fd, 0)
         self.resume(task, TICK)
         return task
 
+    def supervised(self, make: Callable[[], Coroutine[None]]) -> Coroutine[None]:
+        """A coroutine that outlives its faults, begun anew after each: nothing works without it."""
+        while True:
+            try:
+                yield from make()
+                return
+            except Exception:
+                self.log("fault of a coroutine, begun anew: " + traceback.format_exc().replace("\n", " | "))
+            yield from self.pause(RESTART_PAUSE)
+
+    def every(self, seconds: float | Callable[[], float], call: Callable[[], object]) -> None:
+        """Has something called again and again, first after so many seconds; a fault of it ends nothing."""
+        self.call_later(seconds() if callable(seconds) else seconds, self._repeat, seconds, call)
+
+    def _repeat(self, seconds: float | Callable[[], float], call: Callable[[], object]) -> None:
+        try:
+            call()
+        finally:
+            self.every(seconds, call)
+
     def resume(self, task: Task, ready: int) -> None:
         """Lets a coroutine go on until its next yield."""
         if task.running:
@@ -156,6 +203,13 @@
         finally:
             timer.cancel()
 
+    def pause(self, seconds: float) -> Coroutine[None]:
+        """Within a coroutine: waits so long, whatever comes."""
+        end = self.now() + seconds
+        while (left := end - self.now()) > 0:
+            if (yield from self.wait(ASIDE, left)) == TICK:
+                return
+
     def _urgency(self, event: tuple[int, int]) -> int:
         """The order of a round's events: who has closed is heard before anything is begun for it."""
         fd, ready = event
@@ -171,18 +225,29 @@
 
     def open_socket(self) -> socket.socket:
         """A TCP socket to connect from, before idle clients if no descriptor is left; else OSError."""
-        try:
-            return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        except OSError as error:
-            if error.errno not in NO_DESCRIPTOR or not self.make_room():
-                raise
-        return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        for number in range(MOST_TRIES):
+            try:
+                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+                break
+            except OSError as error:
+                made_room = error.errno in NO_DESCRIPTOR and self.make_room()
+                last = number == MOST_TRIES - 1
+                if last or not (made_room or error.errno in MOMENTARY_LACK):
+                    raise
+        send_at_once(sock)
+        return sock
 
     def connect(self, sock: socket.socket, address: tuple[str, int], limit: float) -> Coroutine[str]:
         """Within a coroutine: connects a socket; what is returned is empty or the reason why not."""
+        due = self.now() + limit
         code = sock.connect_ex(address)
-        if code == errno.EINPROGRESS:
-            if (yield from self.wait(OUT, limit)) == TICK:
+        for _ in range(MOST_TRIES - 1):
+            if code not in MOMENTARY_DIAL:
+                break
+            yield from self.pause(LACK_PAUSE)
+            code = sock.connect_ex(address)
+        if code in (errno.EINPROGRESS, errno.EINTR):  # interrupted, it goes on in the background
+            if (yield from self.wait(OUT, due - self.now())) == TICK:
                 return "connect_timeout"
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return f"connect_failed:{errno.errorcode.get(code, code)}" if code else ""
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import socket
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 from standflow.net import resp
 from standflow.net.closing import close_in_order
 from standflow.net.flow import Flow, Flows
-from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task, broken
+from standflow.net.loop import BROKEN, IN, MOMENTARY_LACK, OUT, TICK, Coroutine, Loop, Task, broken
 from standflow.net.stream import READ_SIZE, PlainStream, Stream
 
 STALL = 0.1  # seconds in which the rest of an answer follows its beginning
@@ -57,6 +58,12 @@
 )
 
 
+# Why no connection came up for want of something of this machine's own.
+OWN_LACKS = frozenset(
+    f"connect_failed:{errno.errorcode[code]}" for code in MOMENTARY_LACK | {errno.EADDRNOTAVAIL, errno.EAGAIN}
+)
+
+
 class Admission(Protocol):
     """Who limits the opening of connections, where anybody does."""
 
@@ -114,13 +121,15 @@
 
     def live(self) -> Coroutine[None]:
         """The whole life of the connection."""
-        outcome, opening = Outcome.CONNECT_FAILED, True
+        outcome, opening = Outcome.CONNECT_FAILED, True  # until a command may have been written
         try:
             loop, address = self.side.loop, self.hop.route.address
             failed = yield from loop.connect(self.sock, address, self.side.dial_timeout)
             failed = failed or (yield from self.stream.open())
             self.reason, opening = failed, False
             self._opened(failed)
+            if failed in OWN_LACKS:  # it says nothing about the backend, which would be avoided for it
+                outcome = Outcome.MOOT
             if not failed:
                 self.reason = yield from self._serve()
         finally:
@@ -337,7 +346,7 @@
         self.hops: dict[str, Hop] = {}
         self.connections = 0
         self.forwards = 0  # branches whose command was written whole
-        loop.call_later(1.0, self._sweep)
+        loop.every(1.0, self._sweep)
 
     # The route set.
 
@@ -491,7 +500,6 @@
             self.log(f"nexthop: no socket: {error}")
             return False
         self.tally("dials.busy" if hop.connections else "dials.first")
-        connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.stream = self.make(hop.route, connection.sock)
         if errand is not None:
             errand.connection = connection
@@ -499,7 +507,13 @@
         self.connections += 1
         if self.admission is not None:
             self.admission.began(hop.route.hop, connection.stream)
-        connection.task = self.loop.spawn(connection.sock.fileno(), connection.live())
+        try:
+            connection.task = self.loop.spawn(connection.sock.fileno(), connection.live())
+        except OSError as error:
+            self.log(f"nexthop: {error}")
+            connection.errand, connection.reason = None, broken(error)
+            self.closed(connection)
+            return False
         return True
 
     def _fail(self, errand: Errand, outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
@@ -565,7 +579,6 @@
 
     def _sweep(self) -> None:
         """Ours are closed well before the next hop's machine would close them."""
-        self.loop.call_later(1.0, self._sweep)
         limit = self.loop.now() - self.idle_limit
         for hop in list(self.hops.values()):
             for connection in [c for c in hop.idle if c.idle_since < limit]:
--- a/standflow/net/peers.py
+++ b/standflow/net/peers.py
@@ -47,7 +47,7 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(listen)
         self.address: Address = self.sock.getsockname()
-        loop.spawn(self.sock.fileno(), self._receive())
+        loop.spawn(self.sock.fileno(), loop.supervised(self._receive))
 
     def _receive(self) -> Coroutine[None]:
         while True:
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import math
 import random
@@ -13,7 +14,7 @@
 import h11
 
 from standflow.exchange import Phase, Route, RouteSet
-from standflow.net.loop import IN, TICK, Coroutine, Loop, Task, Timer, broken
+from standflow.net.loop import IN, OUT, TICK, Coroutine, Loop, Task, Timer, broken
 from standflow.net.watch_timing import CONNECT_LIMIT, LAST_BACK_OFF, SILENCE, CallEnd, WatchTiming
 
 PHASES = {"SERVING": Phase.SERVING, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
@@ -182,7 +183,12 @@
             self.log(f"routes: no socket: {error}")
             self._again(CallEnd.FAILED)
             return
-        self.task = self.loop.spawn(sock.fileno(), self._live(sock))
+        try:
+            self.task = self.loop.spawn(sock.fileno(), self._live(sock))
+        except OSError as error:
+            sock.close()
+            self.log(f"routes: {error}")
+            self._again(CallEnd.FAILED)
 
     def fetch(self) -> None:
         """The whole list, asked for once: the watch is opened anew without a revision."""
@@ -234,7 +240,7 @@
         host = f"{self.address[0]}:{self.address[1]}"
         request = h11.Request(method="GET", target=f"/v1/endpoints?follow=1{since}", headers=[("Host", host)])
         try:
-            sock.send((http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
+            yield from self._write(sock, (http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
             return (yield from self._read(sock, http))
         except OSError as error:
             return broken(error)
@@ -245,6 +251,16 @@
             self.log(f"routes: {error}")
             return "bad_json"
 
+    def _write(self, sock: socket.socket, data: bytes) -> Coroutine[None]:
+        """Writes all of it, however little is taken at a time; TimeoutError where that takes too long."""
+        due = self.timing.head_due(self.loop.now())
+        while data:
+            try:
+                data = data[sock.send(data) :]
+            except BlockingIOError:
+                if (yield from self.loop.wait(OUT, max(0.0, due - self.loop.now()))) == TICK:
+                    raise TimeoutError(errno.ETIMEDOUT, "the call was not taken") from None
+
     def _read(self, sock: socket.socket, http: h11.Connection) -> Coroutine[str]:
         objects, due = Objects(), self.timing.head_due(self.loop.now())
         while True:
@@ -286,7 +302,11 @@
             self.revision = None  # of what it changes nothing is known here: the whole list is
             raise RouteError(f"revision {routes.revision} goes back")
         self.revision = routes.revision
-        self.told(routes)
+        try:
+            self.told(routes)
+        except Exception:
+            self.revision = None  # it was not taken in whole: the whole list is asked for
+            raise
         if routes.partial and not routes.complete:
             self.revision = None  # a change that was not taken in would never be told again
             raise RouteError("a change could not be read: the whole list is asked for")
--- a/standflow/ops/server.py
+++ b/standflow/ops/server.py
@@ -62,15 +62,18 @@
     def _listen(self) -> Coroutine[None]:
         number = self.sock.fileno()
         try:
-            while True:
-                yield IN if self.accepting else 0
-                for _ in range(MOST_ACCEPTED if self.accepting else 0):
-                    if not self._accept():
-                        break
+            yield from self.loop.supervised(self._accept_on)
         finally:
             self.loop.first.discard(number)
             self.sock.close()
 
+    def _accept_on(self) -> Coroutine[None]:
+        while True:
+            yield IN if self.accepting else 0
+            for _ in range(MOST_ACCEPTED if self.accepting else 0):
+                if not self._accept():
+                    break
+
     def _go_on(self) -> None:
         self.accepting = True
         self.loop.watch(self.listener, IN)
@@ -95,7 +98,13 @@
         sock.setblocking(False)
         self.loop.first.add(sock.fileno())
         call = Call(self, sock)
-        task = call.task = self.loop.spawn(sock.fileno(), call.live())
+        try:
+            task = call.task = self.loop.spawn(sock.fileno(), call.live())
+        except OSError as error:
+            self.log(f"ops: {error}")
+            self.loop.first.discard(sock.fileno())
+            sock.close()
+            return True
         if not call.over:
             self.calls[task] = None
         return True
--- a/standflow/recovery/keeper.py
+++ b/standflow/recovery/keeper.py
@@ -113,6 +113,7 @@
         if found.windows:
             self.loop.call_later(found.open_in, self._stage, "normal")
         self._look()
+        self.loop.every(self._pace, self._look)
 
     def figures(self) -> Figures:
         """Of now."""
@@ -142,11 +143,12 @@
             return
         if self.store.lock():
             self._write()
-            self.loop.call_later(self.every, self._look)
-        else:
-            self.loop.call_later(LOCKING, self._look)
         self._tell()
 
+    def _pace(self) -> float:
+        """Seconds to the next look."""
+        return self.every if self.store.held >= 0 else LOCKING
+
     def _tell(self) -> None:
         while self.store.notes:
             self.log(self.store.notes.popleft())
--- a/standflow/tally.py
+++ b/standflow/tally.py
@@ -30,7 +30,7 @@
 
     def serve(self) -> None:
         """Writes what was counted, now and again and again."""
-        self.loop.call_later(EVERY, self.serve)
+        self.loop.every(EVERY, self.flush)
         self.flush()
 
     def flush(self) -> None:
--- a/standflow/tls/streams.py
+++ b/standflow/tls/streams.py
@@ -45,9 +45,9 @@
         self._seen = self.material.stamp
         self._told = ""
         self._say(self.material)
-        loop.call_later(COUNT_EVERY, self._count)
-        loop.call_later(WARN_EVERY, self._remind)
-        loop.call_later(options.watch or NO_WATCH, self._watch)
+        loop.every(COUNT_EVERY, self.tell_counts)
+        loop.every(WARN_EVERY, self._remind)
+        loop.every(lambda: self.options.watch or NO_WATCH, self._watch)
 
     @property
     def generation(self) -> int:
@@ -141,7 +141,6 @@
 
     def _watch(self) -> None:
         """Looks at the files; a set is read once it kept still for a look, as two files change in turn."""
-        self.loop.call_later(self.options.watch or NO_WATCH, self._watch)
         if not self.options.watch:
             return
         found = material.stamp(self.options)
@@ -170,12 +169,7 @@
             self._told = counts
             self.log(f"tls: handshakes {counts}")
 
-    def _count(self) -> None:
-        self.loop.call_later(COUNT_EVERY, self._count)
-        self.tell_counts()
-
     def _remind(self) -> None:
-        self.loop.call_later(WARN_EVERY, self._remind)
         now, ends = datetime.now(UTC), self.material.ends
         if ends is not None and ends - now < timedelta(seconds=self.options.warn):
             self.log(f"tls: {material.ending(self.options.certificate or '', ends, now)}")
--- a/standflow/upgrade/handover.py
+++ b/standflow/upgrade/handover.py
@@ -54,6 +54,7 @@
         self.written = 0.0
         self.closed = False
         self._look()
+        loop.every(self._pace, self._look)
 
     def ask(self, begin: Callable[[], None]) -> None:
         """This process can serve; `begin` follows when the one before has told what it knows."""
@@ -94,11 +95,13 @@
         self.write()
 
     def _look(self) -> None:
-        if self.closed:
-            return
-        self._look_once()
+        if not self.closed:
+            self._look_once()
+
+    def _pace(self) -> float:
+        """Seconds to the next look."""
         quick = self.crowded or self.role.stage in (Stage.ASKING, Stage.HANDED)
-        self.loop.call_later(QUICK if quick else SLOW, self._look)
+        return QUICK if quick else SLOW
 
     def _look_once(self) -> None:
         now, raw = time.time(), self.files.others()
--- /dev/null
+++ b/tests/test_faulty_calls.py
@@ -0,0 +1,284 @@
+"""System calls that fail for a moment, and faults of what must outlive them: the ingress serves on."""
+
+from __future__ import annotations
+
+import errno
+import json
+import select
+import socket
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from lab.box import Box
+from lab.callers import kind_of, read
+from lab.faulty_calls import SHORT, VARIABLE
+from standflow.exchange import RouteSet
+from standflow.net import loop as loop_module
+from standflow.net.caller import CallerSide
+from standflow.net.loop import IN, Coroutine, Loop
+from standflow.net.peers import Peers
+from standflow.net.routes import Routes
+from tests.test_legs import Recorder
+from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+BEGIN, END = 0.6, 2.2  # seconds after the start in which calls fail; it is ready after 0.3 to 0.4
+RATE = 40.0  # requests a second, each on a connection of its own
+AFTER = 0.4  # seconds for which it goes on afterwards
+FAULTS: dict[str, list[tuple[str, str, int]]] = {
+    "setsockopt": [("setsockopt", "ENOBUFS", 3)],
+    "accept-lacks": [("accept", "ENFILE", 2)],
+    "accept-memory": [("accept", "ENOBUFS", 2)],
+    "accept-forbidden": [("accept", "EPERM", 2)],
+    "accept-aborted": [("accept", "ECONNABORTED", 2)],
+    "connect-interrupted": [("connect_ex", "EINTR", 1)],
+    "connect-no-address": [("connect_ex", "EADDRNOTAVAIL", 2)],
+    "connect-no-route": [("connect_ex", "ENETUNREACH", 2)],
+    "connect-no-buffers": [("connect_ex", "ENOBUFS", 2)],
+    "short": [("send", SHORT, 1), ("recv", SHORT, 1)],
+}
+
+
+def ask_on(address: tuple[str, int], until: float) -> list[str]:
+    """How requests end, each on a new connection."""
+    ends: list[str] = []
+    while time.monotonic() < until:
+        due = time.monotonic() + 1 / RATE
+        with socket.create_connection(address, LIMIT) as client:
+            client.sendall(command(f"{len(ends):04x}", d=2000))
+            try:
+                ends.append(kind_of(read(client)))
+            except OSError:
+                ends.append("lost")
+        time.sleep(max(0.0, due - time.monotonic()))
+    return ends
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_requests_are_served_while_system_calls_fail_for_a_moment(name: str, tmp_path: Path) -> None:
+    """The only backend answers once on each connection, so that its pool is empty for the next request."""
+    calls = [{"call": call, "error": error, "every": every} for call, error, every in FAULTS[name]]
+    faults = json.dumps({"calls": calls, "from": BEGIN, "until": END})
+    begun = time.monotonic()
+    with ExitStack() as stack:
+        box = stack.enter_context(Box())
+        box.mode.answers = 1
+        raw = config(known={"revision": 1, "complete": True, "members": [member(box.address)]})
+        environment = {VARIABLE: faults}
+        running = stack.enter_context(
+            program(tmp_path, raw, module="lab.faulty_calls", environment=environment)
+        )
+        idle = running.call()
+        idle.sendall(PING)
+        read_until(idle, b"+PONG\r\n")
+        address = ("127.0.0.1", int(running.logged(r"ready n0 on 127.0.0.1:(\d+)")[1]))
+        ends = ask_on(address, begun + END + AFTER)
+        assert set(ends) == {"served"}, running.log
+        assert len(ends) > RATE
+        assert not select.select([idle], [], [], 0)[0]  # it made no room for what was not missing
+        running.terminate()
+        running.logged("stopped")
+        assert "fault" not in running.log
+
+
+class Failing:
+    """The poll, with a call that fails so many times."""
+
+    def __init__(self, real: Any, times: int) -> None:
+        self.real, self.times = real, times
+
+    def register(self, fd: int, mask: int) -> None:
+        """As epoll's."""
+        self.times -= 1
+        if self.times >= 0:
+            raise OSError(errno.ENOMEM, "no memory")
+        self.real.register(fd, mask)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+
+def test_a_connection_that_cannot_be_waited_on_at_once_is_served_and_one_that_never_can_is_closed() -> None:
+    at = Recorder()
+    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side.open()
+    at.loop.epoll = Failing(at.loop.epoll, 2)  # type: ignore[assignment]
+    with socket.create_connection(side.address) as client:
+        client.sendall(PING)
+        turn_until(at.loop, lambda: select.select([client], [], [], 0)[0])
+        assert client.recv(100) == b"+PONG\r\n"
+    at.loop.epoll = Failing(at.loop.epoll, 3)  # type: ignore[assignment]
+    with socket.create_connection(side.address) as client:
+        turn_until(at.loop, lambda: select.select([client], [], [], 0)[0])
+        assert client.recv(100) == b""
+    with socket.create_connection(side.address) as client:  # and the listener is there
+        client.sendall(PING)
+        turn_until(at.loop, lambda: select.select([client], [], [], 0)[0])
+        assert client.recv(100) == b"+PONG\r\n"
+    assert [leg.reason for leg in side.legs if leg.task is None] == []
+    at.close()
+
+
+def test_the_listener_outlives_a_fault_of_its_coroutine(monkeypatch: pytest.MonkeyPatch) -> None:
+    at = Recorder()
+    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side.open()
+    accept, faults = side._accept, [ZeroDivisionError(), OSError(errno.EINVAL, "invalid")]
+
+    def failing() -> bool:
+        if faults:
+            raise faults.pop()
+        return accept()
+
+    monkeypatch.setattr(side, "_accept", failing)
+    with socket.create_connection(side.address) as client:
+        client.sendall(PING)
+        turn_until(at.loop, lambda: select.select([client], [], [], 0)[0])
+        assert client.recv(100) == b"+PONG\r\n"
+    assert sum("fault of a coroutine, begun anew" in line for line in at.log) == 2
+    at.close()
+
+
+def test_datagrams_are_taken_after_one_that_is_a_fault() -> None:
+    log, heard = list[str](), list[bytes]()
+    loop = Loop(log.append)
+
+    def told(number: int, content: bytes) -> None:
+        if content == b"bad":
+            raise ZeroDivisionError
+        heard.append(content)
+
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind(("127.0.0.1", 0))
+        nowhere = ("0.0.0.0", 0)
+        peers = Peers(loop, log.append, ("127.0.0.1", 0), (nowhere, other.getsockname()), None, 0, told)
+        for content in (b"bad", b"good"):
+            other.sendto(content, peers.address)
+        turn_until(loop, lambda: heard)
+        assert heard == [b"good"]
+        assert "fault of a coroutine, begun anew" in log[0]
+    loop.epoll.close()
+    peers.sock.close()
+
+
+def test_what_is_done_again_and_again_outlives_its_faults() -> None:
+    log: list[str] = []
+    loop, times = Loop(log.append), [0]
+
+    def call() -> None:
+        times[0] += 1
+        raise ZeroDivisionError
+
+    loop.every(0.001, call)
+    turn_until(loop, lambda: times[0] == 3)
+    assert len(log) >= 2
+    loop.epoll.close()
+
+
+def test_a_change_that_could_not_be_taken_in_is_asked_for_again() -> None:
+    """A fault in the middle of it must not leave a list that is believed to be known."""
+    log: list[str] = []
+    loop, told = Loop(log.append), list[RouteSet]()
+
+    def take(routes: RouteSet) -> None:
+        told.append(routes)
+        if len(told) == 1:
+            raise ZeroDivisionError
+
+    class Unhurried:
+        """Draws the shortest pause."""
+
+        def uniform(self, low: float, high: float) -> float:
+            """The lower end."""
+            return low
+
+    whole = json.dumps({"revision": 7, "complete": True, "members": []}).encode() + b"\n"
+    with listener() as agent:
+        routes = Routes(loop, log.append, agent.getsockname(), (), 3, take, Unhurried())  # type: ignore[arg-type]
+        routes.connect()
+        asked = []
+        for number in range(2):
+            turn_until(loop, lambda: select.select([agent], [], [], 0)[0])
+            watch = agent.accept()[0]
+            watch.settimeout(LIMIT)
+            turn_until(loop, lambda: select.select([watch], [], [], 0)[0])  # noqa: B023
+            asked.append(read_until(watch, b"\r\n\r\n").split()[1])
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            watch.sendall(head + b"%x\r\n%b\r\n" % (len(whole), whole))
+            wanted = number + 1
+            turn_until(loop, lambda: len(told) == wanted)  # noqa: B023
+            if number:
+                watch.close()
+    assert asked == [b"/v1/endpoints?follow=1&since=3", b"/v1/endpoints?follow=1"]
+    routes.close()
+    loop.epoll.close()
+
+
+def test_a_pause_is_kept_whatever_comes_on_the_descriptor() -> None:
+    loop, ended = Loop(list[str]().append), list[float]()
+
+    def wait() -> Coroutine[None]:
+        yield from loop.pause(0.05)
+        ended.append(loop.now())
+        yield IN
+
+    ours, other = socket.socketpair()
+    other.sendall(b"!")
+    began = loop.now()
+    loop.spawn(ours.fileno(), wait())
+    turns = [0]
+
+    def over() -> bool:
+        turns[0] += 1
+        return bool(ended)
+
+    turn_until(loop, over)
+    assert ended[0] - began >= 0.05
+    for sock in (ours, other):
+        sock.close()
+    loop.epoll.close()
+
+
+def test_a_dial_that_has_no_address_of_its_own_is_no_fault_of_the_backend(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    from standflow.exchange import Outcome
+    from tests.test_endings import Wired
+
+    connect: Callable[..., int] = lambda sock, address: errno.EADDRNOTAVAIL  # noqa: E731
+    with listener() as hop:
+        wired = Wired(hop.getsockname())
+        client = wired.ask("aa01")
+        monkeypatch.setattr(socket.socket, "connect_ex", connect)
+        monkeypatch.setattr(loop_module, "LACK_PAUSE", 0.001)
+        wired.send()
+        turn_until(wired.at.loop, lambda: wired.at.ended)
+        assert [outcome for _, outcome in wired.at.ended] == [Outcome.MOOT]
+        client.close()
+        wired.at.close()
+
+
+def test_the_call_for_the_watch_goes_out_whole_however_short_the_writes_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Cut off, it is never answered, and the watch waits for nothing."""
+    log: list[str] = []
+    loop, send = Loop(log.append), socket.socket.send
+    monkeypatch.setattr(socket.socket, "send", lambda sock, data: send(sock, data[:7]))
+    with listener() as agent:
+        routes = Routes(loop, log.append, agent.getsockname(), (), 3, lambda told: None, Random(1))
+        routes.connect()
+        turn_until(loop, lambda: select.select([agent], [], [], 0)[0])
+        watch = agent.accept()[0]
+        watch.settimeout(LIMIT)
+        turn_until(loop, lambda: select.select([watch], [], [], 0)[0])
+        assert read_until(watch, b"\r\n\r\n").startswith(b"GET /v1/endpoints?follow=1&since=3 HTTP/1.1\r\n")
+        watch.close()
+    routes.close()
+    loop.epoll.close()
--- a/tests/test_fleet_member.py
+++ b/tests/test_fleet_member.py
@@ -30,6 +30,13 @@
     def call_later(self, delay: float, call: Callable[[], None]) -> None:
         heapq.heappush(self.timers, (self.time + delay, next(self.order), call))
 
+    def every(self, seconds: Callable[[], float], call: Callable[[], None]) -> None:
+        def again() -> None:
+            call()
+            self.call_later(seconds(), again)
+
+        self.call_later(seconds(), again)
+
     def run(self, seconds: float) -> None:
         end = self.time + seconds
         while self.timers and self.timers[0][0] <= end:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -288,7 +288,7 @@
 
 def test_the_platforms_start_imports_neither_parser_nor_command_line_nor_tls() -> None:
     said = subprocess.run(
-        [sys.executable, "-c", "import sys, standflow.__main__; print(*sys.modules)"],
+        [sys.executable, "-c", "import sys, standflow.__main__, standflow.program; print(*sys.modules)"],
         cwd=ROOT,
         capture_output=True,
         check=True,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 import json
+import os
+import re
+import shlex
 import signal
+import socket
+import subprocess
+import sys
+import time
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
@@ -17,12 +24,14 @@
 from lab.shutdown import Client, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
 from standflow.shutdown_schedule import HOLD_UP_SECONDS, schedule_for
+from tests.test_adapter import ROOT
 from tests.test_legs import Recorder
-from tests.wire import config, program
+from tests.wire import LIMIT, Program, command, config, listener, program, read_until
 
 DEADLINES = (0.3, 0.8, 1.6, 3.0, 5.0)  # seconds: the longest of a deployment
 BACKENDS = 6
 FEWEST_SENT = 10  # in a play that says anything
+SHELL_START = 0.02  # seconds in which the shell of the platform has begun to run a command
 LAST_SEND = 0.01  # seconds before SIGKILL in which a client sends for the last time
 
 
@@ -171,3 +180,81 @@
     assert finals == [Refused(0.25)]
     assert at.opened == []
     at.close()
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.03, 0.06, 0.1, 0.15, 0.25])
+def test_sighup_does_not_end_a_process_that_has_just_begun(delay: float, tmp_path: Path) -> None:
+    """As the platform starts it, by the command of the deploy file."""
+    run = re.search(r'^run = "(.*)"$', (ROOT / "deploy" / "balancer.toml").read_text(), re.MULTILINE)
+    assert run is not None
+    assert ".venv/bin/python" in run[1]
+    (tmp_path / "config.json").write_text(json.dumps(config()))
+    process = subprocess.Popen(
+        ["/bin/sh", "-c", run[1].replace(".venv/bin/python", shlex.quote(sys.executable))],
+        cwd=ROOT,
+        env=os.environ | {"EDGE_CONFIG": str(tmp_path / "config.json")},
+        stderr=subprocess.PIPE,
+    )
+    running = Program(process)
+    try:
+        time.sleep(SHELL_START + delay)
+        process.send_signal(signal.SIGHUP)
+        client = running.call()
+        client.sendall(b"*1\r\n$4\r\nPING\r\n")
+        assert read_until(client, b"\r\n") == b"+PONG\r\n"
+        process.send_signal(signal.SIGHUP)
+        running.logged("reload: nothing to do")
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_a_signal_that_comes_before_the_loop_runs_is_carried_out(tmp_path: Path) -> None:
+    """What is sent while the configuration is read: the file may have changed right after that."""
+    source = (
+        "import os, signal; from standflow.signals import SignalInbox; inbox = SignalInbox();"
+        "[os.kill(os.getpid(), number) for number in (signal.SIGHUP, signal.SIGTERM)];"
+        "from standflow.program import run; raise SystemExit(run(inbox))"
+    )
+    (tmp_path / "config.json").write_text(json.dumps(config()))
+    environment = os.environ | {"EDGE_CONFIG": str(tmp_path / "config.json")}
+    ended = subprocess.run(
+        [sys.executable, "-c", source], cwd=ROOT, env=environment, capture_output=True, timeout=LIMIT
+    )
+    assert ended.returncode == 0
+    log = ended.stderr.decode()
+    assert log.index("reload: nothing to do") < log.index("stopping") < log.index("stopped")
+
+
+@pytest.mark.parametrize("silent", [True, False])
+def test_what_came_before_the_ingress_was_ready_is_answered_though_it_is_told_to_end(
+    silent: bool, tmp_path: Path
+) -> None:
+    """Discovery says nothing, or nobody listens there."""
+    with listener() as agent, socket.create_server(("127.0.0.1", 0)) as free:
+        place = free.getsockname()
+        free.close()
+        discovery = f"127.0.0.1:{agent.getsockname()[1]}" if silent else "127.0.0.1:1"
+        raw = config(listen=f"127.0.0.1:{place[1]}", discovery=discovery)
+        with program(tmp_path, raw) as running:
+            running.logged("starting n0")
+            client = connected(place)
+            client.sendall(b"".join(command(f"aa{n:02}", d=300) for n in range(3)))
+            running.terminate()
+            got = b""
+            while more := client.recv(65536):
+                got += more
+            assert got.count(b"-BUSY") == 3
+            assert running.process.wait(LIMIT) == 0
+            running.logged("stopped")
+
+
+def connected(address: tuple[str, int]) -> socket.socket:
+    """A connection as soon as somebody listens."""
+    end = time.monotonic() + LIMIT
+    while True:
+        try:
+            return socket.create_connection(address, LIMIT)
+        except OSError:
+            assert time.monotonic() < end
+            time.sleep(0.005)
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -105,18 +105,25 @@
 
 
 @contextmanager
-def program(folder: Path, raw: Any, passed: socket.socket | None = None) -> Iterator[Program]:
+def program(
+    folder: Path,
+    raw: Any,
+    passed: socket.socket | None = None,
+    module: str = "standflow",
+    environment: Mapping[str, str] | None = None,
+) -> Iterator[Program]:
     """Starts the program on a configuration, and ends it whatever happens.
 
     `passed`: a listening socket that it inherits; then processes of the same folder meet in it.
+    `module`: what `python -m` is to start.
     """
     path = folder / "config.json"
     handed = {} if passed is None else {"EDGE_PASSED_SOCKET": f"{passed.fileno()}", "TMPDIR": f"{folder}"}
     path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
     process = subprocess.Popen(
-        [sys.executable, "-m", "standflow"],
+        [sys.executable, "-m", module],
         cwd=ROOT,
-        env=os.environ | {"EDGE_CONFIG": str(path)} | handed,
+        env=os.environ | {"EDGE_CONFIG": str(path)} | handed | dict(environment or {}),
         pass_fds=() if passed is None else (passed.fileno(),),
         stderr=subprocess.PIPE,
     )
