Margins, clocks and files: what is owed is owed after a hold-up, a step of the clock, a failed write

The same question in related code, each seen to fail with its lines undone on a scratch copy, 2026-12-02: - nexthop.py: the grace of a drain left 0.05 s for a hold-up of 0.15 s, counted from when the change was handled. - driver.py, start_times.py: with a wall clock that was an hour off at the start a cold backend counted as warm; its age is now the youngest that either clock says. - upgrade/: whether the other process lives, and how long to wait for it, were spans of the wall clock; a step back made a process wait and the newer one the older. Generations are above those that are there, the rest is on the loop's clock. The form of the files is as it was. - upgrade/files.py: after a failed replace it went on to write the file that was never put in place; short writes were put in place torn. - recovery/store.py: after a failed sync nothing was tried until another record came; at the end it was tried once.

--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -17,10 +17,12 @@
     Outcome,
     Phase,
     Result,
+    Route,
     RouteSet,
     Transaction,
 )
 from standflow.net.loop import Loop
+from standflow.start_times import StartTimes
 
 if TYPE_CHECKING:
     from standflow.fleet.snapshot import Snapshot
@@ -52,6 +54,7 @@
         self.probe, self.close_idle, self.tell, self.fetch = probe, close_idle, tell, fetch
         # One offset for the whole run: steps of the wall clock must not reach the module.
         self.offset = time.time() - time.monotonic()
+        self.starts = StartTimes()
         self.module = Gateway(settings, seed)
         # key, size, place, count, level, fullness: where a second witness takes notes, it stands here
         self.noted: Callable[[bytes, int, int, int, float, float], None] = lambda *note: None
@@ -161,12 +164,20 @@
     def routes_told(self, routes: RouteSet, saved: bool = False) -> None:
         """BackendsListed."""
         whole = i.ListKind.SAVED if saved else i.ListKind.FULL
-        entries = tuple(
-            i.BackendEntry(r.hop, r.zone, r.kind, r.cell, PHASES[r.phase], r.size, r.up_since)
-            for r in routes.routes
-        )
+        now, wall = self.loop.now() + self.offset, time.time()
+        if routes.complete:
+            self.starts.keep_only({route.hop for route in routes.routes})
+        entries = tuple(self._entry(route, now, wall) for route in routes.routes)
         self.feed(i.BackendsListed(whole if routes.complete else i.ListKind.CHANGES, entries))
 
+    def _entry(self, route: Route, now: float, wall: float) -> i.BackendEntry:
+        if route.phase is Phase.GONE:
+            self.starts.forget(route.hop)
+        up = route.up_since
+        started = None if up is None else self.starts.started(route.hop, up, now, wall)
+        phase = PHASES[route.phase]
+        return i.BackendEntry(route.hop, route.zone, route.kind, route.cell, phase, route.size, started)
+
     def retune(self, settings: i.Settings) -> None:
         """Retuned."""
         self.settings = settings
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -18,6 +18,7 @@
 from standflow.net.flow import Flow, Flows
 from standflow.net.loop import BROKEN, IN, MOMENTARY_LACK, OUT, TICK, Coroutine, Loop, Task, broken
 from standflow.net.stream import READ_SIZE, PlainStream, Stream
+from standflow.platform_terms import HOLD_UP_SECONDS
 
 STALL = 0.1  # seconds in which the rest of an answer follows its beginning
 SPOILT = frozenset(("bad_framing", "stalled"))  # it has answered, though nothing that can be read
@@ -26,7 +27,6 @@
 # Seconds for which a connection rests after an answer: a second one to the same command may follow some
 # milliseconds late (0.5 to 7 where it was measured), and the next command would take it for its own.
 REST = 0.025
-EARLY = 0.05  # seconds before the drain's grace is over at which what is unsent is ended
 
 
 class Errand:
@@ -378,7 +378,9 @@
         """A next hop that drains or is gone: nothing new is written once the grace is over."""
         self._close_idle(hop, "drained")
         if hop.shut_at is None:
-            hop.shut_at = self.loop.now() + max(0.0, self.drain_grace - EARLY)
+            # From when the change can have come at the earliest; and the first byte may leave so much later
+            # than the clock was read.
+            hop.shut_at = self.loop.heard + max(0.0, self.drain_grace - HOLD_UP_SECONDS)
             self.loop.call_at(hop.shut_at, self._grace_over, hop)
 
     def _grace_over(self, hop: Hop) -> None:
--- a/standflow/recovery/store.py
+++ b/standflow/recovery/store.py
@@ -10,6 +10,7 @@
 import fcntl
 import os
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
@@ -19,6 +20,7 @@
 FILE, LOCK, ASIDE = "records", "lock", "records.aside"
 WASTE = 256 * 1024  # bytes that superseded lines may take in any case
 AGAIN = 1.0  # seconds until a failed write is tried again
+AGAIN_AT_END = 0.05  # the same, once the store is being closed
 FIRST_OUT = "use"  # the kind of record that gives way where there is no room
 
 
@@ -41,6 +43,8 @@
         self._wake = threading.Condition()
         self._closed = False
         self._whole = True  # the file is to be written anew
+        self._owed = False  # by a write that failed
+        self._last_try = 0.0  # of the monotonic clock, once it is closed
         self._thread: threading.Thread | None = None
         self._failed = ""
 
@@ -99,6 +103,7 @@
         """Writes what is waiting, for so many seconds at most."""
         with self._wake:
             self._closed = True
+            self._last_try = time.monotonic() + limit - AGAIN_AT_END
             self._wake.notify()
         if self._thread is not None:
             self._thread.join(limit)
@@ -111,7 +116,8 @@
     def _write(self) -> None:
         while True:
             with self._wake:
-                while not self._next and not self._closed:
+                # What a failed write was to make last is owed still, whether or not more comes.
+                while not self._next and not self._closed and not self._owed:
                     self._wake.wait()
                 batch, self._next = self._next, {}
                 closed = self._closed
@@ -119,13 +125,15 @@
                 self._put(list(batch.values()))
                 if self._failed:
                     self.notes.append("store: written again")
-                self._failed = ""
+                self._failed, self._owed = "", False
             except OSError as error:
-                self._whole = True  # what the file holds now is not known
+                self._whole = self._owed = True  # what the file holds now is not known
                 self._fault(f"{FILE}: {error.strerror}")
                 with self._wake:
                     self._wake.wait_for(lambda: self._closed, AGAIN)
-                    closed = closed or self._closed
+                if closed and time.monotonic() < self._last_try:
+                    time.sleep(AGAIN_AT_END)
+                    continue
             if closed:
                 if self._file >= 0:
                     os.close(self._file)
--- a/standflow/shutdown_schedule.py
+++ b/standflow/shutdown_schedule.py
@@ -9,9 +9,8 @@
 
 from dataclasses import dataclass
 
-LONGEST_COUNTED_SECONDS = 3.0  # that a longest deadline counts as at most (protocol page, planned restarts)
-KILL_AFTER_SECONDS = 0.7  # between that deadline and the earliest SIGKILL (same place)
-HOLD_UP_SECONDS = 0.15  # for which a process may be held up between its clock and a write (STANDING.md)
+from standflow.platform_terms import HOLD_UP_SECONDS, KILL_AFTER_SECONDS, LONGEST_COUNTED_SECONDS
+
 FLUSH_SECONDS = 0.05  # in which the last answers leave and connections are ended in order
 ACCEPT_SECONDS = 0.5  # of accepting after SIGTERM: new connections keep coming for 0.2 to 0.4 s
 SERVING_SHARE = 0.5  # of the time after accepting in which connections may still be given requests to serve
--- a/standflow/upgrade/files.py
+++ b/standflow/upgrade/files.py
@@ -19,6 +19,7 @@
 MOST_BYTES = 4 * 1024 * 1024
 MOST_FILES = 64  # looked at in the folder
 SETTLED = 50_000_000  # nanoseconds after a write until its time tells it from the next one
+MOST_STEP = 86_400_000_000_000  # nanoseconds that the generation of a process of ours may lie ahead
 HEAD = re.compile(rb"standflow 1 ([0-9a-f]{8}) (\d{1,8})\n")
 
 
@@ -42,12 +43,32 @@
     return value
 
 
+def _write_all(fd: int, data: bytes) -> None:
+    """Writes from the beginning, however short the writes are; OSError where they fail."""
+    at = 0
+    while at < len(data):
+        at += os.pwrite(fd, data[at:], at)
+
+
+def next_generation(folder: str, name: str, now: int) -> int:
+    """A generation above all that are there; `now`: Unix time in nanoseconds, maybe stepped back."""
+    pattern = re.compile(re.escape(_stem(name)) + r"(\d{1,20})\.state")
+    found = []
+    with contextlib.suppress(OSError), os.scandir(folder) as entries:
+        found = [int(match[1]) for entry in entries if (match := pattern.fullmatch(entry.name))]
+    return max([now, *(number + 1 for number in found if number < now + MOST_STEP)])
+
+
+def _stem(name: str) -> str:
+    return "standflow-" + re.sub(r"[^A-Za-z0-9_-]", "_", name)[:64] + "-"
+
+
 class Files:
     """The folder, seen from one process with a `generation` of its own."""
 
     def __init__(self, folder: str, name: str, generation: int, log: Callable[[str], None]) -> None:
         self.folder, self.generation, self.log = Path(folder), generation, log
-        self.stem = "standflow-" + re.sub(r"[^A-Za-z0-9_-]", "_", name)[:64] + "-"
+        self.stem = _stem(name)
         self.own = self.folder / f"{self.stem}{generation}.state"
         self.known: dict[str, tuple[tuple[int, int], dict[str, Any] | None]] = {}
         self.doubted: set[str] = set()  # unreadable at the last look, maybe as they were being written
@@ -59,14 +80,23 @@
         try:
             if self.fd >= 0 and os.pwrite(self.fd, data, 0) == len(data):
                 return
+        except OSError as error:
+            self.log(f"upgrade: {self.own.name}: {error.strerror}: written anew")
+        try:
             fd = os.open(beside, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
-            if self.fd >= 0:
-                os.close(self.fd)
-            self.fd = fd
-            os.pwrite(fd, data, 0)
-            os.replace(beside, self.own)
         except OSError as error:
+            self.log(f"upgrade: {beside.name}: {error.strerror}")
+            return
+        try:
+            _write_all(fd, data)
+            os.replace(beside, self.own)
+        except OSError as error:  # the file before stays, and its descriptor
             self.log(f"upgrade: {self.own.name}: {error.strerror}")
+            os.close(fd)
+            return
+        if self.fd >= 0:
+            os.close(self.fd)
+        self.fd = fd
 
     def others(self) -> dict[int, dict[str, Any]]:
         """What the other processes' files say, by generation; each is read once for each time written."""
--- a/standflow/upgrade/handover.py
+++ b/standflow/upgrade/handover.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from standflow.net.loop import Loop
 from standflow.ops.overlay import Overlay, Word
 from standflow.upgrade import roles
-from standflow.upgrade.files import Files
-from standflow.upgrade.roles import Role, Stage
+from standflow.upgrade.files import Files, next_generation
+from standflow.upgrade.roles import Role, Seen, Stage
 
 QUICK, SLOW = 0.03, 0.1  # seconds between looks while something goes on, and else
 BEAT = 0.5  # seconds between writes of a process that is alone
@@ -43,7 +44,7 @@
 
     def __init__(self, loop: Loop, log: Callable[[str], None], folder: str, name: str, parts: Parts) -> None:
         self.loop, self.log, self.parts = loop, log, parts
-        generation = time.time_ns()
+        generation = next_generation(folder, name, time.time_ns())
         self.files = Files(folder, name, generation, log)
         self.role = Role(generation)
         self.begin: Callable[[], None] = lambda: None
@@ -51,7 +52,8 @@
         self.taken: dict[tuple[int, str], int] = {}  # of another's use, by generation and customer
         self.took_from = 0  # the older process whose knowledge this one has
         self.crowded = False
-        self.written = 0.0
+        self.written = -math.inf  # of the loop's clock, as all spans of time here
+        self.changes: dict[int, tuple[float, float]] = {}  # by generation: what it wrote last, and when
         self.closed = False
         self._look()
         loop.every(self._pace, self._look)
@@ -60,7 +62,7 @@
         """This process can serve; `begin` follows when the one before has told what it knows."""
         if self.role.stage is Stage.STARTING:
             self.begin = begin
-            self.role.ask(time.time())
+            self.role.ask(self.loop.now())
             self.write()
             self._look_once()
 
@@ -72,10 +74,10 @@
             if overlay is None
             else [[hop, one.out, one.at, one.went] for hop, one in overlay.words.items()]
         )
-        self.written = time.time()
+        self.written = self.loop.now()
         value: dict[str, Any] = {
             "generation": self.role.generation,
-            "at": self.written,
+            "at": time.time(),
             "stage": self.role.stage.value,
             "handed_to": self.role.handed_to,
             "words": words,
@@ -104,11 +106,12 @@
         return QUICK if quick else SLOW
 
     def _look_once(self) -> None:
-        now, raw = time.time(), self.files.others()
+        now, raw = self.loop.now(), self.files.others()
+        self.changes = {generation: known for generation, known in self.changes.items() if generation in raw}
         seen = []
         for generation, value in sorted(raw.items()):
             try:
-                seen.append(roles.read(generation, value))
+                seen.append(self._heard(roles.read(generation, value), now))
                 self._words(value)
                 if self.role.stage in (Stage.SERVING, Stage.HANDED):
                     self._use(generation, value)
@@ -127,6 +130,21 @@
         if now - self.written >= due:
             self.write()
 
+    def _heard(self, one: Seen, now: float) -> Seen:
+        """What another process says of its part, `at` being when it was heard last, of the loop's clock.
+
+        Its own time is of a wall clock that may be stepped: it tells only that it has written anew. At the
+        first sight it has to tell its age too, and a process whose age can't be so is dead until it writes.
+        """
+        before = self.changes.get(one.generation)
+        if before is None:
+            age = time.time() - one.at
+            heard = now - (age if age > -roles.LIVES else roles.LIVES)
+        else:
+            heard = now if before[0] != one.at else before[1]
+        self.changes[one.generation] = (one.at, min(heard, now))
+        return replace(one, at=min(heard, now))
+
     def _do(self, what: str, raw: dict[int, dict[str, Any]]) -> None:
         if what == "take":
             before = max(g for g, value in raw.items() if value.get("handed_to") == self.role.generation)
--- a/standflow/upgrade/roles.py
+++ b/standflow/upgrade/roles.py
@@ -1,4 +1,4 @@
-"""Which process of an ingress does what. No I/O; times are Unix time in seconds.
+"""Which process of an ingress does what. No I/O; times are of one clock, in seconds.
 
 A generation is the moment at which a process began, in nanoseconds: the higher one is the newer. A process
 lives while its file is not older than LIVES. The stages of one:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -14,12 +14,13 @@
 from hoistfold import interface as i
 from standflow.config import read
 from standflow.driver import Driver
-from standflow.exchange import Failed, Outcome, Refused, Request, Result
+from standflow.exchange import Failed, Outcome, Phase, Refused, Request, Result, Route, RouteSet
 from standflow.log import MAX_LINES, Log
 from standflow.net.loop import IN, Coroutine
 from standflow.net.peers import Peers
 from standflow.net.routes import RouteError, Routes, read_routes, zone_of
 from standflow.net.watch_timing import LONGEST_HEAD_LIMIT
+from standflow.start_times import StartTimes
 from standflow.tally import MOST_HOPS, Tally
 from tests.test_legs import Recorder
 from tests.wire import config, listener, read_until, turn_until
@@ -291,3 +292,54 @@
     arrived = next(event for event in played.events if isinstance(event, i.RequestArrived))
     assert due - 0.25 == pytest.approx(opened.deadline - arrived.time_left, abs=1e-6)
     played.at.close()
+
+
+HOUR = 3600.0
+
+
+@pytest.mark.parametrize(
+    ("age", "off_at_start", "off_now", "expected"),
+    [
+        (10.0, 0.0, 0.0, 10.0),
+        (10.0, HOUR, 0.0, 10.0),  # the clock was wrong at the start, and is right now
+        (10.0, -HOUR, 0.0, 10.0),
+        (10.0, 0.0, HOUR, 10.0),  # or the other way round
+        (10.0, 0.0, -HOUR, 10.0),
+        (10.0, 0.0, 5.0, 10.0),
+        (10.0, 0.0, -5.0, 5.0),  # as young as either says: a cold backend is never taken for a warm one
+        (10.0, -HOUR, -2 * HOUR, 0.0),  # neither can be right
+        (86400.0, 0.0, -HOUR, 86400.0 - HOUR),
+    ],
+)
+def test_a_backend_s_age_survives_steps_of_the_wall_clock(
+    age: float, off_at_start: float, off_now: float, expected: float
+) -> None:
+    true = 1_000_000.0  # Unix time of the moment in which discovery tells of it
+    now, wall = true + off_at_start, true + off_now
+    starts = StartTimes()
+    started = starts.started("s-1", true - age, now, wall)
+    assert now - started == pytest.approx(expected)
+    assert starts.started("s-1", true - age, now + 7.0, wall + 7.0) == started  # told again: the same start
+    assert starts.started("s-1", true + 6.0, now + 7.0, wall + 7.0) != started
+    starts.keep_only(set())
+    assert starts.known == {}
+
+
+def test_the_module_is_shown_a_start_that_no_step_has_moved(monkeypatch: pytest.MonkeyPatch) -> None:
+    wall = time.time
+    told = wall() - 10.0
+    with monkeypatch.context() as patch:
+        patch.setattr(time, "time", lambda: wall() + HOUR)
+        played = Played()
+    route = Route("s-1", ("127.0.0.1", 1), "z1", "std", 0, Phase.SERVING, 1.0, told + 1.0)
+    played.driver.routes_told(RouteSet(1, True, (route,)))
+    gone = Route("s-1", ("127.0.0.1", 1), "z1", "std", 0, Phase.GONE, 1.0, None)
+    listed = played.events[-1]
+    assert isinstance(listed, i.BackendsListed)
+    started = listed.entries[0].started
+    assert started is not None
+    age = played.at.loop.now() + played.driver.offset - started
+    assert age == pytest.approx(9.0, abs=1.0)
+    played.driver.routes_told(RouteSet(2, False, (gone,)))
+    assert played.driver.starts.known == {}
+    played.at.close()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -24,6 +24,7 @@
 from standflow.net.routes import Objects, Routes
 from standflow.net.stream import PlainStream, Stream
 from standflow.net.watch_timing import HEAD_LIMIT, LAST_BACK_OFF
+from standflow.platform_terms import HOLD_UP_SECONDS
 from tests.test_legs import Recorder
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
 
@@ -309,6 +310,24 @@
         wired.at.close()
 
 
+def test_the_grace_covers_what_a_process_may_be_held_up_between_its_clock_and_a_write() -> None:
+    """Nothing begins so late that, held up for 0.15 s, it would be written after the grace."""
+    grace = 0.4
+    with listener() as hop:
+        wired = Wired(hop.getsockname(), grace=grace)
+        loop = wired.at.loop
+        caller = wired.ask("aa01")
+        told = loop.now()
+        wired.tell(Phase.DRAINING)
+        turn_until(loop, lambda: loop.now() > told + grace - HOLD_UP_SECONDS)
+        wired.send()
+        turn_until(loop, lambda: wired.at.ended)
+        assert [outcome for _, outcome in wired.at.ended] == [Outcome.CONNECT_FAILED]
+        assert wired.hops.forwards == 0
+        caller.close()
+        wired.at.close()
+
+
 def test_nothing_begins_after_the_branch_s_time_though_the_loop_itself_is_late() -> None:
     with listener() as hop:
         wired = Wired(hop.getsockname())
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -190,6 +190,48 @@
     assert kept(tmp_path)[USE, "9"] == [999]
 
 
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_what_a_failed_sync_was_to_make_last_is_written_again_though_nothing_more_comes(
+    code: int, tmp_path: Path
+) -> None:
+    """The thread waited for another record, and with a loss of power what was taken on was gone."""
+    failing, synced = threading.Event(), list[int]()
+
+    def sync(fd: int) -> None:
+        if failing.is_set():
+            raise OSError(code, os.strerror(code))
+        synced.append(fd)
+
+    store = Store(tmp_path, OURS, 1 << 20, sync)
+    assert store.lock()
+    store.put([Record(WORD, "s-1", [1], "b", 1.0)])
+    until(lambda: bool(synced))
+    failing.set()
+    store.put([Record(WORD, "s-2", [2], "b", 1.0)])
+    until(lambda: bool(store.notes))
+    failing.clear()
+    before = len(synced)
+    until(lambda: len(synced) > before)
+    until(lambda: "store: written again" in store.notes)
+    assert kept(tmp_path) == {(WORD, "s-1"): [1], (WORD, "s-2"): [2]}
+    store.close()
+
+
+def test_a_sync_that_fails_as_the_store_is_closed_is_tried_again_while_there_is_time(tmp_path: Path) -> None:
+    faults = [errno.EIO] * 4
+
+    def sync(fd: int) -> None:
+        if faults:
+            raise OSError(faults.pop(), "fault")
+
+    store = Store(tmp_path, OURS, 1 << 20, sync)
+    assert store.lock()
+    store.put([Record(WORD, "s-1", [1], "b", 1.0)])
+    store.close(LIMIT)
+    assert faults == []
+    assert kept(tmp_path) == {(WORD, "s-1"): [1]}
+
+
 def test_one_process_of_two_writes_and_a_disk_that_is_none_is_a_line(tmp_path: Path) -> None:
     one, two = Store(tmp_path / "a", OURS, 1 << 20), Store(tmp_path / "a", OURS, 1 << 20)
     assert one.lock()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -23,7 +23,8 @@
 from lab.box import Box, Mode
 from lab.shutdown import Client, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
-from standflow.shutdown_schedule import HOLD_UP_SECONDS, schedule_for
+from standflow.platform_terms import HOLD_UP_SECONDS
+from standflow.shutdown_schedule import schedule_for
 from tests.test_adapter import ROOT
 from tests.test_legs import Recorder
 from tests.wire import LIMIT, Program, command, config, listener, program, read_until
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import random
@@ -13,6 +14,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -31,8 +33,8 @@
 from standflow.net.loop import Loop
 from standflow.net.peers import Peers
 from standflow.upgrade import files as upgrade_files
-from standflow.upgrade.files import MOST_BYTES, Files, pack, unpack
-from standflow.upgrade.handover import Handover, Parts
+from standflow.upgrade.files import MOST_BYTES, Files, next_generation, pack, unpack
+from standflow.upgrade.handover import BEAT, Handover, Parts
 from standflow.upgrade.roles import LIVES, PATIENCE, Role, Seen, Stage
 from tests.test_driver import Played
 from tests.test_ops import PING, VALUE, ask, with_ops
@@ -88,6 +90,53 @@
     assert len(log) == 1
 
 
+@pytest.mark.parametrize("fails", ["pwrite", "replace", "open"])
+def test_a_file_that_could_not_be_written_is_written_the_next_time(
+    fails: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It went on to write the half that was never put in its place."""
+    log: list[str] = []
+    one, other = Files(f"{tmp_path}", "n0", 5, log.append), Files(f"{tmp_path}", "n0", 7, log.append)
+
+    def failing(*arguments: Any) -> Any:
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, fails, failing)
+        one.write({"generation": 5, "words": ["lost"]})
+    assert len(log) == 1
+    assert other.others() == {}
+    for word in ("a", "b"):
+        one.write({"generation": 5, "words": [word]})
+        assert other.others()[5]["words"] == [word]
+    with monkeypatch.context() as patch:
+        patch.setattr(os, fails, failing)
+        one.write({"generation": 5, "words": ["c"]})
+    one.write({"generation": 5, "words": ["d"]})
+    assert other.others()[5]["words"] == ["d"]
+
+
+def test_a_file_is_whole_however_short_the_writes_are(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one, other = (Files(f"{tmp_path}", "n0", number, lambda line: None) for number in (5, 7))
+    pwrite = os.pwrite
+    monkeypatch.setattr(os, "pwrite", lambda fd, data, at: pwrite(fd, data[:7], at))
+    for word in ("a", "b"):
+        one.write({"generation": 5, "words": [word]})
+        assert other.others()[5]["words"] == [word]
+
+
+def test_a_process_that_begins_after_a_step_back_of_the_clock_is_the_newer_one(tmp_path: Path) -> None:
+    now, hour = time.time_ns(), 3600 * 10**9
+    assert next_generation(f"{tmp_path}", "n0", now) == now
+    (tmp_path / f"standflow-n0-{now + hour}.state").write_bytes(b"")
+    (tmp_path / "standflow-n0-99999999999999999999.state").write_bytes(b"")  # nobody's
+    (tmp_path / f"standflow-n1-{now + 2 * hour}.state").write_bytes(b"")
+    assert next_generation(f"{tmp_path}", "n0", now) == now + hour + 1
+    assert next_generation(f"{tmp_path}/nowhere", "n0", now) == now
+
+
 # Roles.
 
 
@@ -145,30 +194,7 @@
 ) -> None:
     said: list[str] = []
     loop = Loop(lambda line: None)
-
-    def part(name: str) -> Handover:
-        def note(*what: Any) -> Any:
-            said.append(" ".join([name, *map(str, what)]))
-
-        parts = Parts(
-            export=lambda: {"known": name},
-            absorb=lambda told: note("absorbs", told["known"]),
-            spent=lambda: [["00", "plain", 0, 1, 2 if name == "old" else 3]],
-            add=lambda row: note("adds", row[4]),
-            resume=lambda: note("resumes"),
-            speak=lambda wanted: note("speaks", wanted),
-            crowd=lambda another: None,
-            routes=lambda: [name],
-            take_routes=lambda members: note("lists", *members),
-            overlay=None,
-            heard=note,
-            evacuated=lambda: (False, 0.0),
-            evacuate=note,
-        )
-        handover = Handover(loop, said.append, f"{tmp_path}", "n0", parts)
-        handover.ask(lambda: note("begins"))
-        return handover
-
+    part = partial(handover_part, loop, said, tmp_path)
     part("old")
     new = part("new")
     turn_until(loop, lambda: "new adds 2" in said and "old adds 3" in said)
@@ -182,6 +208,77 @@
     loop.epoll.close()
 
 
+@pytest.mark.parametrize("step", [-3600.0, -5.0, 5.0, 3600.0])
+def test_steps_of_the_wall_clock_make_no_process_wait_and_none_dead(
+    step: float, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    said: list[str] = []
+    loop, wall = Loop(lambda line: None), time.time
+    part = partial(handover_part, loop, said, tmp_path)
+    old = part("old")
+    turn_until(loop, lambda: "old begins" in said)
+    monkeypatch.setattr(time, "time", lambda: wall() + step)
+    beats = old.written
+    turn_until(loop, lambda: old.written > beats + 2 * BEAT)  # it goes on to say that it lives
+    new = part("new")
+    turn_until(loop, lambda: "new adds 2" in said)
+    monkeypatch.setattr(time, "time", wall)
+    end = time.monotonic() + LIVES + 0.5
+    turn_until(loop, lambda: time.monotonic() > end)
+    assert "old resumes" not in said  # the new one lives
+    assert said.count("new begins") == 1
+    new.closed = True
+    turn_until(loop, lambda: "old speaks True" in said)
+    loop.epoll.close()
+
+
+def test_a_new_process_waits_no_longer_for_one_that_is_stuck_whatever_the_wall_clock_says(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    said: list[str] = []
+    loop, wall = Loop(said.append), time.time
+    stuck = Files(f"{tmp_path}", "n0", 5, said.append)
+
+    def beat() -> None:
+        part = {"generation": 5, "at": time.time(), "stage": "serving", "handed_to": 0}
+        stuck.write(part | {"words": [], "evacuated": [False, 0.0], "spent": []})
+
+    beat()
+    loop.every(0.05, beat)
+    handover_part(loop, said, tmp_path, "new")
+    began = time.monotonic()
+    monkeypatch.setattr(time, "time", lambda: wall() - 3600.0)
+    turn_until(loop, lambda: "new begins" in said)
+    assert PATIENCE - 0.1 < time.monotonic() - began < 2 * PATIENCE
+    loop.epoll.close()
+
+
+def handover_part(loop: Loop, said: list[str], folder: Path, name: str) -> Handover:
+    """One process's end of a handover, which notes what it is told to do."""
+
+    def note(*what: Any) -> Any:
+        said.append(" ".join([name, *map(str, what)]))
+
+    parts = Parts(
+        export=lambda: {"known": name},
+        absorb=lambda told: note("absorbs", told["known"]),
+        spent=lambda: [["00", "plain", 0, 1, 2 if name == "old" else 3]],
+        add=lambda row: note("adds", row[4]),
+        resume=lambda: note("resumes"),
+        speak=lambda wanted: note("speaks", wanted),
+        crowd=lambda another: None,
+        routes=lambda: [name],
+        take_routes=lambda members: note("lists", *members),
+        overlay=None,
+        heard=note,
+        evacuated=lambda: (False, 0.0),
+        evacuate=note,
+    )
+    handover = Handover(loop, said.append, f"{folder}", "n0", parts)
+    handover.ask(lambda: note("begins"))
+    return handover
+
+
 # What the module hands on.
 
 
