Shutdown: its states, what it answered and why are in the log; who waits to be accepted is let in

What the incident's logs did not tell: no line between stopping and SIGKILL said what was owed. Now each state is a line with connections and open requests, what is answered at the end is named with the client's id, class and attempts (50 at most), and tally counts abandoned.* and refused.leaving, refused.ending, refused.max_open. Tests of endings play longest deadlines of 0.3, 0.8, 3 and 5 s.

--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -12,6 +12,7 @@
 from hoistfold import interface as i
 from hoistfold.brain import Gateway
 from standflow.exchange import (
+    Abandoned,
     Branch,
     Exchange,
     Outcome,
@@ -111,7 +112,7 @@
             name = type(event).__name__
             self.log(f"fault of the module on {name}: " + traceback.format_exc().replace("\n", " | "))
             if transaction is not None:
-                self.exchange.abandon(transaction)
+                self.exchange.abandon(transaction, Abandoned.FAULT)
                 if not isinstance(event, i.RequestGone):  # what the module may still hold of it is over
                     self.events.append((i.RequestGone(transaction.name), None))
             return
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -105,6 +105,14 @@
 ANSWERED: dict[type, str] = {Served: "answer.served", Refused: "answer.refused", Failed: "answer.failed"}
 
 
+class Abandoned(Enum):
+    """Why the exchange answered a request in the module's place."""
+
+    OVERDUE = "overdue"  # the module had not decided in time
+    ENDING = "ending"  # the process is about to end
+    FAULT = "fault"  # the module failed over it
+
+
 @dataclass(slots=True, frozen=True)
 class Result:
     """How a branch or a probe ended, with what the next hop told beside it."""
@@ -181,6 +189,13 @@
         self.guard: Timer | None = None
         self.flowing: Branch | None = None  # its value is being passed on: the answer, and not over yet
 
+    def describe(self) -> str:
+        """For the log: the client's id of it, its class, and where its attempts are or how they ended."""
+        ident = self.request.ident
+        name = ident.decode("ascii", "replace") if isinstance(ident, bytes) else ident
+        attempts = [f"{b.hop}:{'out' if b.ended is None else b.ended.value}" for b in self.branches]
+        return f"{name} class={self.request.class_name} attempts={','.join(attempts) or 'none'}"
+
     @property
     def may_refuse(self) -> bool:
         """True while a caller's repeat would do no harm."""
@@ -280,6 +295,7 @@
         self.open_count += 1
         if self.open_count > self.max_open or self.loop.now() >= self.answer_until:
             self.transactions[name] = transaction
+            self.tally("refused.ending" if self.open_count <= self.max_open else "refused.max_open")
             self._conclude(transaction, Refused(self.come_back))
             return transaction
         self.transactions[name] = transaction
@@ -381,9 +397,10 @@
         if transaction is not None and transaction.open:
             self._conclude(transaction, Failed("failed"))
 
-    def abandon(self, transaction: Transaction) -> None:
+    def abandon(self, transaction: Transaction, why: Abandoned) -> None:
         """Final answer where the module gave none: the mildest that is true."""
         if transaction.open:
+            self.tally(f"abandoned.{why.value}")
             harmless = transaction.may_refuse
             self._conclude(transaction, Refused(self.come_back) if harmless else Failed("failed"))
 
@@ -393,12 +410,14 @@
         for transaction in self.transactions.values():
             transaction.deadline = min(transaction.deadline, moment)
 
-    def abandon_all(self) -> None:
-        """The ingress ends: whatever is open is answered now, as nobody will later."""
-        for transaction in list(self.transactions.values()):
-            if transaction.open:
-                self.abandon(transaction)
-                self.decisions.transaction_gone(transaction)
+    def abandon_all(self) -> list[Transaction]:
+        """The ingress ends: whatever is open is answered now, as nobody will later. Returns what that was."""
+        left = [transaction for transaction in self.transactions.values() if transaction.open]
+        for transaction in left:
+            self.abandon(transaction, Abandoned.ENDING)
+        for transaction in left:  # only now: the module may take its time over each
+            self.decisions.transaction_gone(transaction)
+        return left
 
     # The next-hop side.
 
@@ -455,8 +474,8 @@
 
     def _overdue(self, transaction: Transaction) -> None:
         if transaction.open:
-            self.log(f"exchange: transaction {transaction.name} was not decided in time")
-            self.abandon(transaction)
+            self.log(f"exchange: request {transaction.describe()} was not decided in time")
+            self.abandon(transaction, Abandoned.OVERDUE)
             self.decisions.transaction_gone(transaction)
 
     def _conclude(self, transaction: Transaction, final: Final) -> None:
--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -287,16 +287,23 @@
 
     def stop(self, serve_for: float = PRESS) -> None:
         """No new legs; each ends when it has nothing open, and after so many seconds no more is served."""
-        if self.listener is not None:
-            if not self.shared:
-                # What the kernel has taken in already would be reset with the listener.
-                for _ in range(BACKLOG // ACCEPTED_IN_ONE_GO):
-                    if not self._accept():
-                        break
-            self.loop.end(self.listener)
-            self.listener = None
+        self._end_listener()
         self._drain(serve_for)
 
+    def _end_listener(self) -> None:
+        """What the kernel has taken in already would be reset with the listener: it is let in first."""
+        if self.listener is None:
+            return
+        if not self.shared:
+            for _ in range(BACKLOG // ACCEPTED_IN_ONE_GO):
+                if not self._accept():
+                    break
+            if self.waiting_since is not None and not self.dismissed:  # there is no room for them yet
+                self.loop.call_later(LACK_PAUSE, self._end_listener)
+                return
+        self.loop.end(self.listener)
+        self.listener = None
+
     def evacuate(self, wanted: bool, at: float) -> None:
         """Fronts are told to send nobody, and legs end as in a drain, new ones too; or that is over.
 
@@ -325,6 +332,7 @@
         """Whoever asks on and on, or has come and not asked, has had its time."""
         if not self.draining or drain != self.drains:
             return
+        self.log(f"drain: no more is served, connections={len(self.legs)} open={self.exchange.open_count}")
         self.pressing = True
         for leg in list(self.legs):
             if leg.answered or leg.slots or self.loop.now() - leg.made > JUST_COME:
@@ -343,5 +351,6 @@
     def dismiss(self) -> None:
         """The process is about to end: no leg opens another request."""
         self.draining = self.pressing = self.dismissed = True
+        self._end_listener()
         for leg in list(self.legs):
             self._last_call(leg)
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -186,6 +186,7 @@
                 if isinstance(command, resp.Ping):
                     slot.answer = self.side.pong()
                 elif self.side.dismissed or self.refusing:
+                    self.side.exchange.tally("refused.leaving")
                     slot.answer = encode_final(Refused(self.side.exchange.come_back))
                 elif self.left:
                     self.side.exchange.tally("left.unread")  # never opened: the end of the leg comes next
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -11,6 +11,7 @@
 from standflow.shutdown_schedule import schedule_for
 
 LOOK_EVERY_SECONDS = 0.01  # whether all is done
+MOST_DESCRIBED = 50  # requests that are described in the log, of those answered at the end
 
 
 class Shutdown:
@@ -32,20 +33,34 @@
         self.exchange.answer_by(now + plan.answer_all)
         # A listener that was passed in goes on with the next process: this one leaves it at once.
         stop_accepting = 0.0 if self.callers.shared else plan.stop_accepting
-        self.loop.call_at(now + stop_accepting, self.callers.stop, plan.stop_serving - stop_accepting)
+        self.loop.call_at(now + stop_accepting, self._stop_accepting, plan.stop_serving - stop_accepting)
         self.loop.call_at(now + plan.answer_all, self.answer_all)
-        self.loop.call_at(now + plan.exit, self.loop.stop)
+        self.loop.call_at(now + plan.exit, self._exit)
         self._stop_when_done()
         return True
 
+    def _stop_accepting(self, serve_for: float) -> None:
+        self.callers.stop(serve_for)
+        self._note("accepts no more")
+
     def answer_all(self) -> None:
         """Answers whatever is open or has come: nobody will later."""
-        open_requests = self.exchange.open_count
+        self._note("answers all")
         self.callers.dismiss()  # first: what is answered makes room for what was read behind it
-        self.exchange.abandon_all()
+        left = self.exchange.abandon_all()
         self.callers.dismiss()  # and for what lies unread: this may be the last round before the end
-        if open_requests:
-            self.log(f"shutdown: {open_requests} open requests were answered before the end")
+        for transaction in left[:MOST_DESCRIBED]:
+            self.log(f"shutdown: answered at the end: {transaction.describe()}")
+        if len(left) > MOST_DESCRIBED:
+            self.log(f"shutdown: answered at the end: {len(left) - MOST_DESCRIBED} more")
+
+    def _exit(self) -> None:
+        self._note("ends")
+        self.loop.stop()
+
+    def _note(self, state: str) -> None:
+        """Each state is a line of the log, with what is owed in it."""
+        self.log(f"shutdown: {state}, connections={len(self.callers.legs)} open={self.exchange.open_count}")
 
     def _stop_when_done(self) -> None:
         if self.callers.listener is None and not self.callers.legs:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from lab.shutdown import kill_time
 from standflow.assembly import Ingress
 from standflow.config import read
 from standflow.exchange import Outcome, Phase, Route, RouteSet
@@ -26,7 +27,17 @@
 from standflow.net.watch_timing import HEAD_LIMIT, LAST_BACK_OFF
 from standflow.platform_terms import HOLD_UP_SECONDS
 from tests.test_legs import Recorder
-from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
+from tests.wire import (
+    LIMIT,
+    command,
+    config,
+    listener,
+    member,
+    program,
+    read_until,
+    turn_until,
+    with_deadline,
+)
 
 VALUE = b"*3\r\n$2\r\nva\r\n$-1\r\n$-1\r\n"
 
@@ -216,17 +227,23 @@
 # The ends of legs and of the process.
 
 
-def test_what_is_open_when_the_process_may_wait_no_longer_is_answered(tmp_path: Path) -> None:
+@pytest.mark.parametrize("deadline", [0.3, 0.8, 3.0, 5.0])
+def test_what_is_open_when_the_process_may_wait_no_longer_is_answered(
+    deadline: float, tmp_path: Path
+) -> None:
     """A request that came late is owed for longer than SIGKILL is put off; its next hop hangs."""
-    with listener() as hop, program(tmp_path, config(known=known(hop))) as running:
+    raw = with_deadline(config(known=known(hop := listener())), deadline)
+    with hop, program(tmp_path, raw) as running:
         change, view = running.call(), running.call()
         change.sendall(command("aa01", "Q.DO", "change", d=60_000))
         view.sendall(command("aa02", d=60_000))
         at_hop = [hop.accept()[0] for _ in range(2)]
         running.terminate()
+        told = time.monotonic()
         assert read_until(change, b"\r\n") == b"-ERR failed\r\n"  # it may have run
         assert read_until(view, b"\r\n").startswith(b"-BUSY")
         assert change.recv(10) == view.recv(10) == b""
+        assert time.monotonic() - told < kill_time(deadline)
         assert running.process.wait(LIMIT) == 0
         for sock in at_hop:
             sock.close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,7 +17,17 @@
 from standflow.net.loop import Loop
 from standflow.net.nexthop import REST
 from tests.test_adapter import ROOT
-from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
+from tests.wire import (
+    LIMIT,
+    command,
+    config,
+    listener,
+    member,
+    program,
+    read_until,
+    turn_until,
+    with_deadline,
+)
 
 VALUE = b"*3\r\n$5\r\nva\r\nl\r\n$-1\r\n$-1\r\n"
 ANSWER = b"$5\r\nva\r\nl\r\n"
@@ -191,14 +201,16 @@
         running.logged("stopped")
 
 
-def test_after_sigterm_new_legs_are_taken_a_little_longer_and_served() -> None:
+@pytest.mark.parametrize("deadline", [0.3, 0.8, 3.0, 5.0])
+def test_after_sigterm_new_legs_are_taken_a_little_longer_and_served(deadline: float) -> None:
     log: list[str] = []
     loop = Loop(log.append)
-    ingress = Ingress(read(config(), log.append), loop, log.append)
+    ingress = Ingress(read(with_deadline(config(), deadline), log.append), loop, log.append)
     ingress.callers.ready = True
     before = loop.now()
     ingress.stop()
-    assert [when for when, _, timer in loop.timers if timer.call == ingress.callers.stop][0] >= before + 0.4
+    ends = [when for when, _, timer in loop.timers if timer.call == ingress.shutdown._stop_accepting]
+    assert ends[0] >= before + 0.4
     with socket.create_connection(ingress.callers.address) as late:
         late.settimeout(LIMIT)
         late.sendall(b"*1\r\n$4\r\nPING\r\n")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -23,11 +23,22 @@
 from lab.box import Box, Mode
 from lab.shutdown import Client, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
+from standflow.net.caller import CallerSide
 from standflow.platform_terms import HOLD_UP_SECONDS
 from standflow.shutdown_schedule import schedule_for
 from tests.test_adapter import ROOT
 from tests.test_legs import Recorder
-from tests.wire import LIMIT, Program, command, config, listener, program, read_until
+from tests.wire import (
+    LIMIT,
+    Program,
+    command,
+    config,
+    listener,
+    program,
+    read_until,
+    turn_until,
+    with_deadline,
+)
 
 DEADLINES = (0.3, 0.8, 1.6, 3.0, 5.0)  # seconds: the longest of a deployment
 BACKENDS = 6
@@ -37,18 +48,14 @@
 
 
 def deployment(boxes: list[Box], longest_deadline: float) -> dict[str, Any]:
-    """A configuration whose longest deadline is that of its unsafe class; the safe class has half of it."""
+    """A configuration with these backends and this longest deadline in seconds."""
     members = [
         {"id": f"s-{n}", "host_port": f"{host}:{port}", "locality": "z1", "phase": "SERVING"}
         for n, (host, port) in enumerate(box.address for box in boxes)
     ]
     raw = config(known={"revision": 1, "complete": True, "members": members})
-    look, change = raw["settings"]["Classes"]
-    microseconds = round(longest_deadline * 1e6)
-    change |= {"DeadlineUs": microseconds, "AimUs": microseconds // 3}
-    look |= {"DeadlineUs": microseconds // 2, "AimUs": microseconds // 6}
     raw["settings"]["Caps"]["MaxOpen"] = 1000
-    return raw
+    return with_deadline(raw, longest_deadline)
 
 
 @contextmanager
@@ -259,3 +266,55 @@
         except OSError:
             assert time.monotonic() < end
             time.sleep(0.005)
+
+
+def test_who_waits_for_room_to_be_accepted_is_not_reset_with_the_listener() -> None:
+    """All connections have a request open as the listener is to end: it ends when all who wait are in."""
+    at = Recorder()
+    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 2)
+    side.open()
+    clients = [socket.create_connection(side.address) for _ in range(3)]
+    for number, client in enumerate(clients):
+        client.settimeout(LIMIT)
+        client.sendall(command(f"aa{number:02}", d=60_000))
+    turn_until(at.loop, lambda: len(at.opened) == 2 and side.waiting_since is not None)
+    side.stop()
+    assert side.listener is not None
+    at.exchange.refuse(at.opened[0].name, None)
+    turn_until(at.loop, lambda: len(at.opened) == 3)
+    at.exchange.refuse(at.opened[2].name, None)
+    turn_until(at.loop, lambda: len(side.legs) == 1)
+    assert read_until(clients[2], b"\r\n") == b"-BUSY\r\n"
+    turn_until(at.loop, lambda: side.listener is None)
+    for client in clients:
+        client.close()
+    at.close()
+
+
+def test_all_are_answered_before_the_module_is_told_of_the_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It walks all backends for each: with many of them the last answers would come after SIGKILL."""
+    at = Recorder()
+    finals: list[object] = []
+    answered_before: list[int] = []
+    monkeypatch.setattr(at, "transaction_gone", lambda transaction: answered_before.append(len(finals)))
+    for number in range(5):
+        at.exchange.open(request(f"{number}", 60.0), at.loop.now(), finals.append)
+    left = at.exchange.abandon_all()
+    assert [transaction.request.ident for transaction in left] == ["0", "1", "2", "3", "4"]
+    assert answered_before == [5] * 5
+    at.close()
+
+
+def test_the_log_of_a_shutdown_tells_its_states_and_what_was_answered_at_its_end(tmp_path: Path) -> None:
+    with silent_backends() as boxes, program(tmp_path, deployment(boxes, 0.8)) as running:
+        client = running.call()
+        client.sendall(command("00000000000000aa", "Q.DO", "change", d=5000))
+        time.sleep(0.1)
+        running.terminate()
+        assert read_until(client, b"\r\n") == b"-ERR failed\r\n"
+        running.logged("stopped")
+        states = re.findall(r"shutdown: ([a-z ]+), connections=\d+ open=\d+", running.log)
+        assert states == ["accepts no more", "answers all", "ends"]  # the client has not closed yet
+        assert "drain: no more is served, connections=1 open=1" in running.log
+        assert re.search(r"answered at the end: 00000000000000aa class=change attempts=s-\d:out", running.log)
+        assert re.search(r"tally .*abandoned.ending=1", running.log)
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -40,6 +40,15 @@
     return base | changes
 
 
+def with_deadline(raw: dict[str, Any], longest: float) -> dict[str, Any]:
+    """The same with another longest deadline, in seconds: the unsafe class's; the safe one has half of it."""
+    look, change = raw["settings"]["Classes"]
+    microseconds = round(longest * 1e6)
+    change |= {"DeadlineUs": microseconds, "AimUs": microseconds // 3}
+    look |= {"DeadlineUs": microseconds // 2, "AimUs": microseconds // 6}
+    return raw
+
+
 def member(address: tuple[str, int], phase: str = "SERVING") -> dict[str, Any]:
     return {"id": "s-1", "host_port": f"{address[0]}:{address[1]}", "locality": "z1", "phase": phase}
 
