--- a/lab/bench_ops.py
+++ b/lab/bench_ops.py
@@ -85,9 +85,9 @@
 
 
 @contextmanager
-def loaded(address: tuple[str, int], rate: float = RATE, legs: int = 16) -> Iterator[Callers]:
+def loaded(address: tuple[str, int], rate: float = RATE, connections: int = 16) -> Iterator[Callers]:
     """Callers who ask all the while."""
-    callers = Callers(address, rate, 0, legs=legs)
+    callers = Callers(address, rate, 0, connections=connections)
     callers.start()
     try:
         yield callers
@@ -99,7 +99,7 @@
     """The slowest operators' answer under full load, beside connections that say nothing whole."""
     ingress, held = place.start(), list[socket.socket]()
     match = ingress.logged(r"ops \S+ on ([\d.]+):(\d+)")
-    with loaded(ingress.address(), rate=4 * RATE, legs=48):
+    with loaded(ingress.address(), rate=4 * RATE, connections=48):
         slowest, wrong = 0.0, 0
         end = time.monotonic() + 8.0
         while time.monotonic() < end:
@@ -146,7 +146,7 @@
             began = time.monotonic()
             call(ingress, "POST", "/api/evacuate")
             time.sleep(1.7)
-            # the callers here ask no front, and come back: each leg lives for one request
+            # the callers here ask no front, and come back: each connection lives for one request
             emptied = max(emptied, time.monotonic() - began)
             call(ingress, "POST", "/api/rejoin")
     ends, again = callers.ends(), sum(one.again for one in callers.asked)
--- a/lab/bench_tls.py
+++ b/lab/bench_tls.py
@@ -252,7 +252,7 @@
         }
         all_of_them = [site.ingress(number=number, **values) for number in range(ingresses)]
         callers = [
-            Callers(one.address(), RATE / ingresses, number, legs=180 // ingresses, seed=ingresses)
+            Callers(one.address(), RATE / ingresses, number, connections=180 // ingresses, seed=ingresses)
             for number, one in enumerate(all_of_them)
         ]
         for caller in callers:
@@ -332,7 +332,7 @@
         boxes = {f"s-{n}": site.box(f"s-{n}") for n in range(2)}
         hops = "".join(hop(name, box.address) for name, box in boxes.items())
         one = site.ingress(hops=hops, watch="100ms")
-        callers = Callers(one.address(), 150.0, 0, legs=6)
+        callers = Callers(one.address(), 150.0, 0, connections=6)
         callers.start()
         for turn in range(2, 12):
             before, site.authority = site.authority, Authority()
--- a/lab/callers.py
+++ b/lab/callers.py
@@ -44,18 +44,21 @@
         address: tuple[str, int],
         rate: float,
         number: int,
-        legs: int = 4,
+        connections: int = 4,
         changes: float = 0.2,
         spread: int = 1,
         seed: int = 0,
         plan: str = "plain",
     ) -> None:
         """`number`: the ingress's, with which its customers' sets begin; `changes`: the unsafe part."""
-        self.address, self.rate, self.number, self.legs = address, rate, number, legs
+        self.address, self.rate, self.number, self.connections = address, rate, number, connections
         self.changes, self.spread, self.seed, self.plan = changes, spread, seed, plan
         self.asked: list[Asked] = []
         self.stopped = threading.Event()
-        self.threads = [threading.Thread(target=self._ask, args=(leg,), daemon=True) for leg in range(legs)]
+        self.threads = [
+            threading.Thread(target=self._ask, args=(connection,), daemon=True)
+            for connection in range(connections)
+        ]
 
     def start(self) -> None:
         """Begins to ask."""
@@ -72,15 +75,15 @@
         """How many ended in each way, of those asked since a Unix time."""
         return Counter(one.end for one in list(self.asked) if one.at >= since)
 
-    def _ask(self, leg: int) -> None:
-        chance = random.Random(f"{self.seed} {self.number} {leg}")
+    def _ask(self, connection: int) -> None:
+        chance = random.Random(f"{self.seed} {self.number} {connection}")
         sock: socket.socket | None = None
-        due, serial = time.monotonic() + chance.expovariate(self.rate / self.legs), 0
+        due, serial = time.monotonic() + chance.expovariate(self.rate / self.connections), 0
         while not self.stopped.wait(max(0.0, due - time.monotonic())):
-            due = max(due + chance.expovariate(self.rate / self.legs), time.monotonic() - 1.0)
+            due = max(due + chance.expovariate(self.rate / self.connections), time.monotonic() - 1.0)
             serial += 1
             safe = chance.random() >= self.changes
-            ident = f"{self.seed:02x}n{self.number}l{leg}s{serial}"
+            ident = f"{self.seed:02x}n{self.number}l{connection}s{serial}"
             customer = b"%016x" % (self.number * 1000 + chance.randrange(20))
             kind = b"look" if safe else b"change"
             said = b"c=%b,t=%b,d=3000,units=1,spread=%d,first=%d" % (
--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -131,7 +131,7 @@
                 log,
                 self.exchange,
                 config.listen,
-                config.max_legs,
+                config.max_clients,
                 min(config.max_unread, config.memory // 4),
                 config.passed,
                 config.max_bodies,
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -104,7 +104,7 @@
     peers_all: Address | None
     seed: int
     sockets: int
-    max_legs: int
+    max_clients: int
     max_connections: int
     known: RouteSet | None
     settings: i.Settings
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -16,15 +16,15 @@
     from standflow.net.caller import CallerSide
 
 READ_SIZE = 65536
-MAX_PIPELINED = 64  # commands of one leg that wait for their answers; more stay in the kernel
+MAX_PIPELINED = 64  # commands of one connection that wait for their answers; more stay in the kernel
 PAUSE_OUT = 256 * 1024  # bytes that a slow reader may leave unread before no more is taken from it
 MAX_OUT = 1024 * 1024  # and before it is given up
-PIECE = 64 * 1024  # bytes of a long value that a leg has on its own, written or not, at most
+PIECE = 64 * 1024  # bytes of a long value that a connection has on its own, written or not, at most
 LINGER = 1.0  # seconds for the last answer to arrive after framing was lost
 
 
 class Slot:
-    """The place of one command's answer in a leg's order."""
+    """The place of one command's answer in a connection's order."""
 
     __slots__ = ("answer", "flow", "transaction")
 
@@ -34,7 +34,7 @@
         self.transaction: Transaction | None = None
 
 
-class Leg:
+class ClientConnection:
     """One connection of a caller."""
 
     def __init__(self, side: CallerSide, sock: socket.socket) -> None:
@@ -43,7 +43,6 @@
         self.slots: deque[Slot] = deque()
         self.out = bytearray()
         self.reason = "shutdown"
-        self.last_words = False  # nothing more is read, and after what is to be written the leg ends
         self.leaving = False  # it ends once nothing is open or unread
         self.refusing = False  # what was read since then is refused: it came too late to be served
         self.framing_lost = False  # what was read behind that is no command
@@ -61,15 +60,20 @@
 
     @property
     def ending(self) -> bool:
-        """True where the leg ends by itself after what it owes."""
-        return self.last_words or self.leaving
+        """True where the connection ends by itself after what it owes."""
+        return self.framing_lost or self.leaving
+
+    @property
+    def reads(self) -> bool:
+        """True where it may take more commands, to serve or to refuse them."""
+        return not (self.framing_lost or self.shut or self.full())
 
     def leave(self) -> None:
-        """A drain: the leg ends once all that has come is answered; what comes from now on is refused."""
+        """A drain: it ends once all that has come is answered; what comes from now on is refused."""
         self.leaving, self.reason = True, "drained"
 
     def live(self) -> Coroutine[None]:
-        """The whole life of the leg."""
+        """The whole life of the connection."""
         try:
             self.reason = yield from self._serve()
             if self.reason in ("bad_framing", "drained"):
@@ -88,7 +92,7 @@
                     return "peer_closed"  # while reading paused: what lies unread is nobody's any more
                 if ready & OUT:
                     self._push()
-                if ready & IN and not self.last_words:
+                if ready & IN and not self.framing_lost:
                     self.left = bool(ready & LEFT)
                     data = self.sock.recv(READ_SIZE)
                     if not data:
@@ -115,10 +119,10 @@
                 return "slow_reader"
 
     def _done(self) -> bool:
-        """True where the leg is ending and owes nothing more: what lies unread is owed an answer too."""
+        """True where it is ending and owes nothing more: what lies unread is owed an answer too."""
         if self.out or self.slots or not self.ending:
             return False
-        return self.last_words or not self.side.has_more(self)
+        return self.framing_lost or not self.side.has_more(self)
 
     def _linger(self) -> Coroutine[None]:
         """Reads what still comes and drops it: closing over unread bytes would take the answer back."""
@@ -135,12 +139,12 @@
         return size > MAX_OUT or (size > PAUSE_OUT and self.side.unread > self.side.max_unread)
 
     def mask(self) -> int:
-        """Reading pauses while too much of this leg is open or unread, and until callers are served.
+        """Reading pauses while too much of this connection is open or unread, and until callers are served.
 
         That the caller leaves is heard all the same.
         """
         not_served_yet = not self.side.ready and not self.leaving
-        paused = self.full() or self.last_words or self.waits or not_served_yet
+        paused = self.full() or self.framing_lost or self.waits or not_served_yet
         if paused and self.held_since is None:
             self.held_since = self.side.loop.now()
         return (LEFT if paused else IN) | (OUT if self.out else 0)
@@ -160,19 +164,19 @@
         self._flush()
 
     def _take(self) -> None:
-        """Takes the whole commands that were read, as long as the leg may have more open.
+        """Takes the whole commands that were read, as long as the connection may have more open.
 
-        Also those read before the leg began to drain: each is owed an answer.
+        Also those read before the connection began to drain: each is owed an answer.
         """
         while not self.full() and not self.framing_lost:
             try:
                 parts = self.buffer.command()
             except resp.FramingError as error:
                 self.slots.append(Slot(resp.error(str(error))))
-                self.last_words, self.framing_lost, self.reason = True, True, "bad_framing"
+                self.framing_lost, self.reason = True, "bad_framing"
                 return
             if parts is None:
-                if self.buffer.body > resp.MAX_VALUE and not self.room and not self.last_words:
+                if self.buffer.body > resp.MAX_VALUE and not self.room and not self.framing_lost:
                     self._reserve(self.buffer.body)
                 return
             room, self.room = self.room, 0
@@ -189,7 +193,9 @@
                     self.side.exchange.tally("refused.leaving")
                     slot.answer = encode_final(Refused(self.side.exchange.come_back))
                 elif self.left:
-                    self.side.exchange.tally("left.unread")  # never opened: the end of the leg comes next
+                    self.side.exchange.tally(
+                        "left.unread"
+                    )  # never opened: the end of the connection comes next
                 else:
                     self._open(slot, command, room)
                     room = 0  # the exchange gives it back
@@ -257,7 +263,7 @@
             return
         cut = bool(self.slots) and self.slots[0].flow is not None and self.slots[0].flow.broken
         if self.ending or self.buffer.data or cut or self.too_slow():
-            # the leg may be done, or what was held back for room may go on
+            # the connection may be done, or what was held back for room may go on
             self.side.loop.resume(self.task, TICK)
         else:
             self.side.loop.watch(self.task, self.mask())
--- a/standflow/net/flow.py
+++ b/standflow/net/flow.py
@@ -1,7 +1,8 @@
-"""A long value on its way from a next hop's connection to a caller leg: a bounded pipe. No I/O.
+"""A long value on its way from a next hop's connection to a client connection: a bounded pipe. No I/O.
 
-The connection puts in what it has read and stops reading while there is no room; the leg takes out what it
-can write and has the connection go on. What all pipes hold together follows from one budget, shared evenly.
+The next hop's connection puts in what it has read and stops reading while there is no room; the client's
+takes out what it can write and has the other go on. What all pipes hold together follows from one budget,
+shared evenly.
 """
 
 from __future__ import annotations
@@ -37,7 +38,9 @@
         self.parts: deque[memoryview] = deque()
         self.held = 0
         self.whole = self.broken = self.over = False
-        self.wake: Callable[[], None] = lambda: None  # the leg has something to take, or the value has ended
+        self.wake: Callable[[], None] = lambda: (
+            None
+        )  # the connection has something to take, or the value has ended
         flows.open += 1
 
     @property
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -60,10 +60,12 @@
 
     def _note(self, state: str) -> None:
         """Each state is a line of the log, with what is owed in it."""
-        self.log(f"shutdown: {state}, connections={len(self.callers.legs)} open={self.exchange.open_count}")
+        self.log(
+            f"shutdown: {state}, connections={len(self.callers.connections)} open={self.exchange.open_count}"
+        )
 
     def _stop_when_done(self) -> None:
-        if self.callers.listener is None and not self.callers.legs:
+        if self.callers.listener is None and not self.callers.connections:
             self.loop.stop()
         else:
             self.loop.call_later(LOOK_EVERY_SECONDS, self._stop_when_done)
--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -17,8 +17,8 @@
 from standflow.net.caller import CallerSide
 from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.loop import Loop
+from tests.test_connections import Recorder
 from tests.test_endings import Wired, known
-from tests.test_legs import Recorder
 from tests.wire import LIMIT, command, config, listener, program, read_until, turn_until
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -111,14 +111,14 @@
     """Also what could not be opened yet, as too many were open."""
     one = Pipelined()
     if pressing:
-        turn_until(one.at.loop, lambda: one.side.legs)
+        turn_until(one.at.loop, lambda: one.side.connections)
         one.side.draining = one.side.pressing = True
     one.send(MANY)
     turn_until(one.at.loop, lambda: len(one.at.opened) == MAX_PIPELINED)
-    leg = next(iter(one.side.legs))
-    assert leg.buffer.data
+    connection = next(iter(one.side.connections))
+    assert connection.buffer.data
     if not pressing:
-        one.side._leave(leg)
+        one.side._leave(connection)
     for number in range(MANY):
         due = number + 1
         turn_until(one.at.loop, lambda: len(one.at.opened) >= due)  # noqa: B023
--- a/tests/test_attempt_time.py
+++ b/tests/test_attempt_time.py
@@ -8,8 +8,8 @@
 import time
 
 from standflow.net.caller import CallerSide
+from tests.test_connections import Recorder
 from tests.test_endings import Greeted, Wired
-from tests.test_legs import Recorder
 from tests.wire import command, listener, turn_until
 
 TIME_MS = 60_000  # that the client of `Wired.ask` waits
@@ -109,7 +109,7 @@
     assert at.opened[1].deadline - TIME_MS / 1000 <= sent
     clients[1].close()
     turn_until(
-        at.loop, lambda: len(at.gone) == 2 and side.legs
+        at.loop, lambda: len(at.gone) == 2 and side.connections
     )  # the third has come to wait, and sent nothing
     earliest = at.loop.polled
     clients[2].sendall(command("aa03", d=TIME_MS))
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -16,8 +16,8 @@
 from standflow.net.caller import CallerSide
 from standflow.net.client_connection import MAX_PIPELINED, PAUSE_OUT
 from standflow.net.loop import Loop
+from tests.test_connections import Recorder
 from tests.test_endings import Wired, known
-from tests.test_legs import Recorder
 from tests.wire import command, config, listener, turn_until
 
 FEW_ROUNDS = 5  # of the loop, in which a close is noticed: by events, never by a timer
@@ -128,8 +128,8 @@
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         client.connect(self.side.address)
         client.sendall(sent)
-        legs = len(self.side.legs)
-        turn_until(self.at.loop, lambda: len(self.side.legs) > legs)
+        connections = len(self.side.connections)
+        turn_until(self.at.loop, lambda: len(self.side.connections) > connections)
         self.others.append(client)
         return client
 
@@ -146,18 +146,18 @@
 
     def slow_reader(self) -> None:
         """Answers that the client does not take."""
-        leg = next(iter(self.side.legs))
-        leg.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connection = next(iter(self.side.connections))
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         self.ask("aa01", "aa02")
         first = self.at.opened[0]
         first.open = False
         first.reply(Served(b"x" * (3 * PAUSE_OUT)))
-        assert len(leg.out) > PAUSE_OUT
+        assert len(connection.out) > PAUSE_OUT
 
     def draining(self) -> None:
         """The connection takes no more requests."""
         self.ask("aa01")
-        self.side._leave(next(iter(self.side.legs)))
+        self.side._leave(next(iter(self.side.connections)))
 
     def long_body(self) -> None:
         """A long body behind the request waits for room."""
@@ -209,8 +209,8 @@
     client.sendall(b"*1\r\n$4\r\nPING\r\n")
     turn_until(at.loop, lambda: select.select([client], [], [], 0)[0])
     client.recv(100)
-    leg = next(iter(side.legs))
-    leg.made -= 60.0
+    connection = next(iter(side.connections))
+    connection.made -= 60.0
     client.sendall(command("aa01"))
     client.close()
     side.draining = side.pressing = looks != "the cap"
@@ -220,7 +220,7 @@
         side._press(side.drains)
     else:
         side._sweep()
-    turn_until(at.loop, lambda: not side.legs)
+    turn_until(at.loop, lambda: not side.connections)
     assert at.opened == []
     at.close()
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -71,8 +71,8 @@
         self.loop.epoll.close()
 
 
-class CallerLegModel(RuleBasedStateMachine):
-    """A leg owes its answers in the order of its commands; the model is the queue of what is owed."""
+class ClientConnectionModel(RuleBasedStateMachine):
+    """A connection owes its answers in the order of its commands; the model is the queue of what is owed."""
 
     @initialize()
     def start(self) -> None:
@@ -80,7 +80,7 @@
         self.side = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
         self.side.ready = True
         self.caller = socket.create_connection(self.side.address)
-        turn_until(self.at.loop, lambda: len(self.side.legs) == 1)
+        turn_until(self.at.loop, lambda: len(self.side.connections) == 1)
         self.owed: deque[list[bytes | None]] = deque()  # one cell an answer, in order
         self.open: list[tuple[Transaction, list[bytes | None]]] = []
         self.serial = 0
@@ -148,21 +148,21 @@
         assert self.side.pong() == resp.PONG
 
     def left(self) -> None:
-        """A leg of an emptied ingress ends with the answer that leaves nothing open on it."""
-        if not self.side.draining or self.open or not next(iter(self.side.legs)).answered:
+        """A connection of an emptied ingress ends with the answer that leaves nothing open on it."""
+        if not self.side.draining or self.open or not next(iter(self.side.connections)).answered:
             return
         assert self.side.pong().startswith(b"-ERR")
         turn_until(self.at.loop, self.gone)
         self.at.log.clear()
         self.caller = socket.create_connection(self.side.address)
-        turn_until(self.at.loop, lambda: len(self.side.legs) == 1)
+        turn_until(self.at.loop, lambda: len(self.side.connections) == 1)
 
     def gone(self) -> bool:
         """The caller sees the end, and closes as well."""
         if select.select([self.caller], [], [], 0)[0]:
             assert self.caller.recv(10) == b""
             self.caller.close()
-            turn_until(self.at.loop, lambda: not self.side.legs)
+            turn_until(self.at.loop, lambda: not self.side.connections)
             return True
         return False
 
@@ -175,8 +175,8 @@
     def teardown(self) -> None:
         if hasattr(self, "at"):
             self.caller.close()
-            turn_until(self.at.loop, lambda: not self.side.legs)
-            # each transaction still open hears that its caller has left, and the leg leaves one line
+            turn_until(self.at.loop, lambda: not self.side.connections)
+            # each transaction still open hears that its caller has left, and the connection leaves one line
             assert self.at.gone == [transaction for transaction, _ in self.open]
             assert sum(line.startswith("end caller") for line in self.at.log) == 1
             self.at.close()
@@ -307,8 +307,8 @@
             self.at.close()
 
 
-TestCallerLeg = CallerLegModel.TestCase
-TestCallerLeg.settings = STEPS
+TestClientConnection = ClientConnectionModel.TestCase
+TestClientConnection.settings = STEPS
 TestNextHop = NextHopModel.TestCase
 TestNextHop.settings = STEPS
 
@@ -458,35 +458,35 @@
     side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
     with socket.create_connection(side.address) as caller:
         caller.sendall(b"*1\r\n$4\r\nPING\r\n" + command("0001", d=300))
-        turn_until(at.loop, lambda: side.legs)
+        turn_until(at.loop, lambda: side.connections)
         began = at.loop.now()
         turn_until(at.loop, lambda: at.loop.now() > began + 0.05)
         assert at.opened == []
         assert not select.select([caller], [], [], 0)[0]
         side.open()
         turn_until(at.loop, lambda: at.opened)
-        assert at.opened[0].deadline <= began + 0.3  # of the leg's beginning, not of when it was read
+        assert at.opened[0].deadline <= began + 0.3  # of the connection's beginning, not of when it was read
         assert read_until(caller, b"\r\n") == b"+PONG\r\n"
     at.close()
 
 
-def test_a_leg_that_has_just_come_is_not_closed_over_its_command_by_a_drain() -> None:
-    """1.5 s after the call every leg was ended, new ones over what was under way: 3 to 8 of 5,100."""
+def test_a_connection_that_has_just_come_is_not_closed_over_its_command_by_a_drain() -> None:
+    """1.5 s after the call every connection was ended, new ones over what was under way: 3 to 8 of 5,100."""
     at = Recorder()
     side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
     side.open()
     with socket.create_connection(side.address) as caller:
-        turn_until(at.loop, lambda: side.legs)
+        turn_until(at.loop, lambda: side.connections)
         side.evacuate(True, 1.0)
         side._press(side.drains)
         caller.sendall(b"*1\r\n$4\r\nPING\r\n")
         turn_until(at.loop, lambda: select.select([caller], [], [], 0)[0])
         assert read_until(caller, b"\r\n") == b"-ERR evacuated\r\n"
-        turn_until(at.loop, lambda: not side.legs or select.select([caller], [], [], 0)[0])
+        turn_until(at.loop, lambda: not side.connections or select.select([caller], [], [], 0)[0])
     at.close()
 
 
-def test_legs_that_never_ask_end_with_an_error_and_usual_ones_stay() -> None:
+def test_connections_that_never_ask_end_with_an_error_and_usual_ones_stay() -> None:
     """They held their places for 20 s."""
     at, clock = Recorder(), [100.0]
     at.loop.now = lambda: clock[0]  # type: ignore[method-assign]
@@ -504,18 +504,18 @@
         caller.settimeout(20)
         caller.sendall(b"*1\r\n$4\r\n" + sent + b"\r\n" if sent else b"")
     for caller in (usual, done):
-        turn_until(at.loop, lambda: sum(leg.answered for leg in side.legs) == 2)
+        turn_until(at.loop, lambda: sum(connection.answered for connection in side.connections) == 2)
         assert read_until(caller, b"\r\n") == b"+PONG\r\n"
     done.sendall(b"*1\r\n$4\r\nPI")  # half a command that moves on is let be
-    turn_until(at.loop, lambda: sum(bool(leg.buffer.data) for leg in side.legs) == 2)
+    turn_until(at.loop, lambda: sum(bool(connection.buffer.data) for connection in side.connections) == 2)
     clock[0] += SPEAK_WITHIN / 2
     sweep()
-    assert len(side.legs) == 4
+    assert len(side.connections) == 4
     fresh = socket.create_connection(side.address)  # at the cap the one idle longest makes way
     turn_until(at.loop, lambda: any("end caller cap answered=0" in line for line in at.log))
     clock[0] += SPEAK_WITHIN / 2 + 0.1
     sweep()
-    assert len(side.legs) == 3
+    assert len(side.connections) == 3
     assert [line.split()[2] for line in at.log if line.startswith("end caller")] == ["cap", "silent"]
     answers = sorted(caller.recv(100) for caller in (silent, half))
     assert answers == [b"", b"-ERR no whole command in time\r\n"]
@@ -523,7 +523,7 @@
         sweep()
     assert "end caller slow_writer" in at.log[-1]
     usual.sendall(b"*1\r\n$4\r\nPING\r\n")
-    turn_until(at.loop, lambda: sum(leg.answered for leg in side.legs) == 2)
+    turn_until(at.loop, lambda: sum(connection.answered for connection in side.connections) == 2)
     for caller in (*callers, fresh):
         caller.close()
     at.close()
--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -324,13 +324,13 @@
     return raw | ({} if door is None else {"counter": f"127.0.0.1:{door.address[1]}"})
 
 
-def served(leg: socket.socket, tries: int, name: str) -> int:
+def served(connection: socket.socket, tries: int, name: str) -> int:
     """How many of some requests of one customer of both ingresses are served."""
     count = 0
     for serial in range(tries):
         options = b"c=look,t=plain,d=3000,units=1,spread=2,first=0"
-        leg.sendall(command([b"Q.ASK", b"%016x" % 7, f"{name}{serial}".encode(), options]))
-        count += kind_of(read(leg)) == "served"
+        connection.sendall(command([b"Q.ASK", b"%016x" % 7, f"{name}{serial}".encode(), options]))
+        count += kind_of(read(connection)) == "served"
     return count
 
 
@@ -342,10 +342,10 @@
             folder = tmp_path / f"{number}"
             folder.mkdir()
             both.append(stack.enter_context(program(folder, of_two(number, box, door))))
-        legs = [one.call() for one in both]
-        assert served(legs[0], 5, "a") == 5  # more than an even share
-        assert served(legs[1], 5, "b") == 1
-        assert served(legs[0], 2, "c") == 0
+        connections = [one.call() for one in both]
+        assert served(connections[0], 5, "a") == 5  # more than an even share
+        assert served(connections[1], 5, "b") == 1
+        assert served(connections[0], 2, "c") == 0
 
 
 def test_a_caller_that_leaves_while_the_counter_is_asked_is_not_sent_on(tmp_path: Path) -> None:
@@ -370,13 +370,13 @@
         box, door = stack.enter_context(Box()), stack.enter_context(Door(Store()))
         other = stack.enter_context(Door(Store()))
         running = stack.enter_context(program(tmp_path, of_two(0, box, door)))
-        leg = running.call()
-        assert served(leg, 1, "a") == 1
+        connection = running.call()
+        assert served(connection, 1, "a") == 1
         (tmp_path / "config.json").write_text(json.dumps(of_two(0, box, other)))
         running.process.send_signal(signal.SIGHUP)
         running.logged("reload: done")
         before = door.store.calls
-        served(leg, 4, "b")  # a call that was open as it moved makes the next ones rarer
+        served(connection, 4, "b")  # a call that was open as it moved makes the next ones rarer
         assert (door.store.calls, other.store.calls > 0) == (before, True), running.log
 
 
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -13,8 +13,8 @@
 import pytest
 
 from standflow.net.caller import CallerSide
+from tests.test_connections import Recorder
 from tests.test_endings import known
-from tests.test_legs import Recorder
 from tests.wire import LIMIT, Program, command, config, listener, program, read_until, turn_until
 
 ROOM = 20  # descriptors left for the test's idle clients
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -22,7 +22,7 @@
 from standflow.net.watch_timing import LONGEST_HEAD_LIMIT
 from standflow.start_times import StartTimes
 from standflow.tally import MOST_HOPS, Tally
-from tests.test_legs import Recorder
+from tests.test_connections import Recorder
 from tests.wire import config, listener, read_until, turn_until
 from tests.world import sealed
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -26,7 +26,7 @@
 from standflow.net.stream import PlainStream, Stream
 from standflow.net.watch_timing import HEAD_LIMIT, LAST_BACK_OFF
 from standflow.platform_terms import HOLD_UP_SECONDS
-from tests.test_legs import Recorder
+from tests.test_connections import Recorder
 from tests.wire import (
     LIMIT,
     command,
@@ -203,9 +203,9 @@
     stays, leaves = (socket.create_connection(side.address) for _ in range(2))
     stays.sendall(command("aa01"))
     leaves.sendall(command("aa02"))
-    turn_until(at.loop, lambda: len(side.legs) == 2)
+    turn_until(at.loop, lambda: len(side.connections) == 2)
     leaves.close()
-    turn_until(at.loop, lambda: len(side.legs) == 1)
+    turn_until(at.loop, lambda: len(side.connections) == 1)
     side.open()
     turn_until(at.loop, lambda: at.opened)
     assert [transaction.request.ident for transaction in at.opened] == [b"aa01"]
@@ -224,7 +224,7 @@
     at.close()
 
 
-# The ends of legs and of the process.
+# The ends of connections and of the process.
 
 
 @pytest.mark.parametrize("deadline", [0.3, 0.8, 3.0, 5.0])
@@ -249,7 +249,7 @@
             sock.close()
 
 
-def test_a_leg_that_was_just_accepted_is_not_asked_to_make_way_and_the_cap_holds() -> None:
+def test_a_connection_that_was_just_accepted_is_not_asked_to_make_way_and_the_cap_holds() -> None:
     """Its command is under way: closed with no answer it would be a request turned away unheard."""
     at = Recorder()
     side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 3)
@@ -257,13 +257,13 @@
     callers = [socket.create_connection(side.address) for _ in range(6)]
     at.loop.turn()
     at.loop.turn()
-    assert len(side.legs) == 3
+    assert len(side.connections) == 3
     for caller in callers[:3]:
         caller.sendall(b"*1\r\n$4\r\nPING\r\n")
     turn_until(at.loop, lambda: all(select.select([caller], [], [], 0)[0] for caller in callers[:3]))
     assert [caller.recv(10) for caller in callers[:3]] == [b"+PONG\r\n"] * 3
     turn_until(at.loop, lambda: sum("end caller cap answered=1" in line for line in at.log) == 3)
-    assert len(side.legs) == 3
+    assert len(side.connections) == 3
     for caller in callers:
         caller.close()
     at.close()
@@ -274,9 +274,9 @@
     side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 3)
     side.open()
     caller = socket.create_connection(side.address)
-    turn_until(at.loop, lambda: side.legs)
+    turn_until(at.loop, lambda: side.connections)
     side.draining = side.pressing = True
-    next(iter(side.legs)).made -= 1.0
+    next(iter(side.connections)).made -= 1.0
     caller.sendall(command("aa01"))
     side._sweep()
     assert [transaction.request.ident for transaction in at.opened] == [b"aa01"]
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -24,7 +24,7 @@
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.peers import Peers
 from standflow.net.routes import Routes
-from tests.test_legs import Recorder
+from tests.test_connections import Recorder
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -121,7 +121,7 @@
         client.sendall(PING)
         turn_until(at.loop, lambda: select.select([client], [], [], 0)[0])
         assert client.recv(100) == b"+PONG\r\n"
-    assert [leg.reason for leg in side.legs if leg.task is None] == []
+    assert [connection.reason for connection in side.connections if connection.task is None] == []
     at.close()
 
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -18,7 +18,7 @@
 from standflow.net.caller import CallerSide
 from standflow.net.flow import MOST, Flow, Flows
 from standflow.net.nexthop import NextHops
-from tests.test_legs import Recorder
+from tests.test_connections import Recorder
 from tests.test_ops import VALUE, shown, with_ops
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
 
@@ -202,14 +202,14 @@
     head = b"*1\r\n$%d\r\n" % size
     writer = threading.Thread(target=lambda: _send(hop, head + bytes(size) + b"\r\n"))
     writer.start()
-    leg = next(iter(rig.side.legs))
+    connection = next(iter(rig.side.connections))
     turn_until(rig.at.loop, lambda: rig.at.began)
     for _ in range(300):
         rig.at.loop.call_later(0.001, int)
         rig.at.loop.turn()
-        flow = leg.slots[0].flow
+        flow = connection.slots[0].flow
         assert flow is not None
-        assert flow.held + len(leg.out) <= 2 * MOST
+        assert flow.held + len(connection.out) <= 2 * MOST
     assert flow is not None
     assert flow.left > 0
     rig.caller.close()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -253,7 +253,7 @@
             late.sendall(PING)
             assert read_until(late, b"\r\n") == b"-ERR evacuated\r\n"
             assert late.recv(10) == b""
-            busy.sendall(command("aa02"))  # taken while its leg has something open
+            busy.sendall(command("aa02"))  # taken while its connection has something open
             second = hop.accept()[0]
             second.settimeout(LIMIT)
             read_until(second, b"first=0\r\n")
@@ -272,7 +272,7 @@
             running.logged("(?:end caller drained(?:.|\n)*){4}")
 
 
-def test_a_leg_that_asks_on_and_on_is_ended_between_two_commands(tmp_path: Path) -> None:
+def test_a_connection_that_asks_on_and_on_is_ended_between_two_commands(tmp_path: Path) -> None:
     with listener() as hop:
         known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
         with program(tmp_path, with_ops(known=known)) as running:
@@ -296,13 +296,13 @@
             assert caller.recv(10) == b""
             assert answered > 1
             assert running.logged(rf"end caller drained answered={answered} open=0")
-            late = running.call()  # after that one command is all that a leg is given
+            late = running.call()  # after that one command is all that a connection is given
             late.sendall(PING + PING[:9])
             assert read_until(late, b"\r\n") == b"-ERR evacuated\r\n"
             assert late.recv(10) == b""
 
 
-def test_the_end_of_a_drained_leg_takes_no_answer_back(tmp_path: Path) -> None:
+def test_the_end_of_a_drained_connection_takes_no_answer_back(tmp_path: Path) -> None:
     with listener() as hop:
         known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
         with program(tmp_path, with_ops(known=known)) as running:
@@ -320,7 +320,9 @@
             assert answers == b"$5\r\nva\r\nl\r\n-BUSY 100\r\n"
 
 
-def test_rejoin_at_once_and_twice_keeps_a_busy_leg_and_is_refused_after_sigterm(tmp_path: Path) -> None:
+def test_rejoin_at_once_and_twice_keeps_a_busy_connection_and_is_refused_after_sigterm(
+    tmp_path: Path,
+) -> None:
     with listener() as hop:
         known = {"revision": 1, "complete": True, "members": [member(hop.getsockname())]}
         with program(tmp_path, with_ops(known=known)) as running:
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -8,10 +8,10 @@
 import pytest
 
 from standflow.net.caller import MAX_HALF, SPEAK_WITHIN, CallerSide
-from standflow.net.client_connection import Leg
+from standflow.net.client_connection import ClientConnection
 from standflow.net.nexthop import Connection
+from tests.test_connections import Recorder
 from tests.test_endings import Wired
-from tests.test_legs import Recorder
 from tests.wire import LIMIT, command, listener, read_until, turn_until
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -28,16 +28,16 @@
         self.client = socket.create_connection(self.side.address)
         self.client.settimeout(LIMIT)
         self.client.sendall(sent)
-        turn_until(self.at.loop, lambda: self.side.legs)
-        self.leg = next(iter(self.side.legs))
-        turn_until(self.at.loop, lambda: self.leg.answered or self.leg.buffer.data or not sent)
+        turn_until(self.at.loop, lambda: self.side.connections)
+        self.connection = next(iter(self.side.connections))
+        turn_until(self.at.loop, lambda: self.connection.answered or self.connection.buffer.data or not sent)
 
     def crosses(self, monkeypatch: pytest.MonkeyPatch, name: str, sent: bytes) -> None:
         """Right after this look at the connection more comes."""
-        look: Callable[[Leg], bool] = getattr(self.side, name)
+        look: Callable[[ClientConnection], bool] = getattr(self.side, name)
 
-        def looked(leg: Leg) -> bool:
-            seen = look(leg)
+        def looked(connection: ClientConnection) -> bool:
+            seen = look(connection)
             if sent and not seen:
                 self.client.sendall(sent)
             return seen
@@ -58,7 +58,7 @@
     assert one.client.recv(100) == b""
     one.client.sendall(command("aa02"))
     one.client.close()
-    turn_until(one.at.loop, lambda: not one.side.legs)
+    turn_until(one.at.loop, lambda: not one.side.connections)
     assert one.at.opened == []
     one.close()
 
@@ -74,7 +74,7 @@
     else:
         one.client.sendall(command("aa01"))
         one.side.close()
-    assert not one.side.legs
+    assert not one.side.connections
     assert read_until(one.client, b"\r\n") == b"+PONG\r\n"
     assert one.client.recv(100) == b""  # no reset
     assert one.at.opened == []
@@ -87,8 +87,8 @@
 ) -> None:
     one = Resting(sent)
     one.crosses(monkeypatch, "has_more", b"NG\r\n")
-    one.leg.made -= SPEAK_WITHIN + 1
-    one.leg.stalls = MAX_HALF + 1
+    one.connection.made -= SPEAK_WITHIN + 1
+    one.connection.stalls = MAX_HALF + 1
     one.side._sweep()
     assert read_until(one.client, b"\r\n").startswith(b"-ERR no whole command")
     assert one.client.recv(100) == b""
@@ -124,7 +124,7 @@
     side.open()
     clients = [socket.create_connection(side.address) for _ in range(150)]
     side.stop()
-    assert len(side.legs) == len(clients)
+    assert len(side.connections) == len(clients)
     for client in clients:
         client.close()
     at.close()
@@ -136,7 +136,10 @@
         client = wired.ask("aa01")
         wired.send()
         at_backend = wired.accept(hop)
-        ends: list[Leg | Connection] = [*wired.callers.legs, *wired.hops.hops["s-1"].connections]
+        ends: list[ClientConnection | Connection] = [
+            *wired.callers.connections,
+            *wired.hops.hops["s-1"].connections,
+        ]
         assert len(ends) == 2
         for end in ends:
             assert end.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -98,7 +98,7 @@
 @pytest.mark.parametrize(
     "sent", [b"GET / HTTP/1.1\r\n", b"*99999\r\n", b"*1\r\n$70000\r\n", b"*1\r\n$-3\r\n", b"*x\r\n"]
 )
-def test_lost_framing_ends_the_leg_alone(tmp_path: Path, sent: bytes) -> None:
+def test_lost_framing_ends_the_connection_alone(tmp_path: Path, sent: bytes) -> None:
     with program(tmp_path, config()) as running:
         caller, other = running.call(), running.call()
         caller.sendall(sent)
@@ -109,18 +109,18 @@
         assert running.logged("end caller bad_framing")
 
 
-def test_at_the_cap_idle_legs_make_way_for_new_ones(tmp_path: Path) -> None:
+def test_at_the_cap_idle_connections_make_way_for_new_ones(tmp_path: Path) -> None:
     with program(tmp_path, config(limits={"sockets": 64})) as running:
-        half, legs = running.call(), []
+        half, connections = running.call(), []
         half.sendall(b"*1\r\n$4\r\nPING\r\n")
         assert read_until(half, b"\r\n") == b"+PONG\r\n"
         half.sendall(command("aa01", body=b"b" * 9)[:-20])
         for _ in range(40):
-            legs.append(running.call())
-            legs[-1].sendall(b"*1\r\n$4\r\nPING\r\n")
-            assert read_until(legs[-1], b"\r\n") == b"+PONG\r\n"
-        assert legs[0].recv(10) == b""
-        half.sendall(command("aa01", body=b"b" * 9)[-20:])  # half a command is no idle leg
+            connections.append(running.call())
+            connections[-1].sendall(b"*1\r\n$4\r\nPING\r\n")
+            assert read_until(connections[-1], b"\r\n") == b"+PONG\r\n"
+        assert connections[0].recv(10) == b""
+        half.sendall(command("aa01", body=b"b" * 9)[-20:])  # half a command is no idle connection
         assert read_until(half, b"\r\n").startswith(b"-BUSY")
         running.terminate()
         running.logged("stopped")
@@ -202,7 +202,7 @@
 
 
 @pytest.mark.parametrize("deadline", [0.3, 0.8, 3.0, 5.0])
-def test_after_sigterm_new_legs_are_taken_a_little_longer_and_served(deadline: float) -> None:
+def test_after_sigterm_new_connections_are_taken_a_little_longer_and_served(deadline: float) -> None:
     log: list[str] = []
     loop = Loop(log.append)
     ingress = Ingress(read(with_deadline(config(), deadline), log.append), loop, log.append)
@@ -214,7 +214,7 @@
     with socket.create_connection(ingress.callers.address) as late:
         late.settimeout(LIMIT)
         late.sendall(b"*1\r\n$4\r\nPING\r\n")
-        turn_until(loop, lambda: loop.stopped)  # the leg's end is the last thing that is waited for
+        turn_until(loop, lambda: loop.stopped)  # the connection's end is the last thing that is waited for
         assert read_until(late, b"\r\n") == b"+PONG\r\n"
         assert late.recv(10) == b""
     ingress.close()
@@ -379,14 +379,14 @@
     ingress.start()
     assert len(ingress.next_hops.hops) == len(ingress.driver.module.order) == 5000
     ingress.callers.ready = True
-    with socket.create_connection(ingress.callers.address) as leg:
-        leg.settimeout(LIMIT)
-        leg.sendall(
+    with socket.create_connection(ingress.callers.address) as connection:
+        connection.settimeout(LIMIT)
+        connection.sendall(
             command("00000000000000aa")
         )  # nobody listens there: every branch fails, one answer is given
         turn_until(loop, lambda: any("connect_failed" in line for line in log))
         turn_until(loop, lambda: ingress.tally.counts.get("answer.refused", 0) == 1)
-        assert read_until(leg, b"\r\n").startswith(b"-BUSY")
+        assert read_until(connection, b"\r\n").startswith(b"-BUSY")
     known = ingress.config.known
     assert known is not None
     ingress.next_hops.routes_told(replace(known, routes=()))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -17,7 +17,7 @@
 from standflow.config.reload import missing, shape
 from standflow.exchange import Branch, Outcome, Request, Result, UnacceptableError
 from standflow.net.nexthop import REST
-from tests.test_legs import Recorder
+from tests.test_connections import Recorder
 from tests.test_ops import VALUE, shown, with_ops
 from tests.wire import LIMIT, command, config, listener, member, program, read_until
 from tests.world import ended, request, sends, settings, started
--- a/tests/test_restart_readiness.py
+++ b/tests/test_restart_readiness.py
@@ -64,7 +64,7 @@
             client.sendall(PING)
             turn_until(loop, lambda: ingress.callers.ready)
             assert loop.now() >= before + READY_AT_LATEST  # the list may be stale: discovery comes first
-            turn_until(loop, lambda: any(leg.answered for leg in ingress.callers.legs))
+            turn_until(loop, lambda: any(connection.answered for connection in ingress.callers.connections))
             assert read_until(client, b"\r\n") == b"+PONG\r\n"
         assert not ingress.told
         ingress.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -27,7 +27,7 @@
 from standflow.platform_terms import HOLD_UP_SECONDS
 from standflow.shutdown_schedule import schedule_for
 from tests.test_adapter import ROOT
-from tests.test_legs import Recorder
+from tests.test_connections import Recorder
 from tests.wire import (
     LIMIT,
     Program,
@@ -283,7 +283,7 @@
     at.exchange.refuse(at.opened[0].name, None)
     turn_until(at.loop, lambda: len(at.opened) == 3)
     at.exchange.refuse(at.opened[2].name, None)
-    turn_until(at.loop, lambda: len(side.legs) == 1)
+    turn_until(at.loop, lambda: len(side.connections) == 1)
     assert read_until(clients[2], b"\r\n") == b"-BUSY\r\n"
     turn_until(at.loop, lambda: side.listener is None)
     for client in clients:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -31,7 +31,7 @@
 from standflow.tls.names import name_for
 from standflow.tls.sessions import Sessions
 from standflow.tls.streams import TlsStreams
-from tests.test_legs import STEPS, NextHopModel, Recorder
+from tests.test_connections import STEPS, NextHopModel, Recorder
 from tests.wire import LIMIT, turn_until
 
 NAME = "tt-07.room-b.example.org"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -590,20 +590,22 @@
             sock.close()
 
 
-def test_after_sighup_and_with_legs_that_stay_the_old_one_ends_and_loses_nothing(tmp_path: Path) -> None:
+def test_after_sighup_and_with_connections_that_stay_the_old_one_ends_and_loses_nothing(
+    tmp_path: Path,
+) -> None:
     with upgrading(tmp_path) as (start, door, load, _):
         first = start()
-        legs = [socket.create_connection(door.getsockname(), LIMIT) for _ in range(40)]
-        for leg in legs:
-            leg.settimeout(LIMIT)
-            leg.sendall(PING)
-            assert read_until(leg, b"\r\n") == b"+PONG\r\n"
+        connections = [socket.create_connection(door.getsockname(), LIMIT) for _ in range(40)]
+        for connection in connections:
+            connection.settimeout(LIMIT)
+            connection.sendall(PING)
+            assert read_until(connection, b"\r\n") == b"+PONG\r\n"
         first.process.send_signal(signal.SIGHUP)
         second = start()
         second.process.send_signal(signal.SIGHUP)
         over(first)
-        for leg in legs:
-            assert leg.recv(10) == b""
+        for connection in connections:
+            assert connection.recv(10) == b""
         load.stop()
         assert load.unheard == []
         second.logged("reload: nothing to do")
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -103,7 +103,7 @@
         return match
 
     def call(self) -> socket.socket:
-        """A new caller leg."""
+        """A new client connection."""
         port = int(self.logged(r"ready n0 on 127.0.0.1:(\d+)")[1])
         sock = socket.create_connection(("127.0.0.1", port), LIMIT)
         sock.settimeout(LIMIT)
