--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -14,19 +14,8 @@
 from standflow.net.client_connection import ClientConnection
 from standflow.net.closing import MOST_READS, close_in_order
 from standflow.net.listening import BACKLOG, adopted, listening
-from standflow.net.loop import (
-    IN,
-    LACK_PAUSE,
-    MOMENTARY_LACK,
-    MOST_TRIES,
-    READABLE,
-    TICK,
-    Coroutine,
-    Loop,
-    Task,
-    broken,
-    send_at_once,
-)
+from standflow.net.loop import IN, READABLE, TICK, Coroutine, Loop, Task, broken
+from standflow.net.momentary import LACK_PAUSE, MOMENTARY_LACK, MOST_TRIES, at_start, send_at_once
 
 MAX_BODIES = 16 * 1024 * 1024  # bytes of long bodies, where nothing else is said
 MAX_UNREAD = (
@@ -90,7 +79,7 @@
         self.unread = 0  # bytes written by no connection yet
         self.shared = passed is not None
         self.paused = self.shared
-        self.sock = listening(address) if passed is None else adopted(passed)
+        self.sock = at_start(lambda: listening(address)) if passed is None else adopted(passed)
         self.address: tuple[str, int] = self.sock.getsockname()
         self.making_room = False
         loop.make_room = self._make_room
--- a/standflow/net/listening.py
+++ b/standflow/net/listening.py
@@ -1,4 +1,4 @@
-"""Sockets that clients connect to."""
+"""Sockets that others connect or send to. OSError where the address can't be had."""
 
 from __future__ import annotations
 
@@ -8,12 +8,29 @@
 BACKLOG = 1024  # connections that may wait to be accepted
 
 
-def listening(address: tuple[str, int]) -> socket.socket:
-    """A listener of this process's own."""
+def listening(address: tuple[str, int], backlog: int = BACKLOG) -> socket.socket:
+    """A listener of this process's own; `backlog`: connections that may wait to be accepted."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.listen(BACKLOG)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def datagrams(address: tuple[str, int], shared: bool) -> socket.socket:
+    """A UDP socket; `shared`: another process may hold the address too."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+    try:
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -15,6 +15,15 @@
 from collections.abc import Callable, Generator
 from typing import Any, TypeVar
 
+from standflow.net.momentary import (
+    LACK_PAUSE,
+    MOMENTARY_DIAL,
+    MOMENTARY_LACK,
+    MOST_TRIES,
+    at_start,
+    send_at_once,
+)
+
 IN = select.EPOLLIN | select.EPOLLRDHUP
 LEFT = select.EPOLLRDHUP  # the other end sends nothing more, whatever still lies unread
 READABLE = select.EPOLLIN
@@ -24,12 +33,6 @@
 ASIDE = select.EPOLLONESHOT  # nothing is heard of the descriptor but its first event
 SHORT_ROUND = 0.001
 NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
-# What the system may lack for a moment (accept(2), connect(2), socket(2)): the call is made again.
-MOMENTARY_LACK = frozenset((errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
-# The same for a dial; that there is no route is told at once too.
-MOMENTARY_DIAL = MOMENTARY_LACK | {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENETUNREACH}
-MOST_TRIES = 3  # of a call that fails for a moment
-LACK_PAUSE = 0.02  # seconds between two tries to dial
 RESTART_PAUSE = 0.05  # seconds before a supervised coroutine that a fault has ended is begun anew
 
 Ended = TypeVar("Ended")
@@ -41,16 +44,6 @@
     return f"broken:{errno.errorcode.get(error.errno or 0, 'OS')}"
 
 
-def send_at_once(sock: socket.socket) -> None:
-    """Has small writes leave at once; where the system can't, the connection is of use all the same."""
-    for _ in range(MOST_TRIES):
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            return
-        except OSError:
-            continue
-
-
 class Timer:
     """A call that is due once, unless it is cancelled before."""
 
@@ -79,7 +72,7 @@
     """Runs coroutines and timers until it is stopped; a fault in one of them never ends the others."""
 
     def __init__(self, log: Callable[[str], None]) -> None:
-        self.epoll = select.epoll()
+        self.epoll = at_start(select.epoll)
         self.log = log
         self.tasks: dict[int, Task] = {}
         self.current: Task | None = None
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -16,7 +16,8 @@
 from standflow.net import resp
 from standflow.net.closing import close_in_order
 from standflow.net.flow import Flow, Flows
-from standflow.net.loop import BROKEN, IN, MOMENTARY_LACK, OUT, TICK, Coroutine, Loop, Task, broken
+from standflow.net.loop import BROKEN, IN, OUT, TICK, Coroutine, Loop, Task, broken
+from standflow.net.momentary import MOMENTARY_LACK
 from standflow.net.stream import READ_SIZE, PlainStream, Stream
 from standflow.platform_terms import HOLD_UP_SECONDS
 
--- a/standflow/net/peers.py
+++ b/standflow/net/peers.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 
+from standflow.net.listening import datagrams
 from standflow.net.loop import IN, Coroutine, Loop
+from standflow.net.momentary import at_start
 
 MAX_DATAGRAM = 256
 
@@ -42,10 +43,7 @@
         # Where a view of the fleet is kept: true for a datagram of its own; and who was heard on the ring.
         self.of_view: Callable[[bytes, Address], bool] | None = None
         self.heard: Callable[[int], None] = lambda number: None
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
-        if shared:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(listen)
+        self.sock = at_start(lambda: datagrams(listen, shared))
         self.address: Address = self.sock.getsockname()
         loop.spawn(self.sock.fileno(), loop.supervised(self._receive))
 
--- a/standflow/ops/server.py
+++ b/standflow/ops/server.py
@@ -14,11 +14,14 @@
 
 import h11
 
+from standflow.net.listening import listening
 from standflow.net.loop import IN, OUT, TICK, Coroutine, Loop, Task, broken
+from standflow.net.momentary import at_start
 from standflow.ops.calls import Answer
 
 MOST_CALLS = 32  # connections at once
 DESCRIPTORS = MOST_CALLS + 2  # with the listener, and one that is accepted before another ends
+BACKLOG = 64  # connections that may wait to be accepted
 MOST_ACCEPTED = 16  # in a round
 ACCEPT_PAUSE = 0.1  # seconds without accepting when no descriptor is left
 PATIENCE = 5.0  # seconds in which a call has come whole
@@ -42,14 +45,7 @@
         self.loop, self.log, self.answer = loop, log, answer
         self.accepting = True
         self.calls: OrderedDict[Task, None] = OrderedDict()  # the oldest first
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            self.sock.bind(address)
-            self.sock.listen(64)
-        except OSError:
-            self.sock.close()
-            raise
+        self.sock = at_start(lambda: listening(address, BACKLOG))
         self.address: tuple[str, int] = self.sock.getsockname()
         loop.first.add(self.sock.fileno())
         self.listener = loop.spawn(self.sock.fileno(), self._listen())
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -20,6 +20,7 @@
 from lab.faulty_calls import SHORT, VARIABLE
 from standflow.exchange import RouteSet
 from standflow.net import loop as loop_module
+from standflow.net import momentary
 from standflow.net.caller import CallerSide
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.peers import Peers
@@ -282,3 +283,33 @@
         watch.close()
     routes.close()
     loop.epoll.close()
+
+
+@pytest.mark.parametrize("call", ["listen", "bind", "setsockopt"])
+def test_a_start_waits_for_what_the_system_lacks_for_a_moment(
+    call: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It ended with status 2, as if the configuration were at fault."""
+    real, faults = getattr(socket.socket, call), [errno.ENOBUFS] * 3
+
+    def failing(sock: socket.socket, *arguments: Any) -> Any:
+        if faults:
+            raise OSError(faults.pop(), "lacks")
+        return real(sock, *arguments)
+
+    monkeypatch.setattr(socket.socket, call, failing)
+    at = Recorder()
+    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    assert faults == []
+    side.stop()
+    at.close()
+
+
+def test_a_start_does_not_wait_where_the_address_is_another_s() -> None:
+    at = Recorder()
+    with listener() as other:
+        began = time.monotonic()
+        with pytest.raises(OSError, match="in use"):
+            CallerSide(at.loop, at.log.append, at.exchange, other.getsockname(), 10)
+        assert time.monotonic() - began < momentary.START_PATIENCE / 2
+    at.close()
