--- a/standflow/net/caller.py
+++ b/standflow/net/caller.py
@@ -18,9 +18,7 @@
 from standflow.net.momentary import LACK_PAUSE, MOMENTARY_LACK, MOST_TRIES, at_start, send_at_once
 
 MAX_BODIES = 16 * 1024 * 1024  # bytes of long bodies, where nothing else is said
-MAX_UNREAD = (
-    32 * 1024 * 1024
-)  # bytes that all connections together may leave unread, where nothing else is said
+MAX_UNREAD = 32 * 1024 * 1024  # bytes that clients together may leave unread, where nothing else is said
 SWEEP_EVERY = 0.25
 MAX_STALLS = 80  # sweeps in a row without a byte taken after which a slow reader is given up
 BODY_STALL = 1.5  # seconds without a byte after which a body counts as stuck
@@ -28,10 +26,8 @@
 SPEAK_WITHIN = 2.3  # seconds in which a new connection has its first command whole; a sweep more, and it ends
 JUST_ACCEPTED = 0.05  # seconds in which a new connection isn't asked to make way: its command is under way
 SETTLE = 0.25  # seconds in which one with half a command isn't
-JUST_COME = (
-    1.0  # seconds in which a connection that has asked nothing is left to ask: its command is under way
-)
-PRESS = 1.5  # seconds of a drain after which no connection takes another command: what it has open may finish
+JUST_COME = 1.0  # seconds in which a connection that has asked nothing is left to ask
+PRESS = 1.5  # seconds of an evacuation after which no connection is served another command
 ACCEPTED_IN_ONE_GO = 64
 # What accept(2) tells of the connection that was to be accepted: the next one is another matter.
 GONE_BEFORE = frozenset(
@@ -72,9 +68,8 @@
         self.evacuated_at = 0.0
         self.drains = 0
         self.connections: set[ClientConnection] = set()
-        self.idle: OrderedDict[ClientConnection, None] = (
-            OrderedDict()
-        )  # connections with nothing open, the longest idle first
+        # Those with nothing open, the longest idle first.
+        self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
         self.waiting_since: float | None = None  # since when callers may have waited to be accepted
         self.unread = 0  # bytes written by no connection yet
         self.shared = passed is not None
@@ -115,10 +110,8 @@
                     return False
                 lacks += error.errno in MOMENTARY_LACK
                 continue
-            if (
-                len(self.connections) >= self.max_clients
-            ):  # only now: nobody makes way for a caller that isn't there
-                self._make_room()
+            if len(self.connections) >= self.max_clients:
+                self._make_room()  # only now: nobody makes way for a client that isn't there
             self._welcome(sock)
         return True
 
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -193,9 +193,8 @@
                     self.side.exchange.tally("refused.leaving")
                     slot.answer = encode_final(Refused(self.side.exchange.come_back))
                 elif self.left:
-                    self.side.exchange.tally(
-                        "left.unread"
-                    )  # never opened: the end of the connection comes next
+                    # Never opened: the end of the connection comes next.
+                    self.side.exchange.tally("left.unread")
                 else:
                     self._open(slot, command, room)
                     room = 0  # the exchange gives it back
