--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -345,6 +345,17 @@
         wired.at.close()
 
 
+def test_the_grace_counts_from_when_the_change_can_have_come() -> None:
+    """A loop that was late has read it after that."""
+    grace, late = 0.5, 0.1
+    with listener() as hop:
+        wired = Wired(hop.getsockname(), grace=grace)
+        wired.at.loop.heard = wired.at.loop.now() - late
+        wired.tell(Phase.DRAINING)
+        assert wired.hops.hops["s-1"].shut_at == wired.at.loop.heard + grace - HOLD_UP_SECONDS
+        wired.at.close()
+
+
 def test_nothing_begins_after_the_branch_s_time_though_the_loop_itself_is_late() -> None:
     with listener() as hop:
         wired = Wired(hop.getsockname())
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -18,14 +18,18 @@
 from lab.box import Box
 from lab.callers import kind_of, read
 from lab.faulty_calls import SHORT, VARIABLE
-from standflow.exchange import RouteSet
+from standflow.counter.client import Client, Counted, How
+from standflow.exchange import Outcome, RouteSet
 from standflow.net import loop as loop_module
 from standflow.net import momentary
 from standflow.net.caller import CallerSide
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.peers import Peers
 from standflow.net.routes import Routes
+from standflow.ops.calls import Answer
+from standflow.ops.server import Server
 from tests.test_connections import Recorder
+from tests.test_endings import Wired
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -249,9 +253,6 @@
 def test_a_dial_that_has_no_address_of_its_own_is_no_fault_of_the_backend(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    from standflow.exchange import Outcome
-    from tests.test_endings import Wired
-
     connect: Callable[..., int] = lambda sock, address: errno.EADDRNOTAVAIL  # noqa: E731
     with listener() as hop:
         wired = Wired(hop.getsockname())
@@ -313,3 +314,70 @@
             CallerSide(at.loop, at.log.append, at.exchange, other.getsockname(), 10)
         assert time.monotonic() - began < momentary.START_PATIENCE / 2
     at.close()
+
+
+def test_a_dial_that_cannot_be_waited_on_leaves_nothing_behind_and_is_not_the_backend_s() -> None:
+    with listener() as hop:
+        wired = Wired(hop.getsockname())
+        client = wired.ask("aa01")
+        wired.at.loop.epoll = Failing(wired.at.loop.epoll, 3)  # type: ignore[assignment]
+        wired.send()
+        turn_until(wired.at.loop, lambda: wired.at.ended)
+        assert [outcome for _, outcome in wired.at.ended] == [Outcome.MOOT]
+        assert wired.hops.connections == 0
+        assert not wired.hops.hops["s-1"].connections
+        wired.send()  # and the next one goes well
+        wired.accept(hop).close()
+        client.close()
+        wired.at.close()
+
+
+def test_a_watch_that_cannot_be_waited_on_is_opened_again() -> None:
+    log: list[str] = []
+    loop = Loop(log.append)
+    loop.epoll = Failing(loop.epoll, 3)  # type: ignore[assignment]
+    with listener() as agent:
+        routes = Routes(loop, log.append, agent.getsockname(), (), 3, lambda told: None, Random(1))
+        routes.connect()
+        assert routes.task is None
+        turn_until(loop, lambda: select.select([agent], [], [], 0)[0])
+        agent.accept()[0].close()
+    routes.close()
+    loop.epoll.close()
+
+
+def test_a_call_of_the_counter_that_cannot_be_waited_on_has_added_nothing() -> None:
+    log: list[str] = []
+    loop, ends = Loop(log.append), list[Counted]()
+    loop.epoll = Failing(loop.epoll, 3)  # type: ignore[assignment]
+    with listener() as counter:
+        client = Client(loop, log.append, counter.getsockname())
+        client.add("a", 1.0, 1.0, ends.append)
+        turn_until(loop, lambda: ends)
+        assert [end.how for end in ends] == [How.NOTHING]
+        assert client.connections == []
+        client.add("a", 1.0, 1.0, ends.append)
+        turn_until(loop, lambda: select.select([counter], [], [], 0)[0])
+    client.close()
+    loop.epoll.close()
+
+
+def test_the_operators_listener_outlives_a_fault_of_its_coroutine(monkeypatch: pytest.MonkeyPatch) -> None:
+    log: list[str] = []
+    loop = Loop(log.append)
+    server = Server(loop, log.append, ("127.0.0.1", 0), lambda method, target: Answer(200, "yes"))
+    accept, faults = server._accept, [ZeroDivisionError()]
+
+    def failing() -> bool:
+        if faults:
+            raise faults.pop()
+        return accept()
+
+    monkeypatch.setattr(server, "_accept", failing)
+    with socket.create_connection(server.address) as operator:
+        operator.sendall(b"GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        turn_until(loop, lambda: select.select([operator], [], [], 0)[0])
+        assert operator.recv(4096).startswith(b"HTTP/1.1 200")
+    assert "fault of a coroutine, begun anew" in log[0]
+    server.close()
+    loop.epoll.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -25,6 +25,7 @@
 from standflow.exchange import Refused, Request
 from standflow.net.caller import CallerSide
 from standflow.platform_terms import HOLD_UP_SECONDS
+from standflow.shutdown import close_all
 from standflow.shutdown_schedule import schedule_for
 from tests.test_adapter import ROOT
 from tests.test_connections import Recorder
@@ -330,3 +331,15 @@
         assert "drain: no more is served, connections=1 open=1" in running.log
         assert re.search(r"answered at the end: 00000000000000aa class=change attempts=s-\d:out", running.log)
         assert re.search(r"tally .*abandoned.ending=1", running.log)
+
+
+def test_a_part_that_fails_as_it_is_closed_leaves_no_other_open() -> None:
+    closed: list[str] = []
+    log: list[str] = []
+
+    def fails() -> None:
+        raise OSError("no")
+
+    close_all([lambda: closed.append("a"), fails, lambda: closed.append("b")], log.append)
+    assert closed == ["a", "b"]
+    assert "fault at the end" in log[0]
