A member of the smaller side of a cut stays there until all deaths behind it are known

With the first member held for dead those that were merely not heard counted as present again, so 4 of 5 were a majority until the third death was known. Ruled out by a log of each admission: members of one side that take the same headroom, a cut learnt late.

Change: hoistfold/partition.py. Who is missing and who is not heard count as unreached alike, one quorum over the fleet decides from the first silence on (before: the set's majority until the first death, the fleet's after it), and a silent member is taken for present on the membership's word only while nobody is missing. It holds, as has_quorum is now the same before, between and after the deaths: no moment is left at which the count of the smaller side can grow without hearing anybody.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -13,6 +13,7 @@
 from hoistfold.coordinators import Coordination
 from hoistfold.counted import Stores
 from hoistfold.overload import ClassPriority
+from hoistfold.partition import partition_of
 from hoistfold.state import (
     FORGOTTEN,
     ONCE,
@@ -37,8 +38,6 @@
 ALLOWANCE = 0.1  # of an even share, while no total is known; where none can be, all keep to whole ones
 WITNESSED_FOR = 1.5  # seconds for which a total from the second witness stands for one from the ring
 MOST = 250  # customers at most that an epoch looks after, the fullest
-CUT_OFF = 0.1  # of even shares, for the side of a cut that may not take over
-QUIET = 6.0  # seconds without a word after which the view is believed that a gateway is there all the same
 ASKING = 0.8  # seconds at least in which one that has come may still be told what others have used
 IDLE_FOR = 30.0  # seconds after which an unused entry is forgotten
 
@@ -391,6 +390,7 @@
         if self.fleet is None:
             self.asks_until = self.now + max(ASKING, 4 * self.epoch)
         self.fleet, self.fleet_at, self.among = event, self.now, event.among
+        self._note_partition()
         self._extend()
         for quota in self.quotas.values() if event.returned else ():
             following = (n for n in self.members(quota, quota.place)[1:] if n in event.present)
@@ -398,22 +398,18 @@
                 for place in quota.counts:
                     self._news(quota, place, TWICE)
 
-    def _part(self, quota: Quota, fleet: i.FleetSeen) -> float:
-        """Unreachable is not dead: the larger side takes over, and the smaller one nearly stops."""
-        ring = self.members(quota, 0)
-        lost = [n for n in ring if n in fleet.missing]
-        here = [n for n in ring if n in fleet.present and n != self.settings.number]
-        silent = lost or [n for n in here if n in self.quiet]
-        ours, both = 1 + len(here) - len(silent) * (not lost), 1 + len(here) + len(lost)
-        tie = 2 * ours == both and min(silent) > min({*here, self.settings.number} - {*silent})
-        takes_over = fleet.major if lost else 2 * ours > both or tie
-        return 1.0 if takes_over or not silent else CUT_OFF * ours / both
+    def _note_partition(self) -> None:
+        """Who is not reached, by the membership and by who was heard on the ring, where it tells of all."""
+        if self.fleet is not None:
+            numbers = self.peers if self.settings.may_tell_peers and not self.long_ring else ()
+            silences = {n: self.now - max(self.peers[n].heard, self.started_at) for n in numbers}
+            self.partition = partition_of(self.fleet, silences, self.epoch)
 
     def _share(self, quota: Quota) -> None:
         """A smaller part holds at once, a larger one when totals have gone round."""
-        if self.fleet is None or quota.part == 1 and not self.fleet.missing and not self.quiet:
+        if self.fleet is None or quota.part == 1 and not self.partition.unreached:
             return
-        part = self._part(quota, self.fleet)
+        part = self.partition.part_of_quota(self.members(quota, 0))
         if part <= quota.part:
             quota.part, quota.parted = part, self.now
         elif self.now - max(quota.parted, self.fleet_at) > 4 * self.epoch:
@@ -424,9 +420,7 @@
         self.actions.append(i.SetTimer(self.epoch, 0))
         self._forget(IDLE_FOR)
         self.stores.again(self.now)
-        if self.fleet is not None and not self.long_ring:
-            silences = {n: self.now - self.peers[n].heard for n in self.fleet.present if n in self.peers}
-            self.quiet = {n for n, silence in silences.items() if 4 * self.epoch <= silence < QUIET}
+        self._note_partition()
         if self.settings.witness:
             self._note()
         due = dict.fromkeys(() if self.long_ring or not self.settings.may_tell_peers else self.peers, b"")
--- /dev/null
+++ b/hoistfold/partition.py
@@ -0,0 +1,63 @@
+"""Which side of a network partition this gateway is on, and what part of a quota that side may use.
+
+The membership learns of the members behind a cut one after another, over seconds, while the ring tells within
+some epochs who is not heard any more. So a member counts as unreached from its silence on, whether
+it is held for dead yet or not: were those that are only silent counted as present until they are dead, the
+first death would turn the smaller side into a majority until the last one. No I/O; time is an argument.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence, Set
+from dataclasses import dataclass
+
+from hoistfold.interface import FleetSeen
+
+MINORITY_PART = 0.1  # of its even shares, for the side of a cut that may not take over
+SILENT_EPOCHS = 4  # without a message after which a member counts as not heard
+BELIEVED_SECONDS = (
+    6.0  # of silence after which the membership is believed that a member is there all the same
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Partition:
+    """The members that are not reached, and whether this side goes on with the whole quota."""
+
+    unreached: frozenset[int] = frozenset()
+    has_quorum: bool = True
+
+    def part_of_quota(self, ring: Sequence[int]) -> float:
+        """The part of the quota of a tenant whose requests come in by these members, 0 to 1."""
+        unreached = sum(number in self.unreached for number in ring)
+        if self.has_quorum or not unreached:
+            return 1.0
+        return MINORITY_PART * (len(ring) - unreached) / len(ring)
+
+
+def partition_of(fleet: FleetSeen, silences: Mapping[int, float], epoch_seconds: float) -> Partition:
+    """What follows from the membership and from the seconds for which each other member was not heard."""
+    unreached = fleet.missing | _silent(fleet, silences, epoch_seconds)
+    reached = fleet.present - unreached
+    # a member that nobody hears is told that it has no quorum, whatever it hears itself
+    return Partition(unreached, fleet.major and _is_majority(reached, unreached))
+
+
+def _silent(fleet: FleetSeen, silences: Mapping[int, float], epoch_seconds: float) -> frozenset[int]:
+    """Those held for present and not heard.
+
+    One whose messages alone do not come is vouched for by others, and counts as present in the end; but while
+    anybody is missing the deaths behind a cut may still be on their way, which takes longer in larger fleets.
+    """
+    least = SILENT_EPOCHS * epoch_seconds
+    return frozenset(
+        number
+        for number, silence in silences.items()
+        if number in fleet.present and silence >= least and (fleet.missing or silence < BELIEVED_SECONDS)
+    )
+
+
+def _is_majority(reached: Set[int], unreached: Set[int]) -> bool:
+    """More than half of all, or just half with the lowest number: two sides can't both be."""
+    ours, theirs = len(reached), len(unreached)
+    return ours > theirs or (0 < ours == theirs and min(reached) < min(unreached))
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -9,6 +9,7 @@
 
 from hoistfold import interface as i
 from hoistfold.ceiling import ceiling_parts
+from hoistfold.partition import Partition
 from hoistfold.tries import UsualTime
 
 SCALE = 4  # fractions of a unit that counts are of
@@ -216,7 +217,7 @@
         # the counter keeps the totals where no peer may be told
         self.counting = settings.may_count and not settings.may_tell_peers and not settings.witness
         self.fleet: i.FleetSeen | None = None  # where a view is kept
-        self.quiet: set[int] = set()  # gateways that are there, as far as is known, and not heard of
+        self.partition = Partition()  # by the membership, and by who is heard
         self.fleet_at = -math.inf  # when it was told last
         self.asks_until = -math.inf  # until then the others' use is not known
         self.among = frozenset(range(settings.gateways))  # by whom cold backends are divided
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -9,7 +9,8 @@
 
 from hoistfold import handover
 from hoistfold import interface as i
-from hoistfold.brain import CUT_OFF, Gateway
+from hoistfold.brain import Gateway
+from hoistfold.partition import MINORITY_PART
 from lab.fleet.simulated import Members
 from lab.quotas import Try, Verdict, judge
 from standflow.config.model import Address
@@ -168,7 +169,7 @@
     ring.play(6.0, {"calm": 0.3}, (1, 1, 1, 0, 0))
     ring.tries.clear()
     ring.play(30.0, {f"late{n}": 3.0 for n in range(4)}, (0, 0, 0, 1, 1))
-    part = CUT_OFF * 2 / 5
+    part = MINORITY_PART * 2 / 5
     most = part * (BURST + 10.0 * RATE) + 2  # and a request each, as one must fit
     assert 0 < ring.verdict().use * (BURST + 10.0 * RATE) <= most
 
@@ -194,7 +195,7 @@
     ring = Ring(seed=seed, size=size)
     ring._pass(ring.now + 4.0)
     ring.cut(*cut_off)
-    ring._pass(ring.now + 0.5)  # four epochs: those of the other side are not heard any more
+    ring._pass(ring.now + 6 * ring.live[0].epoch)  # those of the other side are not heard any more
     missing: set[int] = set()
     while ring.now < 1e6 + 20.0:
         ring._pass(ring.now + 0.1)
@@ -205,7 +206,8 @@
     assert missing & set(range(1, size - len(cut_off)))  # not all deaths were known at one moment
     assert size - len(cut_off) in missing
     allowance = BURST + 10.0 * RATE
-    most = CUT_OFF * len(cut_off) / size * allowance + len(cut_off)  # and a request each, as one must fit
+    most = MINORITY_PART * len(cut_off) / size * allowance
+    most += len(cut_off)  # a request each, as one must fit
     assert 0 < ring.verdict().use * allowance <= most
 
 
