The store keeps members behind a cut for the next start, dead or not

After a loss of power in a cut that had lasted some 5 s the smaller side served with the whole quota for as long as the cut went on: 29 and 30 units in 10 s, of an allowance of 30, beside the larger side's.

Those behind the cut were dead by then, so nobody was missing after the start, and two of five were a fleet of two.

Change: members that count in the fleet are kept, alive or dead, until a quorum removes them or they leave. It holds, as what the quorum is reckoned from is now the same set before and after the restart. The price: a member that crashed some 10 s before a loss of power counts as missing for 10 s after it, as any other does.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -242,7 +242,7 @@
             routes=lambda: [write_route(route) for route in self._as_told()],
             words=words,
             emptied=lambda: (callers.evacuated, callers.evacuated_at),
-            members=lambda: None if self.member is None else self.member.alive_members(),
+            members=lambda: None if self.member is None else self.member.counted_members(),
         )
         store = Store(config.store.folder, whose, config.store.most)
         return Keeper(self.loop, self.log, store, config.store.every, parts)
--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -89,17 +89,16 @@
         """A datagram of the ring came from there."""
         self.membership.ring(self.loop.now(), member_id)
 
-    def alive_members(self) -> dict[str, list[Any]] | None:
-        """The others that are there, for the next start: by member id, their boot times and addresses.
+    def counted_members(self) -> dict[str, list[Any]] | None:
+        """The others that count in the fleet, for the next start: by member id, boot times and addresses.
 
         None while who is there is not known yet.
         """
         if self.reported is None:
             return None
-        table = self.membership.table
-        others = (table.updates[member_id] for member_id in table.alive - {table.own_id})
         return {
-            str(update.member_id): [update.boot_time_ms, *(update.address or ("", 0))] for update in others
+            str(update.member_id): [update.boot_time_ms, *(update.address or ("", 0))]
+            for update in self.membership.counted_updates()
         }
 
     def remember(self, members: dict[str, list[Any]]) -> None:
--- a/standflow/fleet/membership.py
+++ b/standflow/fleet/membership.py
@@ -96,6 +96,15 @@
         """Dead, and not for so long that they count no more."""
         return set(self.table.dead)
 
+    def counted_updates(self) -> list[Update]:
+        """The updates on the others that count in the fleet: alive, or dead and not removed yet.
+
+        Those behind a cut are dead to this member. One that restarts has to know of them: were they left out,
+        the smaller side would come back from a loss of power as a whole fleet of its own.
+        """
+        counted = (self.table.alive | self.table.dead) - {self.table.own_id}
+        return [self.table.updates[member_id] for member_id in sorted(counted)]
+
     @property
     def joined(self) -> bool:
         """Another member is or was there."""
@@ -143,7 +152,7 @@
     # Events.
 
     def remember(self, members: dict[int, tuple[int, Address | None]]) -> None:
-        """Whom this member held for alive before its restart, with their boot times and addresses.
+        """Who counted in the fleet before this member's restart, with their boot times and addresses.
 
         They are asked, and missing until heard. An update on them is older than any of their own.
         """
--- a/tests/test_fleet_member.py
+++ b/tests/test_fleet_member.py
@@ -100,6 +100,23 @@
     assert all(member.figures().present == 2 for member in two.members)
 
 
+def test_who_is_held_for_dead_is_kept_for_the_next_start_and_who_has_left_is_not() -> None:
+    two = Two()
+    two.loop.run(2.0)
+    known = two.members[1].counted_members()
+    assert known is not None
+    assert set(known) == {"0"}
+    two.is_cut = True
+    two.loop.run(8.0)
+    assert two.members[1].figures().present == 1
+    assert two.members[1].counted_members() == known
+    two.is_cut = False
+    two.loop.run(3.0)
+    two.members[0].leave()
+    two.loop.run(1.0)
+    assert two.members[1].counted_members() == {}
+
+
 def test_an_orderly_end_is_logged_as_such() -> None:
     two = Two()
     two.loop.run(2.0)
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -96,8 +96,7 @@
             use = [Record("use", row[0], row[1:], "boot", self.now) for row in rows]
             membership = self.members.live[number]
             lives: dict[int, tuple[int, Address | None]] = {
-                place: (membership.table.updates[place].boot_time_ms, None)
-                for place in membership.alive_ids() - {number}
+                update.member_id: (update.boot_time_ms, None) for update in membership.counted_updates()
             }
             kept[number] = use, lives
         self.kill(*list(self.live))
