After a restart the wait for totals runs beside that for the membership

Cause: brain.py, _fleet_seen counted the second wait from the first FleetSeen, though the others had been heard, and told what they use, all the while. It counts from the first member that was heard now.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -399,8 +399,8 @@
 
     def _fleet_seen(self, event: i.FleetSeen) -> None:
         """Who has come or come back is told the windows again, by whoever is before it in a ring."""
-        if self.fleet is None:
-            self.asks_until = self.now + max(ASKING, 4 * self.epoch)
+        if self.fleet is None:  # since it hears the others they may tell it what they have used
+            self.asks_until = min(self.now, self.first_heard) + max(ASKING, 4 * self.epoch)
         self.fleet, self.fleet_at, self.among = event, self.now, event.among
         self._note_partition()
         self._extend()
@@ -482,6 +482,7 @@
         entries = opened(event.content)
         if entries is not None and event.sender in self.peers:
             self.peers[event.sender].heard = self.now
+            self.first_heard = min(self.first_heard, self.now)
             for entry in entries:
                 self._entry_told(event.sender, entry)
 
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -217,6 +217,7 @@
         # the counter keeps the totals where no peer may be told
         self.counting = settings.may_count and not settings.may_tell_peers and not settings.witness
         self.fleet: i.FleetSeen | None = None  # where a view is kept
+        self.first_heard = math.inf  # when any other gateway was
         self.took_over = False  # from another process of this gateway, with all that it knew
         self.partition = Partition()  # by the membership, and by who is heard
         self.fleet_at = -math.inf  # when it was told last
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -202,6 +202,20 @@
         assert ran == (8 if took_over else 1)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_the_larger_side_serves_again_when_the_membership_has_spoken_and_totals_had_their_time(
+    seed: int,
+) -> None:
+    """Both times run from the first member that is heard, not one after the other."""
+    ring = Ring(seed=seed, max_units=1.0)
+    ring.play(8.0, HARD)
+    ring.cut(3, 4)
+    ring._pass(ring.now + 0.5)
+    ring.lose_all(6.0)
+    ring._pass(ring.now + 1.3)
+    assert sum(ring.ask(0, f"a{n}", customer="one", ring_size=SIZE) for n in range(8)) == 8
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_the_store_knows_of_members_behind_a_cut_also_once_they_are_held_for_dead(seed: int) -> None:
     """The smaller side came back from a loss of all as a whole fleet of its own, until the cut was healed.
