--- a/lab/box.py
+++ b/lab/box.py
@@ -57,6 +57,16 @@
     cpu: float
 
 
+@dataclass
+class Arrival:
+    """A request that has come whole, at `at` seconds of the monotonic clock; `left`: seconds, as it says."""
+
+    at: float
+    ident: str
+    safe: bool
+    left: float
+
+
 @dataclass
 class Counts:
     """What a box has seen."""
@@ -69,6 +79,7 @@
     runs: Counter[str] = field(default_factory=Counter)
     changes: Counter[str] = field(default_factory=Counter)  # of them, what must never run twice
     events: list[Event] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
 
 
 class Box:
@@ -238,8 +249,9 @@
     def _answer(self, parts: list[bytes]) -> bytes:
         if parts[0] == b"PING":
             return b"+PONG\r\n"
-        ident = parts[2].decode()
+        ident, now = parts[2].decode(), time.monotonic()
         with self.lock:
+            self.counts.arrivals.append(Arrival(now, ident, parts[0] == b"Q.ASK", _time_left(parts[3])))
             self.counts.runs[ident] += 1
             self.arrived.add(ident)
             if parts[0] == b"Q.DO":
@@ -252,6 +264,12 @@
         return b"*3\r\n$%d\r\n%b\r\n" % (len(value), value) + NOTHING + NOTHING
 
 
+def _time_left(options: bytes) -> float:
+    """Seconds that a request says its ingress will wait; 0 where it says nothing."""
+    said = dict(option.partition(b"=")[::2] for option in options.split(b","))
+    return int(said.get(b"d", b"0")) / 1000
+
+
 def command(data: bytes) -> tuple[list[bytes], int] | None:
     """The first command in some bytes and its size, or None while it is not whole."""
     lines = data.split(b"\r\n", 1)
--- a/lab/fleet/site.py
+++ b/lab/fleet/site.py
@@ -35,14 +35,15 @@
 ops       127.0.0.1:0
 number    {number}
 ingresses {ingresses}
+sockets   {sockets}
 class look {{
-    aim       1s
-    deadline  3s
+    aim       {look_aim}
+    deadline  {look_deadline}
 }}
 class change {{
     effect    unsafe
-    aim       1s
-    deadline  3s
+    aim       {change_aim}
+    deadline  {change_deadline}
 }}
 plan plain {{
     rate   {rate}
@@ -56,6 +57,7 @@
 {fleet}
 {store}
 """
+AIM = 1 / 3  # of the deadline
 NETWORK = ("loss", "again", "noise", "delay")
 CHANGE = re.compile(r"^(\d+\.\d+) fleet: place (\d+): .+? -> (\w+)")
 
@@ -73,6 +75,22 @@
     took: float
 
 
+@dataclass(slots=True, frozen=True)
+class Deployment:
+    """What the file of all ingresses says of requests; deadlines in seconds."""
+
+    look_deadline: float = DEADLINE
+    change_deadline: float = DEADLINE
+    rate: float = RATE
+    burst: float = BURST
+    sockets: int = 1024
+
+    @property
+    def longest_deadline(self) -> float:
+        """Seconds: what a shutdown goes by."""
+        return max(self.look_deadline, self.change_deadline)
+
+
 class Site:
     """Starts the fleet; all of it ends with the site. Times are seconds since `begin`."""
 
@@ -84,15 +102,19 @@
         seed: int = 0,
         store: bool = False,
         streams: bool = False,
+        deployment: Deployment | None = None,
+        work: float = WORK,
+        cores: float = 1.0,
     ) -> None:
         """`store`: each ingress has a disk that outlives it. `streams`: it finds boxes by discovery, and both
-        by way of a relay; boxes have one core each then.
+        by way of a relay; boxes have so many cores each then, and a request takes `work` seconds of one.
         """
+        self.deployment = deployment or Deployment()
         self.size, self.view, self.seed, self.store = size, view, seed, store
         self.stack = ExitStack()
         self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
         self.network = self.stack.enter_context(Datagrams(size, seed=seed))
-        work, cores = (WORK, 1.0) if streams else (0.0, 0.0)
+        work, cores = (work, cores) if streams else (0.0, 0.0)
         self.boxes = [self.stack.enter_context(Box(work=work, cores=cores)) for _ in range(boxes)]
         self.streams: Streams | None = None
         # one for each ingress, as each sees the boxes at the relay's addresses for it
@@ -131,31 +153,17 @@
 
     # What a schedule does.
 
-    def start(self, *members: int) -> None:
-        """Ingresses by their numbers, all at once, with nothing kept of an earlier life but for the store."""
+    def start(
+        self, *members: int, module: str = "standflow", environment: dict[str, str] | None = None
+    ) -> None:
+        """Ingresses by their numbers, all at once, with nothing kept of an earlier life but for the store.
+
+        `module` is what starts them, with this `environment` beside their own.
+        """
         for member in members:
-            lines = ["peer-listen {}:{}".format(*self.network.real[member])]
-            lines += ["peer {}:{}".format(*address) for address in self.network.seen_by(member)]
-            hops = [
-                "next-hop s-{} {{\n    address {}:{}\n}}".format(n, *box.address)
-                for n, box in enumerate(self.boxes)
-            ]
-            if self.streams is not None:
-                hops = ["discovery {}:{}".format(*self.streams.seen_by(member)[len(self.boxes) + member])]
+            self.configure(member, self.deployment)
             path = self.folder / f"{member}.conf"
-            path.write_text(
-                FILE.format(
-                    number=member,
-                    ingresses=self.size,
-                    rate=RATE,
-                    burst=BURST,
-                    peers="\n".join(lines),
-                    boxes="\n".join(hops),
-                    fleet="fleet {\n    name lab\n}" if self.view else "",
-                    store=f"store {{\n    folder {self.disk(member)}\n}}" if self.store else "",
-                )
-            )
-            self.live[member] = ingress = Ingress(path)
+            self.live[member] = ingress = Ingress(path, environment=environment, module=module)
             self.stack.callback(ingress.end)
             self.lives.append((member, self.now(), ingress))
         for member in members:
@@ -163,6 +171,35 @@
             self.down_since.pop(member, None)
             self.killed.discard(member)
 
+    def configure(self, member: int, deployment: Deployment, watched: int | None = None) -> None:
+        """Writes an ingress's file; `watched`: by whose list it finds boxes, by default its own."""
+        lines = ["peer-listen {}:{}".format(*self.network.real[member])]
+        lines += ["peer {}:{}".format(*address) for address in self.network.seen_by(member)]
+        hops = [
+            "next-hop s-{} {{\n    address {}:{}\n}}".format(n, *box.address)
+            for n, box in enumerate(self.boxes)
+        ]
+        if self.streams is not None:
+            watched = member if watched is None else watched
+            hops = ["discovery {}:{}".format(*self.streams.seen_by(member)[len(self.boxes) + watched])]
+        (self.folder / f"{member}.conf").write_text(
+            FILE.format(
+                number=member,
+                ingresses=self.size,
+                rate=deployment.rate,
+                burst=deployment.burst,
+                sockets=deployment.sockets,
+                look_aim=_milliseconds(AIM * deployment.look_deadline),
+                look_deadline=_milliseconds(deployment.look_deadline),
+                change_aim=_milliseconds(AIM * deployment.change_deadline),
+                change_deadline=_milliseconds(deployment.change_deadline),
+                peers="\n".join(lines),
+                boxes="\n".join(hops),
+                fleet="fleet {\n    name lab\n}" if self.view else "",
+                store=f"store {{\n    folder {self.disk(member)}\n}}" if self.store else "",
+            )
+        )
+
     def disk(self, member: int) -> Path:
         """Where an ingress's store lies."""
         return self.folder / f"disk-{member}"
@@ -352,6 +389,10 @@
         return time.monotonic() - began
 
 
+def _milliseconds(seconds: float) -> str:
+    return f"{seconds * 1000:.0f}ms"
+
+
 def _arrivals(chance: random.Random, span: float, rate: float) -> list[float]:
     at, times = 0.0, []
     while (at := at + chance.expovariate(rate)) < span:
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -22,12 +22,16 @@
     """One ingress by an operator's file, or by what `environment` says; its log is gathered as it comes."""
 
     def __init__(
-        self, path: Path | None, passed: tuple[int, ...] = (), environment: dict[str, str] | None = None
+        self,
+        path: Path | None,
+        passed: tuple[int, ...] = (),
+        environment: dict[str, str] | None = None,
+        module: str = "standflow",
     ) -> None:
-        """`passed`: descriptors that it inherits."""
+        """`passed`: descriptors that it inherits; `module`: what starts it."""
         given = {} if path is None else {"STANDFLOW_CONF": str(path)}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "standflow"],
+            [sys.executable, "-m", module],
             cwd=ROOT,
             env={**os.environ, **given, **(environment or {})},
             stderr=subprocess.PIPE,
--- a/lab/shutdown.py
+++ b/lab/shutdown.py
@@ -13,7 +13,7 @@
 import socket
 import subprocess
 import time
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -41,6 +41,16 @@
         return 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class Send:
+    """A request to be sent, `at` seconds from SIGTERM. `patience`: seconds; None as for all others."""
+
+    at: float
+    safe: bool
+    tenant: int | None = None  # None: one of its own
+    patience: float | None = None
+
+
 @dataclass(slots=True)
 class Sent:
     """One request; times in seconds from SIGTERM."""
@@ -48,18 +58,22 @@
     ident: str
     safe: bool
     at: float
+    tenant: int = 0
+    patience: float = 0.0
     answer: bytes = b""
     answered_at: float | None = None
 
 
 @dataclass(slots=True, eq=False)
 class Client:
-    """One connection and the requests on it, in their order; `sends`: when, and whether safe."""
+    """One connection and the requests on it, in their order. `leaves_at`: it closes, whatever is open."""
 
-    sends: list[tuple[float, bool]]
+    sends: list[Send]
     connects_at: float = -1.0
+    leaves_at: float | None = None
     sock: socket.socket | None = None
     sent: list[Sent] = field(default_factory=list)
+    connected_at: float | None = None
     data: bytes = b""
     ended_at: float | None = None
     ended_by: str = ""
@@ -73,6 +87,8 @@
     lost: list[Sent]
     reset: int  # connections that ended with a reset before SIGKILL
     ended_at: float | None  # when the process ended by itself, seconds from SIGTERM; None: it was killed
+    terminated: float = 0.0  # when SIGTERM was sent, of the monotonic clock
+    killed_at: float = 0.0  # when SIGKILL was sent, seconds from SIGTERM
 
 
 def shut_down(
@@ -83,24 +99,33 @@
     wait: float,
     arrived: Collection[str],
     signals: Iterable[tuple[float, int]] = (),
+    put_off: bool = True,
+    first_serial: int = 0,
+    spread: int = 1,
+    prepare: Callable[[float, int], None] = lambda at, number: None,
 ) -> Shutdown:
     """Plays the clients against an ingress that gets SIGTERM at second 0 and SIGKILL when it may come.
 
     `wait`: seconds that each client says it waits; `arrived`: filled by backends with the ids they got;
-    `signals`: further ones, by their time.
+    `signals`: further ones, by their time; `prepare` is called before each. `put_off`: SIGKILL waits for as
+    long as the process was starved. `first_serial`: ids of requests follow it;
+    `spread`: ingresses of each tenant.
     """
-    play = _Play(address, clients, wait)
+    play = _Play(address, clients, wait, first_serial, spread)
     begin = min([client.connects_at for client in clients] + [0.0])
     play.zero = time.monotonic() - begin
     due = sorted([(0.0, int(signal.SIGTERM)), *signals])
-    kill_at, ended_at = kill_time(longest_deadline), None
+    kill_at, ended_at, terminated = kill_time(longest_deadline), None, 0.0
     starved = starved_seconds(process.pid)
-    while (now := play.now()) < kill_at + starved_seconds(process.pid) - starved:
+    while (now := play.now()) < kill_at + put_off * (starved_seconds(process.pid) - starved):
         while due and due[0][0] <= now:
             at, number = due.pop(0)
+            prepare(at, number)
             process.send_signal(number)
             if number == signal.SIGCONT or at == 0.0:  # told later, or held up longer, than was meant
                 kill_at += play.now() - at
+            if at == 0.0:
+                terminated = play.now() + play.zero
         play.step(0.002)
         if ended_at is None and now > 0 and process.poll() is not None:
             ended_at = play.now()
@@ -113,7 +138,7 @@
     everything = [sent for client in clients for sent in client.sent]
     lost = [sent for client in clients for sent in client.sent if _lost(client, sent, arrived)]
     reset = sum(client.ended_by == "reset" and (client.ended_at or 0) < kill_at for client in clients)
-    return Shutdown(everything, lost, reset, ended_at)
+    return Shutdown(everything, lost, reset, ended_at, terminated, killed_at)
 
 
 def _lost(client: Client, sent: Sent, arrived: Collection[str]) -> bool:
@@ -126,10 +151,12 @@
 class _Play:
     """All clients in one thread."""
 
-    def __init__(self, address: tuple[str, int], clients: list[Client], wait: float) -> None:
-        self.address, self.clients, self.wait = address, clients, wait
+    def __init__(
+        self, address: tuple[str, int], clients: list[Client], wait: float, first_serial: int, spread: int
+    ) -> None:
+        self.address, self.clients, self.wait, self.spread = address, clients, wait, spread
         self.zero = 0.0
-        self.serial = 0
+        self.serial = first_serial
         self.selector = selectors.DefaultSelector()
 
     def now(self) -> float:
@@ -140,8 +167,10 @@
         for client in self.clients:
             if client.sock is None and not client.ended_by and self.now() >= client.connects_at:
                 self._connect(client)
-            while client.sends and client.sends[0][0] <= self.now():
-                self._send(client, client.sends.pop(0)[1])
+            while client.sends and client.sends[0].at <= self.now():
+                self._send(client, client.sends.pop(0))
+            if client.sock is not None and client.leaves_at is not None and self.now() >= client.leaves_at:
+                self._ended(client, "left")
         self.read(pause)
 
     def _connect(self, client: Client) -> None:
@@ -150,27 +179,29 @@
         except OSError:
             client.ended_by, client.ended_at = "refused", self.now()
             return
+        client.connected_at = self.now()
         client.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client.sock.setblocking(False)
         self.selector.register(client.sock, selectors.EVENT_READ, client)
 
-    def _send(self, client: Client, safe: bool) -> None:
+    def _send(self, client: Client, send: Send) -> None:
         self.read(0.0)  # what has been closed is known first
         if client.sock is None:
             return
         self.serial += 1
-        ident = f"{self.serial:016x}"
-        options = (
-            f"c={'look' if safe else 'change'},t=plain,d={self.wait * 1000:.0f},units=1,spread=1,first=0"
-        )
-        parts = [b"Q.ASK" if safe else b"Q.DO", b"%016x" % self.serial, ident.encode(), options.encode()]
+        ident, safe = f"{self.serial:016x}", send.safe
+        tenant = self.serial if send.tenant is None else send.tenant
+        patience = self.wait if send.patience is None else send.patience
+        kind = "look" if safe else "change"
+        options = f"c={kind},t=plain,d={patience * 1000:.0f},units=1,spread={self.spread},first=0"
+        parts = [b"Q.ASK" if safe else b"Q.DO", b"%016x" % tenant, ident.encode(), options.encode()]
         at = self.now()
         try:
             client.sock.sendall(command(parts))
         except OSError:
             self._ended(client, "reset")
             return
-        client.sent.append(Sent(ident, safe, at))
+        client.sent.append(Sent(ident, safe, at, tenant, patience))
 
     def read(self, pause: float) -> None:
         """Reads what has come, waiting so many seconds for it."""
--- /dev/null
+++ b/lab/soak/__main__.py
@@ -0,0 +1,89 @@
+"""Plays seeds of the soak: python -m lab.soak --first-seed N --seeds 50 --at-once 4
+
+One line a seed with what broke; a seed that failed leaves its record, the logs of its ingresses and a picture
+of its timeline in a folder, and the command that plays it alone is printed. Status 1 where a seed failed.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import click
+
+from lab.soak.checks import broken
+from lab.soak.plan import draw
+from lab.soak.play import Soak
+from lab.soak.record import table
+
+SEED_TIMEOUT_SECONDS = 180
+SHOWN_FAULTS = 12  # of one seed
+
+
+@click.command()
+@click.option("--first-seed", default=1, help="The first seed that is played.")
+@click.option("--seeds", default=1, help="How many, one after the other from the first.")
+@click.option("--at-once", default=1, help="How many are played side by side, each in a process of its own.")
+@click.option("--found", type=click.Path(path_type=Path), default=Path("found"), help="Folder for failures.")
+def main(first_seed: int, seeds: int, at_once: int, found: Path) -> None:
+    """Plays seeds and says what broke."""
+    if seeds == 1:
+        sys.exit(_play(first_seed, found))
+    began = time.monotonic()
+    with ThreadPoolExecutor(at_once) as pool:
+        failed = 0
+        numbers = range(first_seed, first_seed + seeds)
+        for number, (status, said) in enumerate(pool.map(lambda seed: _apart(seed, found), numbers), 1):
+            failed += status != 0
+            click.echo(f"[{number}/{seeds}, {time.monotonic() - began:.0f} s] {said.rstrip()}")
+    click.echo(f"{seeds - failed} of {seeds} seeds from {first_seed} on held, {failed} failed")
+    sys.exit(bool(failed))
+
+
+def _apart(seed: int, found: Path) -> tuple[int, str]:
+    """Plays a seed in a process of its own; its status, and what it said."""
+    command = [sys.executable, "-m", "lab.soak", "--first-seed", str(seed), "--found", str(found)]
+    try:
+        ran = subprocess.run(
+            command, capture_output=True, text=True, timeout=SEED_TIMEOUT_SECONDS, check=False
+        )
+    except subprocess.TimeoutExpired:
+        return 1, f"seed {seed}: not finished after {SEED_TIMEOUT_SECONDS} s"
+    return ran.returncode, ran.stdout + ran.stderr
+
+
+def _play(seed: int, found: Path) -> int:
+    """Plays one seed here, and prints its line."""
+    run = draw(seed)
+    played = Soak(run).play()
+    kept = table(played.rows)
+    faults = broken(run, kept)
+    asked = kept.filter(kept["what"] == "asked").height
+    crowd = ", crowd" if run.crowd else ""
+    shape = (
+        f"{run.ingresses} ingresses, {sum(map(len, run.lives))} lives, deadline {run.longest_deadline}{crowd}"
+    )
+    if not faults:
+        click.echo(f"seed {seed}: held ({shape}, {asked} requests)")
+        return 0
+    folder = found / f"seed-{seed}"
+    folder.mkdir(parents=True, exist_ok=True)
+    kept.write_parquet(folder / "record.parquet")
+    (folder / "ingresses.log").write_text("\n".join(played.logs) + "\n")
+    from lab.soak.timeline import draw as draw_timeline
+
+    draw_timeline(kept, f"seed {seed}: {faults[0]}", folder / "timeline.png")
+    click.echo(f"seed {seed}: FAILED ({shape}, {asked} requests)")
+    for fault in faults[:SHOWN_FAULTS]:
+        click.echo(f"    {fault}")
+    if len(faults) > SHOWN_FAULTS:
+        click.echo(f"    and {len(faults) - SHOWN_FAULTS} more")
+    click.echo(f"    play it alone: python -m lab.soak --first-seed {seed} --seeds 1; left in {folder}")
+    return 1
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/soak/checks.py
@@ -0,0 +1,187 @@
+"""What broke in a run of the soak, from its record alone. The bounds are those of the standing terms."""
+
+from __future__ import annotations
+
+import polars as pl
+
+from lab.quotas import Try, judge
+from lab.shutdown import CROSSING
+from lab.soak.plan import PLAN_BURST, PLAN_RATE, Run
+
+ANSWER_SLACK_SECONDS = 0.5 + 0.05  # past its time an answer still counts, and each limit on sockets is longer
+LEFT_SLACK_SECONDS = 0.1  # after its client has gone an attempt may begin
+TOLD_SLACK_SECONDS = 0.15  # that a backend may be told beyond what the client has left
+DRAIN_GRACE_SECONDS = 0.5 + 0.05  # as the settings say, and each limit on sockets is longer
+TOLD_AT_LATEST_SECONDS = 6.0  # after discovery had a change and could be reached
+READY_SECONDS = 10.0
+MOST_USE = 1.10  # of an allowance over any 10 s
+
+
+def broken(run: Run, table: pl.DataFrame) -> list[str]:
+    """Every rule that the run broke, a line each; none where all is well."""
+    return [
+        *_unanswered(run, table),
+        *_late(table),
+        *_ran_twice(table),
+        *_after_leaving(table),
+        *_told_too_much(table),
+        *_to_draining(table),
+        *_ends(table),
+        *_not_ready(table),
+        *_quotas(table),
+    ]
+
+
+def _rows(table: pl.DataFrame, what: str) -> pl.DataFrame:
+    return table.filter(pl.col("what") == what)
+
+
+def _requests(table: pl.DataFrame) -> pl.DataFrame:
+    """Each request with its connection's end, and when it first came to a backend, if it did."""
+    connections = _rows(table, "connection").select(
+        "member", "life", "connection", closed="until", closing="end", begun="detail"
+    )
+    came = _rows(table, "came").group_by("ident").agg(pl.col("t").min().alias("came"))
+    asked = _rows(table, "asked").join(connections, on=["member", "life", "connection"], how="left")
+    return asked.join(came, on="ident", how="left").sort("t")
+
+
+def _unanswered(run: Run, table: pl.DataFrame) -> list[str]:
+    """Requests that were read, and have no whole answer.
+
+    Read is what came to a backend, and what was on a connection that did not end in order. On a connection
+    that ended in order what had not crossed that end counts as read. Not lost is the value that was cut off
+    while it was passed on, and what lay unread behind it; and, beside a crowd, what came on a new connection
+    that was shut unread.
+    """
+    found = []
+    requests = _requests(table).filter((pl.col("end") == "open") & (pl.col("closing") != "left"))
+    first: set[tuple[int, int, int]] = set()
+    for row in requests.iter_rows(named=True):
+        connection = (row["member"], row["life"], row["connection"])
+        is_first, came = connection not in first, row["came"] is not None
+        first.add(connection)
+        if row["begun"] == "begun" and row["closing"] in ("closed", "reset") and (is_first or not came):
+            continue
+        in_order = row["closing"] == "closed" and row["closed"] is not None
+        if in_order and not came and row["t"] >= row["closed"] - CROSSING:
+            continue
+        answered = _rows(table, "asked").filter(
+            (pl.col("member") == row["member"])
+            & (pl.col("life") == row["life"])
+            & (pl.col("connection") == row["connection"])
+            & (pl.col("end") != "open")
+        )
+        if run.crowd and not came and answered.is_empty() and row["closing"] in ("closed", "reset"):
+            continue
+        found.append(
+            f"lost: {_name(row)}, connection {row['closing']} at {row['closed']}, came {row['came']}"
+        )
+    return found
+
+
+def _late(table: pl.DataFrame) -> list[str]:
+    """Answers after their time, but for what they waited for those before on their connection."""
+    found = []
+    before: dict[tuple[int, int, int], float] = {}
+    for row in _requests(table).filter(pl.col("end") != "open").iter_rows(named=True):
+        connection = (row["member"], row["life"], row["connection"])
+        due = row["t"] + row["seconds"] + ANSWER_SLACK_SECONDS
+        behind = before.get(connection, 0.0) + CROSSING
+        before[connection] = row["until"]
+        if row["until"] > max(due, behind) and row["closing"] != "left":
+            found.append(f"late: {_name(row)}, answered at {row['until']:.3f}, due {due:.3f}")
+    return found
+
+
+def _ran_twice(table: pl.DataFrame) -> list[str]:
+    unsafe = _rows(table, "came").filter(~pl.col("safe"))
+    runs = unsafe.group_by("ident").len().filter(pl.col("len") > 1)
+    return [f"ran {row['len']} times: {row['ident']}" for row in runs.iter_rows(named=True)]
+
+
+def _after_leaving(table: pl.DataFrame) -> list[str]:
+    left = _requests(table).filter(pl.col("closing") == "left").select("ident", "closed")
+    came = _rows(table, "came").join(left, on="ident")
+    late = came.filter(pl.col("t") > pl.col("closed") + LEFT_SLACK_SECONDS)
+    return [
+        f"began {row['t'] - row['closed']:.3f} s after its client left: {row['ident']}"
+        for row in late.iter_rows(named=True)
+    ]
+
+
+def _told_too_much(table: pl.DataFrame) -> list[str]:
+    asked = _rows(table, "asked").select("ident", sent="t", patience="seconds")
+    came = _rows(table, "came").join(asked, on="ident")
+    left = pl.col("sent") + pl.col("patience") - pl.col("t")
+    wrong = came.with_columns(left=left).filter(pl.col("seconds") > pl.col("left") + TOLD_SLACK_SECONDS)
+    return [
+        f"told {row['seconds']:.3f} s with {row['left']:.3f} s left: {row['ident']}"
+        for row in wrong.iter_rows(named=True)
+    ]
+
+
+def _to_draining(table: pl.DataFrame) -> list[str]:
+    """Requests to a backend that drains, past the grace after which its ingress counts as told."""
+    found = []
+    by_ident = _rows(table, "asked").select("ident", "member", "life")
+    came = _rows(table, "came").drop("member", "life").join(by_ident, on="ident")
+    for drain in _rows(table, "drain").iter_rows(named=True):
+        of = _rows(table, "back").filter((pl.col("backend") == drain["backend"]) & (pl.col("t") > drain["t"]))
+        back = of["t"].min()
+        until = back if isinstance(back, float) else float("inf")
+        for row in came.filter(pl.col("backend") == drain["backend"]).iter_rows(named=True):
+            told = _told(table, drain["t"], row["member"], row["life"])
+            if told + DRAIN_GRACE_SECONDS < row["t"] < until:
+                found.append(
+                    f"to draining backend {drain['backend']}: {row['ident']} of n{row['member']} "
+                    f"{row['t'] - told:.3f} s after it was told"
+                )
+    return found
+
+
+def _told(table: pl.DataFrame, at: float, member: int, life: int) -> float:
+    """When an ingress counts as told of a change at the latest."""
+    begins = _rows(table, "life").filter((pl.col("member") == member) & (pl.col("life") == life))["t"]
+    known = max(at, float(begins[0]))
+    for silence in _rows(table, "silence").filter(pl.col("member") == member).iter_rows(named=True):
+        if silence["t"] <= known < silence["until"]:
+            refused = silence["detail"] == "refused"
+            known = silence["until"] + TOLD_AT_LATEST_SECONDS * refused
+    return known
+
+
+def _ends(table: pl.DataFrame) -> list[str]:
+    return [
+        f"n{row['member']} life {row['life']} ended with {row['end']} ({row['detail']})"
+        for row in _rows(table, "life").iter_rows(named=True)
+        if row["end"] != "0"
+    ]
+
+
+def _not_ready(table: pl.DataFrame) -> list[str]:
+    return [
+        f"n{row['member']} life {row['life']} was ready after {row['seconds']:.1f} s"
+        for row in _rows(table, "life").iter_rows(named=True)
+        if row["seconds"] > READY_SECONDS
+    ]
+
+
+def _quotas(table: pl.DataFrame) -> list[str]:
+    answered = _rows(table, "asked").filter(pl.col("end").is_in(["served", "refused"]))
+    if answered.is_empty():
+        return []
+    tries = [
+        Try(row["t"], str(row["tenant"]), 1.0, row["end"] == "served")
+        for row in answered.iter_rows(named=True)
+    ]
+    verdict = judge(tries, PLAN_RATE, PLAN_BURST)
+    if verdict.use <= MOST_USE:
+        return []
+    return [f"tenant {verdict.worst} used {verdict.use:.2f} of its allowance"]
+
+
+def _name(row: dict[str, object]) -> str:
+    kind = "safe" if row["safe"] else "unsafe"
+    where = f"n{row['member']} life {row['life']} connection {row['connection']}"
+    return f"{kind} {row['ident']} sent at {row['t']:.3f} on {where}"
--- /dev/null
+++ b/lab/soak/plan.py
@@ -0,0 +1,268 @@
+"""What happens in one run of the soak, drawn from its seed. No I/O; the same seed draws the same run.
+
+Times of a life are seconds from its SIGTERM, those of backends and of discovery seconds from the run's begin.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from lab.shutdown import kill_time
+
+MOST_INGRESSES = 4
+BACKENDS = 3
+DEADLINES = (0.3, 0.5, 0.8, 1.2, 1.6, 2.4, 3.0, 4.0, 5.0)  # seconds
+HOLD_UP_SECONDS = 0.15  # for which an ingress may be held up, by the standing terms
+LAST_SEND_SECONDS = 0.01  # before SIGKILL: the last moment at which a client sends
+LONG_VALUE_BYTES = 300_000
+CUT_PART = 0.9  # of a long value, after which its connection is cut
+CROWD_SOCKETS = 256  # descriptors of an ingress before a crowd
+CROWD_IDLE, CROWD_AT_ONCE = 140, 200  # connections
+PLAN_RATE, PLAN_BURST = 4.0, 6.0  # units a second and units of each tenant's quota
+
+
+class Signal(Enum):
+    """What an ingress is sent beside its SIGTERM and SIGKILL."""
+
+    RELOAD = "reload"  # SIGHUP after its file has been written anew
+    TERMINATE = "terminate"  # SIGTERM once more
+    HOLD = "hold"  # SIGSTOP, and SIGCONT after the hold-up
+
+
+class BackendMode(Enum):
+    """How a backend fails for a while."""
+
+    SILENT = "silent"  # takes requests and answers none
+    SLOW = "slow"  # answers near the deadline
+    LATE = "late"  # answers after it
+    TWICE = "twice"  # a second answer behind each
+    REFUSING = "refusing"  # resets connections as they are made
+    RESETTING = "resetting"  # resets all connections, once
+    LONG = "long"  # answers with long values
+    CUT = "cut"  # cuts connections near the end of a long value
+    DRAINING = "draining"  # drains by discovery, and is back cold at the end
+
+
+@dataclass(slots=True, frozen=True)
+class SignalAt:
+    """A signal. Of a reload: what its file says, and `watched`, the ingress whose list is watched then."""
+
+    at: float
+    signal: Signal
+    longest_deadline: float = 0.0
+    watched: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class PlannedSend:
+    """One request."""
+
+    at: float
+    safe: bool
+    tenant: int
+
+
+@dataclass(slots=True, frozen=True)
+class PlannedClient:
+    """One connection. `leaves_at`: closes then, whatever is open."""
+
+    connects_at: float
+    sends: tuple[PlannedSend, ...]
+    leaves_at: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """A system call that fails now and then, as lab.faulty_calls takes it; seconds from the start."""
+
+    call: str
+    error: str
+    every: int
+    begin: float
+    end: float
+
+
+@dataclass(slots=True, frozen=True)
+class Life:
+    """One life of an ingress. `serves`: seconds from its being ready to SIGTERM."""
+
+    serves: float
+    signals: tuple[SignalAt, ...]
+    clients: tuple[PlannedClient, ...]
+    fault: Fault | None
+
+    def counted_deadline(self, longest_deadline: float) -> float:
+        """The longest deadline that SIGKILL goes by, the worse one for the ingress."""
+        reloads = [one.longest_deadline for one in self.signals if one.signal is Signal.RELOAD]
+        return min([longest_deadline, *reloads])
+
+
+@dataclass(slots=True, frozen=True)
+class BackendTrouble:
+    """A backend fails in one way for a while."""
+
+    backend: int
+    mode: BackendMode
+    begin: float
+    end: float
+
+
+@dataclass(slots=True, frozen=True)
+class DiscoverySilence:
+    """An ingress hears nothing from discovery. `refused`: its connections are reset, not only silent."""
+
+    ingress: int
+    begin: float
+    end: float
+    refused: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """A whole run. `lives`: of each ingress, in their order."""
+
+    seed: int
+    look_deadline: float
+    change_deadline: float
+    crowd: bool
+    lives: tuple[tuple[Life, ...], ...]
+    backends: tuple[BackendTrouble, ...]
+    silences: tuple[DiscoverySilence, ...]
+
+    @property
+    def ingresses(self) -> int:
+        """How many there are."""
+        return len(self.lives)
+
+    @property
+    def longest_deadline(self) -> float:
+        """Seconds."""
+        return max(self.look_deadline, self.change_deadline)
+
+
+def draw(seed: int) -> Run:
+    """The run of a seed."""
+    chance = random.Random(f"soak {seed}")
+    look_deadline, change_deadline = chance.choice(DEADLINES), chance.choice(DEADLINES)
+    longest = max(look_deadline, change_deadline)
+    ingresses = chance.randint(1, MOST_INGRESSES)
+    crowd = seed % 3 == 0
+    lives = tuple(
+        tuple(
+            _draw_life(chance, longest, ingresses, crowd and number == 0 and life == 0)
+            for life in range(chance.randint(1, 3 if ingresses < 3 else 2))
+        )
+        for number in range(ingresses)
+    )
+    span = max(sum(life.serves + kill_time(longest) for life in of) for of in lives)
+    backends = tuple(_draw_trouble(chance, span) for _ in range(chance.randint(2, 4)))
+    silences = tuple(
+        _draw_silence(chance, number, span) for number in range(ingresses) if chance.random() < 0.3
+    )
+    return Run(seed, look_deadline, change_deadline, crowd, lives, backends, silences)
+
+
+def _draw_life(chance: random.Random, longest: float, ingresses: int, crowd: bool) -> Life:
+    serves = chance.uniform(1.0, 2.5)
+    signals = _draw_signals(chance, longest, ingresses)
+    reloads = [one.longest_deadline for one in signals if one.signal is Signal.RELOAD]
+    end = kill_time(min([longest, *reloads])) - LAST_SEND_SECONDS
+    clients = _draw_clients(chance, -serves + 0.1, end)
+    if crowd:
+        clients += _draw_crowd(chance, -serves + 0.1, end)
+    fault = _draw_fault(chance, serves) if chance.random() < 0.4 else None
+    return Life(serves, signals, tuple(clients), fault)
+
+
+def _draw_signals(chance: random.Random, longest: float, ingresses: int) -> tuple[SignalAt, ...]:
+    signals: list[SignalAt] = []
+    for _ in range(chance.randint(0, 4)):
+        at = chance.choice(
+            [chance.uniform(-0.6, -0.02), chance.uniform(0.001, 0.02), chance.uniform(0.1, 0.5)]
+        )
+        signal = chance.choice(list(Signal))
+        if signal is Signal.RELOAD:
+            deadline = chance.choice([longest, chance.choice(DEADLINES)])
+            signals.append(SignalAt(at, signal, deadline, chance.randrange(ingresses)))
+        elif signal is Signal.TERMINATE and at < 0:
+            continue  # the first one is the life's own
+        elif signal is Signal.HOLD and any(one.signal is Signal.HOLD for one in signals):
+            continue  # two together would be a longer one
+        else:
+            signals.append(SignalAt(at, signal))
+    return tuple(sorted(signals, key=lambda one: one.at))
+
+
+def _draw_clients(chance: random.Random, begin: float, end: float) -> list[PlannedClient]:
+    """Steady ones, some that pipeline, some that rest, some that leave, and some that come anew."""
+    clients = []
+    for _ in range(3):
+        every = chance.uniform(0.15, 0.4)
+        clients.append(PlannedClient(begin, _sends(chance, _steps(begin, end, every))))
+    for _ in range(2):
+        every, depth = chance.uniform(0.3, 0.6), chance.randint(2, 6)
+        times = [at for at in _steps(begin, end, every) for _ in range(depth)]
+        clients.append(PlannedClient(begin, _sends(chance, times)))
+    for _ in range(3):
+        times = [begin + chance.uniform(0.0, 0.3), chance.uniform(0.05, end)]
+        clients.append(PlannedClient(begin, _sends(chance, times)))
+    for _ in range(4):
+        at = chance.uniform(begin, min(end, 1.0))
+        leaves = at + chance.choice([0.002, chance.uniform(0.01, 0.4)])
+        clients.append(PlannedClient(at - 0.01, _sends(chance, [at] * chance.randint(1, 3)), leaves))
+    for _ in range(6):
+        at = chance.uniform(begin, 0.3)
+        later = chance.uniform(at, end)
+        clients.append(PlannedClient(at, _sends(chance, [at, later])))
+    clients.append(PlannedClient(0.1, _sends(chance, [end])))
+    return clients
+
+
+def _draw_crowd(chance: random.Random, begin: float, end: float) -> list[PlannedClient]:
+    """Idle connections near the limit of descriptors, and hundreds that come at once."""
+    idle = [PlannedClient(begin + n * 0.001, ()) for n in range(CROWD_IDLE)]
+    at = chance.uniform(begin + 0.4, -0.1)
+    many = [PlannedClient(at, _sends(chance, [at + 0.02])) for _ in range(CROWD_AT_ONCE)]
+    return idle + many
+
+
+def _steps(begin: float, end: float, every: float) -> list[float]:
+    return [begin + every * n for n in range(int((end - begin) / every) + 1)]
+
+
+def _sends(chance: random.Random, times: list[float]) -> tuple[PlannedSend, ...]:
+    """Of two tenants near their limits and many others within theirs; a third may not be repeated."""
+    sends = []
+    for at in sorted(times):
+        tenant = chance.randrange(2) if chance.random() < 0.3 else 100 + chance.randrange(200)
+        sends.append(PlannedSend(at, chance.random() < 0.67, tenant))
+    return tuple(sends)
+
+
+def _draw_fault(chance: random.Random, serves: float) -> Fault:
+    call, error = chance.choice(
+        [
+            ("accept", "ECONNABORTED"),
+            ("accept", "ENFILE"),
+            ("connect_ex", "EADDRNOTAVAIL"),
+            ("connect_ex", "ENETUNREACH"),
+            ("connect_ex", "EINTR"),
+            ("send", "short"),
+            ("recv", "short"),
+        ]
+    )
+    begin = chance.uniform(0.3, serves)
+    return Fault(call, error, chance.randint(2, 5), begin, begin + chance.uniform(0.3, 1.5))
+
+
+def _draw_trouble(chance: random.Random, span: float) -> BackendTrouble:
+    begin = chance.uniform(0.0, 0.8 * span)
+    mode = chance.choice(list(BackendMode))
+    return BackendTrouble(chance.randrange(BACKENDS), mode, begin, begin + chance.uniform(0.5, 4.0))
+
+
+def _draw_silence(chance: random.Random, ingress: int, span: float) -> DiscoverySilence:
+    begin = chance.uniform(0.0, 0.8 * span)
+    return DiscoverySilence(ingress, begin, begin + chance.uniform(0.3, 2.5), chance.random() < 0.5)
--- /dev/null
+++ b/lab/soak/play.py
@@ -0,0 +1,332 @@
+"""Carries a run of the soak out: real ingresses, backends and discovery on loopback, clients and signals."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from lab.box import Mode
+from lab.faulty_calls import VARIABLE
+from lab.fleet.schedule import Step
+from lab.fleet.site import Deployment, Site
+from lab.processes import Ingress
+from lab.shutdown import Client, Send, Shutdown, shut_down, starved_seconds
+from lab.soak.plan import (
+    BACKENDS,
+    CROWD_SOCKETS,
+    CUT_PART,
+    HOLD_UP_SECONDS,
+    LONG_VALUE_BYTES,
+    PLAN_BURST,
+    PLAN_RATE,
+    BackendMode,
+    BackendTrouble,
+    DiscoverySilence,
+    Life,
+    Run,
+    Signal,
+    SignalAt,
+)
+from lab.soak.record import Row
+
+BACKEND_WORK_SECONDS, BACKEND_CORES = 0.002, 4.0
+HELD_SECONDS = HOLD_UP_SECONDS - 0.01  # so that a late SIGCONT is not yet more than the terms allow
+LATE_BY_SECONDS = 0.3  # of an answer after the deadline
+STARVED_SECONDS = 0.02  # without a processor that are worth a row
+IDENTS_OF_A_LIFE = 100_000
+NUMBERS = {Signal.RELOAD: signal.SIGHUP, Signal.TERMINATE: signal.SIGTERM, Signal.HOLD: signal.SIGSTOP}
+SOCKETS = 1024
+
+
+@dataclass(slots=True)
+class Played:
+    """What is kept of a run: rows for the record, and the log of each life."""
+
+    rows: list[Row]
+    logs: list[str]
+
+
+class Soak:
+    """One run; `play` returns once every ingress has ended."""
+
+    def __init__(self, run: Run) -> None:
+        self.plan = run
+        self.rows: list[Row] = []
+        self.logs: list[str] = []
+        self.arrived: set[str] = set()
+        self.begin = time.monotonic()
+        self.over = threading.Event()
+
+    def play(self) -> Played:
+        """Plays it whole."""
+        plan = self.plan
+        sockets = CROWD_SOCKETS if plan.crowd else SOCKETS
+        deployment = Deployment(plan.look_deadline, plan.change_deadline, PLAN_RATE, PLAN_BURST, sockets)
+        with Site(
+            plan.ingresses,
+            view=plan.ingresses > 1,
+            boxes=BACKENDS,
+            seed=plan.seed,
+            store=True,
+            streams=True,
+            deployment=deployment,
+            work=BACKEND_WORK_SECONDS,
+            cores=BACKEND_CORES,
+        ) as site:
+            for box in site.boxes:
+                box.arrived = self.arrived
+            self.begin = time.monotonic()
+            beside = [
+                threading.Thread(target=self._trouble, args=(site,)),
+                threading.Thread(target=self._watch),
+            ]
+            lives = [threading.Thread(target=self._live, args=(site, n)) for n in range(plan.ingresses)]
+            for thread in (*beside, *lives):
+                thread.start()
+            for thread in lives:
+                thread.join()
+            self.over.set()
+            for thread in beside:
+                thread.join()
+            self._note_backends(site)
+        return Played(self.rows, self.logs)
+
+    def now(self) -> float:
+        """Seconds since the begin."""
+        return time.monotonic() - self.begin
+
+    # One ingress, life after life.
+
+    def _live(self, site: Site, member: int) -> None:
+        for number, life in enumerate(self.plan.lives[member]):
+            started = self.now()
+            if number or life.fault is not None:
+                self._start(site, member, life, first=not number)
+            ready = self.now()
+            ingress = site.live[member]
+            ended = self._play_life(site, member, number, life, ingress)
+            status = "killed" if ended.ended_at is None else str(ingress.process.returncode)
+            self._note_life(member, number, started, ready, ended, status)
+            self.logs += [f"n{member} life {number} {line}" for line in list(ingress.log)]
+
+    def _start(self, site: Site, member: int, life: Life, first: bool) -> None:
+        if first:  # the site has started it without faults
+            site.kill(member)
+        module, environment = "standflow", None
+        if (fault := life.fault) is not None:
+            module = "lab.faulty_calls"
+            calls = [{"call": fault.call, "error": fault.error, "every": fault.every}]
+            environment = {VARIABLE: json.dumps({"calls": calls, "from": fault.begin, "until": fault.end})}
+        site.start(member, module=module, environment=environment)
+
+    def _play_life(self, site: Site, member: int, number: int, life: Life, ingress: Ingress) -> Shutdown:
+        clients = [
+            Client(
+                [Send(send.at, send.safe, send.tenant, self._patience(send.safe)) for send in one.sends],
+                one.connects_at,
+                one.leaves_at,
+            )
+            for one in life.clients
+        ]
+        due, prepared = [], {}
+        for one in life.signals:
+            due.append((one.at, int(NUMBERS[one.signal])))
+            prepared[one.at] = one
+            if one.signal is Signal.HOLD:
+                due.append((one.at + HELD_SECONDS, int(signal.SIGCONT)))
+
+        def prepare(at: float, sent: int) -> None:
+            if (one := prepared.get(at)) is not None and one.signal is Signal.RELOAD:
+                self._write_file(site, member, one)
+            name = signal.Signals(sent).name
+            self.rows.append(Row(what="signal", t=self.now(), member=member, life=number, detail=name))
+
+        ended = shut_down(
+            ingress.process,
+            site.addresses[member],
+            clients,
+            life.counted_deadline(self.plan.longest_deadline),
+            self.plan.longest_deadline,
+            self.arrived,
+            due,
+            put_off=False,
+            first_serial=(member * 100 + number) * IDENTS_OF_A_LIFE,
+            spread=self.plan.ingresses,
+            prepare=prepare,
+        )
+        self._note_clients(member, number, clients, ended)
+        return ended
+
+    def _patience(self, safe: bool) -> float:
+        return self.plan.look_deadline if safe else self.plan.change_deadline
+
+    def _write_file(self, site: Site, member: int, one: SignalAt) -> None:
+        """Other deadlines, and the list of another ingress to watch."""
+        part = one.longest_deadline / self.plan.longest_deadline
+        deployment = Deployment(
+            self.plan.look_deadline * part,
+            self.plan.change_deadline * part,
+            PLAN_RATE,
+            PLAN_BURST,
+            site.deployment.sockets,
+        )
+        site.configure(member, deployment, one.watched)
+
+    # Backends and discovery.
+
+    def _trouble(self, site: Site) -> None:
+        due: list[tuple[float, Callable[[], None]]] = []
+        for one in self.plan.backends:
+            due.append((one.begin, lambda one=one: self._begin_trouble(site, one)))  # type: ignore[misc]
+            due.append((one.end, lambda one=one: self._end_trouble(site, one)))  # type: ignore[misc]
+        for silence in self.plan.silences:
+            due.append((silence.begin, lambda one=silence: self._silence(site, one)))  # type: ignore[misc]
+            due.append((silence.end, lambda one=silence: self._hear(site, one)))  # type: ignore[misc]
+        for at, act in sorted(due, key=lambda one: one[0]):
+            if self.over.wait(max(0.0, at - self.now())):
+                return
+            act()
+
+    def _begin_trouble(self, site: Site, one: BackendTrouble) -> None:
+        box, mode = site.boxes[one.backend], one.mode
+        self.rows.append(
+            Row(what="backend", t=self.now(), until=one.end, backend=one.backend, detail=mode.value)
+        )
+        if mode is BackendMode.SILENT:
+            box.mode = Mode(silent=True)
+        elif mode is BackendMode.TWICE:
+            box.mode = Mode(behind=b"*3\r\n$4\r\nmore\r\n$-1\r\n$-1\r\n")
+        elif mode is BackendMode.REFUSING:
+            box.mode = Mode(reset_accepts=True)
+        elif mode is BackendMode.RESETTING:
+            box.cut_all()
+        elif mode is BackendMode.SLOW:
+            box.delay = 0.8 * self.plan.look_deadline
+        elif mode is BackendMode.LATE:
+            box.delay = self.plan.longest_deadline + LATE_BY_SECONDS
+        elif mode is BackendMode.DRAINING:
+            site.do(Step(self.now(), "drain", (one.backend,)))
+            self.rows.append(Row(what="drain", t=self.now(), backend=one.backend))
+        else:
+            box.value = LONG_VALUE_BYTES
+            if mode is BackendMode.CUT:
+                box.mode = Mode(cut_after=int(CUT_PART * LONG_VALUE_BYTES))
+
+    def _end_trouble(self, site: Site, one: BackendTrouble) -> None:
+        box = site.boxes[one.backend]
+        if one.mode is BackendMode.DRAINING:
+            self.rows.append(Row(what="back", t=self.now(), backend=one.backend))
+            site.do(Step(self.now(), "back", (one.backend,)))
+            return
+        box.mode, box.delay, box.value = Mode(), 0.0, 0
+
+    def _silence(self, site: Site, one: DiscoverySilence) -> None:
+        assert site.streams is not None
+        lists = {BACKENDS + n for n in range(self.plan.ingresses)}
+        (site.streams.refuse if one.refused else site.streams.cut)({one.ingress}, lists)
+        detail = "refused" if one.refused else "silent"
+        self.rows.append(Row(what="silence", t=self.now(), until=one.end, member=one.ingress, detail=detail))
+
+    def _hear(self, site: Site, one: DiscoverySilence) -> None:
+        assert site.streams is not None
+        site.streams.heal()
+
+    # What is kept.
+
+    def _note_life(
+        self, member: int, number: int, started: float, ready: float, ended: Shutdown, status: str
+    ) -> None:
+        zero = ended.terminated - self.begin
+        until = None if ended.ended_at is None else zero + ended.ended_at
+        self.rows.append(
+            Row(
+                what="life",
+                t=started,
+                until=until,
+                member=member,
+                life=number,
+                seconds=ready - started,
+                end=status,
+                detail=f"SIGKILL at {zero + ended.killed_at:.3f}",
+            )
+        )
+
+    def _note_clients(self, member: int, number: int, clients: list[Client], ended: Shutdown) -> None:
+        zero = ended.terminated - self.begin
+        for serial, client in enumerate(clients):
+            if client.connected_at is None:
+                continue
+            until = None if client.ended_at is None else zero + client.ended_at
+            begun = "begun" if client.data else ""
+            self.rows.append(
+                Row(
+                    what="connection",
+                    t=zero + client.connected_at,
+                    until=until,
+                    end=client.ended_by,
+                    detail=begun,
+                    member=member,
+                    life=number,
+                    connection=serial,
+                )
+            )
+            for sent in client.sent:
+                self.rows.append(
+                    Row(
+                        what="asked",
+                        t=zero + sent.at,
+                        until=None if sent.answered_at is None else zero + sent.answered_at,
+                        ident=sent.ident,
+                        tenant=sent.tenant,
+                        safe=sent.safe,
+                        seconds=sent.patience,
+                        end=_end_of(sent.answer, sent.answered_at),
+                        member=member,
+                        life=number,
+                        connection=serial,
+                    )
+                )
+
+    def _note_backends(self, site: Site) -> None:
+        for number, box in enumerate(site.boxes):
+            for one in box.counts.arrivals:
+                self.rows.append(
+                    Row(
+                        what="came",
+                        t=one.at - self.begin,
+                        ident=one.ident,
+                        safe=one.safe,
+                        seconds=one.left,
+                        backend=number,
+                    )
+                )
+
+    def _watch(self) -> None:
+        """Notes when the soak itself had no processor: its clients and backends are late then."""
+        before, last = starved_seconds_of_self(), self.now()
+        while not self.over.wait(0.01):
+            now, starved = self.now(), starved_seconds_of_self()
+            if now - last > 0.01 + STARVED_SECONDS:
+                detail = f"late by {now - last - 0.01:.3f}, threads starved {starved - before:.3f}"
+                self.rows.append(Row(what="starved", t=last, until=now, detail=detail))
+            before, last = starved, now
+
+
+def starved_seconds_of_self() -> float:
+    """For which threads of this process have been ready and had no processor."""
+    tasks = Path("/proc/self/task")
+    return sum(starved_seconds(int(task.name)) for task in tasks.iterdir())
+
+
+def _end_of(answer: bytes, answered_at: float | None) -> str:
+    """What came of a request, by its answer without framing."""
+    if answered_at is None:
+        return "open"
+    if answer.startswith(b"-BUSY"):
+        return "refused"
+    return "failed" if answer.startswith(b"-") or answer == b"$-1" else "served"
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -21,7 +21,7 @@
 import pytest
 
 from lab.box import Box, Mode
-from lab.shutdown import Client, Shutdown, kill_time, shut_down
+from lab.shutdown import Client, Send, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
 from standflow.net.caller import CallerSide
 from standflow.platform_terms import HOLD_UP_SECONDS
@@ -68,10 +68,14 @@
 def usual_clients(end: float) -> list[Client]:
     """Clients with a request open, some that pipeline, some that connect late and send later; until `end`."""
     steps = [-0.2 + 0.11 * n for n in range(round((end - LAST_SEND + 0.2) / 0.11))]
-    clients = [Client([(-0.1, bool(n % 2))]) for n in range(4)]
-    clients += [Client([(at + n / 50, bool((n + m) % 2)) for m, at in enumerate(steps)]) for n in range(3)]
+    clients = [Client([Send(-0.1, bool(n % 2))]) for n in range(4)]
+    clients += [
+        Client([Send(at + n / 50, bool((n + m) % 2)) for m, at in enumerate(steps)]) for n in range(3)
+    ]
     moments = [at for at in steps if at > 0.45] + [end - LAST_SEND]
-    clients += [Client([(at, bool(n % 2))], connects_at=0.02 + n % 7 / 20) for n, at in enumerate(moments)]
+    clients += [
+        Client([Send(at, bool(n % 2))], connects_at=0.02 + n % 7 / 20) for n, at in enumerate(moments)
+    ]
     return clients
 
 
