A reload that shortens the deadlines during a shutdown brings its end forward

What callers saw: requests without an answer at SIGKILL, 38, 51 and 53 in three plays of the test, where SIGHUP with shorter deadlines came after SIGTERM.

Cause (shutdown.py, begin): all moments were reckoned once, at SIGTERM, by the file in force then. Seen in the log: `stopping answer_all=2.90`, `reload: done` 0.3 s later, nothing more until SIGKILL. Ruled out: a SIGHUP that was missed, a held-up process.

Change: `Shutdown.shorten` after each reload reckons them anew from SIGTERM by the shorter deadline; what has passed comes at once. It holds as the schedule follows from the deadline alone and is asked wherever that changes.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -484,6 +484,11 @@
         if self.shutdown.begin(self.reloading.config.longest_deadline) and self.member is not None:
             self.member.leave()
 
+    def reload(self) -> None:
+        """SIGHUP. Also in a shutdown: its end goes by the shorter deadline of the two files."""
+        self.reloading.reload()
+        self.shutdown.shorten(self.reloading.config.longest_deadline)
+
     def close(self) -> None:
         """Ends every connection; each leaves its line in the log."""
         parts = (
--- a/standflow/program.py
+++ b/standflow/program.py
@@ -26,7 +26,7 @@
         sys.stderr.write(f"standflow: {error}\n")
         return 2
     log.serve(loop)
-    stop, reload = ingress.stop, ingress.reloading.reload
+    stop, reload = ingress.stop, ingress.reload
     inbox.serve(loop, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload})
     ingress.start()
     # What is there now stays for good; only the young are worth a collection while requests wait.
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -7,8 +7,8 @@
 
 from standflow.exchange import Exchange
 from standflow.net.caller import CallerSide
-from standflow.net.loop import Loop
-from standflow.shutdown_schedule import schedule_for
+from standflow.net.loop import Loop, Timer
+from standflow.shutdown_schedule import ShutdownSchedule, schedule_for
 
 LOOK_EVERY_SECONDS = 0.01  # whether all is done
 MOST_DESCRIBED = 50  # requests that are described in the log, of those answered at the end
@@ -21,24 +21,52 @@
         self, loop: Loop, log: Callable[[str], None], callers: CallerSide, exchange: Exchange
     ) -> None:
         self.loop, self.log, self.callers, self.exchange = loop, log, callers, exchange
-        self.begun = False
+        self.begun_at: float | None = None  # of the loop's clock
+        self.plan: ShutdownSchedule | None = None
+        self.timers: list[Timer] = []
+
+    @property
+    def begun(self) -> bool:
+        """True once SIGTERM has come."""
+        return self.begun_at is not None
 
     def begin(self, longest_deadline: float) -> bool:
         """SIGTERM, in a deployment with this longest deadline in seconds; false where it came before."""
         if self.begun:
             return False
-        self.begun = True
-        now, plan = self.loop.now(), schedule_for(longest_deadline)
+        self.begun_at = self.loop.now()
+        plan = schedule_for(longest_deadline)
         self.log(f"stopping answer_all={plan.answer_all:.2f} exit={plan.exit:.2f}")
-        self.exchange.answer_by(now + plan.answer_all)
-        # A listener that was passed in goes on with the next process: this one leaves it at once.
-        stop_accepting = 0.0 if self.callers.shared else plan.stop_accepting
-        self.loop.call_at(now + stop_accepting, self._stop_accepting, plan.stop_serving - stop_accepting)
-        self.loop.call_at(now + plan.answer_all, self.answer_all)
-        self.loop.call_at(now + plan.exit, self._exit)
+        self._follow(plan, self.begun_at)
         self._stop_when_done()
         return True
 
+    def shorten(self, longest_deadline: float) -> None:
+        """The deployment has this longest deadline now: SIGKILL goes by it where it is the shorter one.
+
+        The moments that are still to come are reckoned anew from SIGTERM; what has passed comes at once.
+        """
+        plan = schedule_for(longest_deadline)
+        if self.begun_at is None or self.plan is None or plan.exit >= self.plan.exit:
+            return
+        self.log(f"shutdown: by a shorter deadline, answer_all={plan.answer_all:.2f} exit={plan.exit:.2f}")
+        for timer in self.timers:
+            timer.cancel()
+        self._follow(plan, self.begun_at)
+
+    def _follow(self, plan: ShutdownSchedule, begun_at: float) -> None:
+        """Has everything done at its moment."""
+        self.plan = plan
+        self.exchange.answer_by(begun_at + plan.answer_all)
+        # A listener that was passed in goes on with the next process: this one leaves it at once.
+        stop_accepting = 0.0 if self.callers.shared else plan.stop_accepting
+        serve_for = plan.stop_serving - stop_accepting
+        self.timers = [
+            self.loop.call_at(begun_at + stop_accepting, self._stop_accepting, serve_for),
+            self.loop.call_at(begun_at + plan.answer_all, self.answer_all),
+            self.loop.call_at(begun_at + plan.exit, self._exit),
+        ]
+
     def _stop_accepting(self, serve_for: float) -> None:
         self.callers.stop(serve_for)
         self._note("accepts no more")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -81,16 +81,21 @@
 
 @dataclass(slots=True, frozen=True)
 class Restart:
-    """A restart to be played; `reloaded`: another longest deadline, taken up by SIGHUP before SIGTERM."""
+    """A restart to be played; `reloaded`: another longest deadline, taken up by SIGHUP before SIGTERM.
+
+    `rewritten`: one that the file says when a SIGHUP of `signals` comes.
+    """
 
     longest_deadline: float
     signals: tuple[tuple[float, int], ...] = ()
     reloaded: float | None = None
+    rewritten: float | None = None
 
     @property
     def counted(self) -> float:
         """The longest deadline that SIGKILL goes by, the worse one for the ingress."""
-        return min(self.longest_deadline, self.reloaded or self.longest_deadline)
+        others = (self.reloaded, self.rewritten)
+        return min([self.longest_deadline, *(one for one in others if one is not None)])
 
 
 def play(folder: Path, restart: Restart) -> list[str]:
@@ -107,9 +112,21 @@
         arrived: set[str] = set()
         for box in boxes:
             box.arrived = arrived
+
+        def prepare(at: float, number: int) -> None:
+            if number == signal.SIGHUP and restart.rewritten is not None:
+                (folder / "config.json").write_text(json.dumps(deployment(boxes, restart.rewritten)))
+
         clients = usual_clients(kill_time(restart.counted))
         ended = shut_down(
-            running.process, address, clients, restart.counted, longest, arrived, restart.signals
+            running.process,
+            address,
+            clients,
+            restart.counted,
+            longest,
+            arrived,
+            restart.signals,
+            prepare=prepare,
         )
     return check(restart, ended)
 
@@ -159,6 +176,20 @@
     assert play_all(tmp_path, [Restart(0.8, reloaded=2.4), Restart(2.4, reloaded=0.8)]) == []
 
 
+@pytest.mark.parametrize(("at", "before", "after"), [(0.1, 2.4, 0.8), (0.3, 5.0, 0.5), (0.55, 1.6, 0.3)])
+def test_a_reload_that_shortens_the_deadlines_of_a_shutdown_brings_its_end_forward(
+    at: float, before: float, after: float, tmp_path: Path
+) -> None:
+    """A SIGHUP behind SIGTERM left the end of the process where it was, beyond a SIGKILL by the new file.
+
+    What happens: SIGKILL goes by the shorter deadline of the two files, and ends the process with requests
+    open. Why: the moments of a shutdown were reckoned once, at SIGTERM. What showed it: seeds 1 and 6 of the
+    soak, by `stopping answer_all=2.90`, a `reload: done` 0.3 s later, and no line after it before SIGKILL.
+    """
+    hup = ((at, int(signal.SIGHUP)),)
+    assert play_all(tmp_path, [Restart(before, hup, rewritten=after)]) == []
+
+
 def test_all_moments_of_a_shutdown_follow_from_the_longest_deadline() -> None:
     for deadline in (0.001, 0.3, 0.8, 1.6, 3.0, 5.0, 600.0):
         plan = schedule_for(deadline)
