--- a/lab/box.py
+++ b/lab/box.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import ssl
+import struct
 import sys
 import threading
 import time
@@ -30,6 +31,7 @@
 from lab.wire import CutError, Wire
 
 NOTHING = b"$-1\r\n"
+TCP_INFO = struct.Struct("=8x12I")  # up to the milliseconds since data was received last
 
 
 @dataclass
@@ -59,9 +61,12 @@
 
 @dataclass
 class Arrival:
-    """A request that has come whole, at `at` seconds of the monotonic clock; `left`: seconds, as it says."""
+    """A request that has come whole, at `at` seconds of the monotonic clock by the kernel, and was read at
+    `read_at`; `left`: seconds, as it says.
+    """
 
     at: float
+    read_at: float
     ident: str
     safe: bool
     left: float
@@ -233,7 +238,7 @@
             while (found := command(data)) is not None:
                 parts, size = found
                 data = data[size:]
-                answer = self._answer(parts)
+                answer = self._answer(parts, time.monotonic() - since_received(wire.sock))
                 if mode.silent:
                     continue
                 if mode.alert:
@@ -246,12 +251,13 @@
                     wire.close(mode.notify)
                     return
 
-    def _answer(self, parts: list[bytes]) -> bytes:
+    def _answer(self, parts: list[bytes], came_at: float) -> bytes:
         if parts[0] == b"PING":
             return b"+PONG\r\n"
-        ident, now = parts[2].decode(), time.monotonic()
+        ident = parts[2].decode()
         with self.lock:
-            self.counts.arrivals.append(Arrival(now, ident, parts[0] == b"Q.ASK", _time_left(parts[3])))
+            safe, left = parts[0] == b"Q.ASK", _time_left(parts[3])
+            self.counts.arrivals.append(Arrival(came_at, time.monotonic(), ident, safe, left))
             self.counts.runs[ident] += 1
             self.arrived.add(ident)
             if parts[0] == b"Q.DO":
@@ -264,6 +270,15 @@
         return b"*3\r\n$%d\r\n%b\r\n" % (len(value), value) + NOTHING + NOTHING
 
 
+def since_received(sock: socket.socket) -> float:
+    """Seconds since the kernel received data on a connection, however late this process reads it.
+
+    `tcpi_last_data_recv` of tcp_info (linux/tcp.h): the twelfth of the numbers behind eight bytes of flags.
+    """
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+    return float(TCP_INFO.unpack(info)[-1]) / 1000
+
+
 def _time_left(options: bytes) -> float:
     """Seconds that a request says its ingress will wait; 0 where it says nothing."""
     said = dict(option.partition(b"=")[::2] for option in options.split(b","))
--- a/lab/shutdown.py
+++ b/lab/shutdown.py
@@ -212,12 +212,12 @@
         kind = "look" if safe else "change"
         options = f"c={kind},t=plain,d={patience * 1000:.0f},units=1,spread={self.spread},first=0"
         parts = [b"Q.ASK" if safe else b"Q.DO", b"%016x" % tenant, ident.encode(), options.encode()]
-        at = self.now()
         try:
             client.sock.sendall(command(parts))
         except OSError:
             self._ended(client, "reset")
             return
+        at = self.now()  # a request's time counts from its last byte
         client.sent.append(Sent(ident, safe, at, tenant, patience))
 
     def read(self, pause: float) -> None:
@@ -254,12 +254,12 @@
             client.data, sent.answer, sent.answered_at = rest, line, self.now()
 
     def _ended(self, client: Client, how: str) -> None:
-        client.ended_by, client.ended_at = how, self.now()
         sock, client.sock = client.sock, None
         if sock is not None:
             self.selector.unregister(sock)
             with contextlib.suppress(OSError):
                 sock.close()
+        client.ended_by, client.ended_at = how, self.now()
 
     def close(self) -> None:
         for client in self.clients:
--- a/lab/soak/play.py
+++ b/lab/soak/play.py
@@ -300,6 +300,7 @@
                     Row(
                         what="came",
                         t=one.at - self.begin,
+                        until=one.read_at - self.begin,
                         ident=one.ident,
                         safe=one.safe,
                         seconds=one.left,
--- a/lab/soak/record.py
+++ b/lab/soak/record.py
@@ -15,7 +15,7 @@
 SCHEMA = {
     "what": pl.String,
     "t": pl.Float64,
-    "until": pl.Float64,  # of the answer, the connection's end, the life's end
+    "until": pl.Float64,  # of the answer, the connection's end, the life's end, a backend's reading
     "member": pl.Int64,
     "life": pl.Int64,
     "connection": pl.Int64,
