A client connection names what it asks of its side; the circle of two modules is gone

net/caller.py and net/client_connection.py imported each other; the connection has a protocol `Host` now, which says what it needs, and knows nothing of the listener. No change of behaviour; mypy strict and the tests of both pass. Soak: an ingress that the soak itself held up for longer than the 0.15 s of the terms is not blamed for what came meanwhile.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import polars as pl
 
 from lab.quotas import Try, judge
 from lab.shutdown import CROSSING
-from lab.soak.plan import PLAN_BURST, PLAN_RATE, Run
+from lab.soak.plan import HOLD_UP_SECONDS, PLAN_BURST, PLAN_RATE, Run
 
 ANSWER_SLACK_SECONDS = 0.5 + 0.05  # past its time an answer still counts, and each limit on sockets is longer
 LEFT_SLACK_SECONDS = 0.1  # after its client has gone an attempt may begin
@@ -111,16 +113,35 @@
 
 
 def _told_too_much(table: pl.DataFrame) -> list[str]:
-    asked = _rows(table, "asked").select("ident", sent="t", patience="seconds")
-    came = _rows(table, "came").join(asked, on="ident")
+    """Backends that were told more than the client had left.
+
+    An ingress may be held up for so long as the terms say. Where the soak itself was late to let it go on,
+    what came meanwhile has waited longer than they allow, by what the record has of both signals.
+    """
+    asked = _rows(table, "asked").select("ident", "member", "life", sent="t", patience="seconds")
+    came = _rows(table, "came").drop("member", "life").join(asked, on="ident")
     left = pl.col("sent") + pl.col("patience") - pl.col("t")
     wrong = came.with_columns(left=left).filter(pl.col("seconds") > pl.col("left") + TOLD_SLACK_SECONDS)
     return [
         f"told {row['seconds']:.3f} s with {row['left']:.3f} s left: {row['ident']}"
         for row in wrong.iter_rows(named=True)
+        if row["seconds"] > row["left"] + TOLD_SLACK_SECONDS + _held_too_long(table, row)
     ]
 
 
+def _held_too_long(table: pl.DataFrame, request: dict[str, Any]) -> float:
+    """Seconds beyond the terms for which its ingress was held up between the request and its attempt."""
+    signals = _rows(table, "signal").filter(
+        (pl.col("member") == request["member"]) & (pl.col("life") == request["life"])
+    )
+    longest = 0.0
+    for stop in signals.filter(pl.col("detail") == "SIGSTOP")["t"]:
+        goes_on = signals.filter((pl.col("detail") == "SIGCONT") & (pl.col("t") > stop))["t"].min()
+        if isinstance(goes_on, float) and stop < request["t"] and goes_on > request["sent"]:
+            longest = max(longest, goes_on - stop - HOLD_UP_SECONDS)
+    return longest
+
+
 def _to_draining(table: pl.DataFrame) -> list[str]:
     """Requests to a backend that drains, past the grace after which its ingress counts as told."""
     found = []
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -4,16 +4,23 @@
 
 import contextlib
 import socket
-from collections import deque
-from typing import TYPE_CHECKING
-
-from standflow.exchange import Failed, Final, Refused, Request, Served, Transaction, UnacceptableError
+from collections import OrderedDict, deque
+from typing import Protocol
+
+from standflow.exchange import (
+    Exchange,
+    Failed,
+    Final,
+    Refused,
+    Request,
+    Served,
+    Transaction,
+    UnacceptableError,
+)
 from standflow.net import resp
+from standflow.net.bodies import Bodies
 from standflow.net.flow import Flow
-from standflow.net.loop import BROKEN, IN, LEFT, OUT, READABLE, TICK, Coroutine, Task, Timer, broken
-
-if TYPE_CHECKING:
-    from standflow.net.caller import CallerSide
+from standflow.net.loop import BROKEN, IN, LEFT, OUT, READABLE, TICK, Coroutine, Loop, Task, Timer, broken
 
 READ_SIZE = 65536
 MAX_PIPELINED = 64  # commands of one connection that wait for their answers; more stay in the kernel
@@ -23,6 +30,33 @@
 LINGER = 1.0  # seconds for the last answer to arrive after framing was lost
 
 
+class Host(Protocol):
+    """What a connection asks of the side that accepted it."""
+
+    loop: Loop
+    exchange: Exchange
+    bodies: Bodies  # room for long bodies that are being read
+    values: Bodies  # room for long values that are gathered
+    ready: bool  # clients are served
+    pressing: bool  # each connection gets one more command served at the most
+    dismissed: bool  # what was read and not opened yet is refused
+    unread: int  # bytes written by no connection yet
+    max_unread: int
+    idle: OrderedDict[ClientConnection, None]
+
+    def pong(self) -> bytes:
+        """The answer to PING."""
+
+    def rest(self, connection: ClientConnection) -> None:
+        """Nothing is open on the connection any more."""
+
+    def has_more(self, connection: ClientConnection) -> bool:
+        """True where something lies unread on it."""
+
+    def closed(self, connection: ClientConnection) -> None:
+        """It has ended."""
+
+
 class Slot:
     """The place of one command's answer in a connection's order."""
 
@@ -47,7 +81,7 @@
 class ClientConnection:
     """One connection of a caller."""
 
-    def __init__(self, side: CallerSide, sock: socket.socket) -> None:
+    def __init__(self, side: Host, sock: socket.socket) -> None:
         self.side, self.sock = side, sock
         self.buffer = resp.Buffer()
         self.slots: deque[Slot] = deque()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -152,6 +152,21 @@
     assert len(faults(*rows, came("a", 1.5, told=left + TOLD_SLACK_SECONDS + 0.01))) == 1
 
 
+def test_a_hold_up_by_the_soak_beyond_the_terms_is_no_fault_of_the_ingress_and_one_within_them_is() -> None:
+    rows = [life(), connection(), asked("a", 1.0, 0.6), came("a", 1.2, told=1.99)]  # 1.8 s are left
+    for held, count in ((0.15, 1), (0.18, 1), (0.2, 0)):
+        stop, go_on = (Row(what="signal", t=t, member=0, life=0, detail=d) for t, d in _hold(0.99, held))
+        assert len(faults(*rows, stop, go_on)) == count
+        elsewhere = [replace(one, member=1) for one in (stop, go_on)]
+        assert len(faults(*rows, *elsewhere)) == 1
+    late = [Row(what="signal", t=t, member=0, life=0, detail=d) for t, d in _hold(1.3, 0.2)]
+    assert len(faults(*rows, *late)) == 1  # after the attempt
+
+
+def _hold(at: float, held: float) -> tuple[tuple[float, str], tuple[float, str]]:
+    return (at, "SIGSTOP"), (at + held, "SIGCONT")
+
+
 @pytest.mark.parametrize(
     ("silence", "told"),
     [
