--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -14,7 +14,7 @@
 from standflow.config import Config, ConfigError
 from standflow.driver import Driver
 from standflow.exchange import Exchange, Route, RouteSet
-from standflow.net.caller import CallerSide
+from standflow.net.client_side import ClientSide
 from standflow.net.flow import Flows
 from standflow.net.loop import Loop
 from standflow.net.nexthop import REST, NextHops
@@ -126,7 +126,7 @@
         if config.passed is None:
             self._listen_to_peers()
         with named("listen" if config.passed is None else "EDGE_PASSED_SOCKET"):
-            self.callers = CallerSide(
+            self.clients = ClientSide(
                 loop,
                 log,
                 self.exchange,
@@ -137,7 +137,7 @@
                 config.max_bodies,
                 config.max_values,
             )
-        self.shutdown = Shutdown(loop, log, self.callers, self.exchange)
+        self.shutdown = Shutdown(loop, log, self.clients, self.exchange)
         self.reloading = self._make_reloading()
         self.told = False  # by discovery, since the start
         self.ops = self._make_ops()
@@ -195,7 +195,7 @@
             return None
         from standflow.upgrade.handover import Handover, Parts
 
-        driver, callers, ops = self.driver, self.callers, self.ops
+        driver, clients, ops = self.driver, self.clients, self.ops
         parts = Parts(
             export=driver.export,
             absorb=driver.absorb,
@@ -208,8 +208,8 @@
             take_routes=self._routes_of_another,
             overlay=None if ops is None else ops.overlay,
             heard=lambda hop: None if ops is None else ops.heard(hop),
-            evacuated=lambda: (callers.evacuated, callers.evacuated_at),
-            evacuate=callers.evacuate,
+            evacuated=lambda: (clients.evacuated, clients.evacuated_at),
+            evacuate=clients.evacuate,
         )
         return Handover(self.loop, self.log, self.config.folder, self.config.name, parts)
 
@@ -222,7 +222,7 @@
         from standflow.recovery.records import identity
         from standflow.recovery.store import Store
 
-        driver, callers, ops = self.driver, self.callers, self.ops
+        driver, clients, ops = self.driver, self.clients, self.ops
         fleet = "" if config.fleet is None else config.fleet.name
         whose = identity(config.name, config.settings.number, fleet)
 
@@ -242,7 +242,7 @@
             learn=driver.learn,
             routes=lambda: [write_route(route) for route in self._as_told()],
             words=words,
-            emptied=lambda: (callers.evacuated, callers.evacuated_at),
+            emptied=lambda: (clients.evacuated, clients.evacuated_at),
             members=lambda: None if self.member is None else self.member.counted_members(),
         )
         store = Store(config.store.folder, whose, config.store.most)
@@ -262,7 +262,7 @@
             for hop, (out, at, went) in found.words.items():
                 self.ops.overlay.hear(hop, Word(out, at, went))
         if found.emptied is not None:
-            self.callers.evacuate(*found.emptied)
+            self.clients.evacuate(*found.emptied)
         self.found = found
         if self.member is not None:
             self.member.remember(found.members)
@@ -291,8 +291,8 @@
         config, part = self.config, 2 if another else 1
         self.next_hops.max_connections = config.max_connections // part
         self.next_hops.flows.budget = config.max_flows // part
-        self.callers.bodies.budget = config.max_bodies // part
-        self.callers.values.budget = config.max_values // part
+        self.clients.bodies.budget = config.max_bodies // part
+        self.clients.values.budget = config.max_values // part
 
     def _make_reloading(self) -> Reloading:
         routes, tls, calls = self.routes, self.tls, self.witness or self.asking
@@ -312,7 +312,7 @@
         from standflow.ops.operations import Operations, Parts
 
         parts = Parts(
-            ready=lambda: self.callers.ready,
+            ready=lambda: self.clients.ready,
             stopping=lambda: self.shutdown.begun,
             counts=lambda: Counts(
                 ends=self.exchange.ends,
@@ -322,8 +322,8 @@
                 sighup_rejected=self.reloading.rejected,
             ),
             avoided=self.driver.avoided,
-            evacuated=lambda: self.callers.evacuated,
-            evacuate=self.callers.evacuate,
+            evacuated=lambda: self.clients.evacuated,
+            evacuate=self.clients.evacuate,
             show=self._laid_over,
             fleet=lambda: None if self.member is None else self.member.figures(),
             recovery=lambda: None if self.store is None else self.store.figures(),
@@ -445,14 +445,14 @@
 
     def _begin(self) -> None:
         """Callers are served from now on."""
-        if not self.callers.ready:
+        if not self.clients.ready:
             if self.config.passed is not None:
                 try:
                     self._listen_to_peers()
                 except ConfigError as error:  # the ring does without this ingress
                     self.log(f"fault: {error}")
-            self.callers.open()
-            self.log(f"ready {self.config.name} on {self.callers.address[0]}:{self.callers.address[1]}")
+            self.clients.open()
+            self.log(f"ready {self.config.name} on {self.clients.address[0]}:{self.clients.address[1]}")
 
     def _routes_told(self, routes: RouteSet) -> None:
         self.told = True
@@ -494,7 +494,7 @@
     def close(self) -> None:
         """Ends every connection; each leaves its line in the log."""
         parts = (
-            *(self.callers, self.next_hops, self.ops, self.handover, self.store),
+            *(self.clients, self.next_hops, self.ops, self.handover, self.store),
             *(self.witness, self.asking, self.member, self.routes),
         )
         closes = [part.close for part in parts if part is not None]
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -1,6 +1,6 @@
-"""Transactions and branches: where the caller side and the next-hop side meet.
+"""Transactions and branches: where the client side and the next-hop side meet.
 
-Nothing here knows a protocol: what a caller asked is carried as an opaque message, and so is the value that
+Nothing here knows a protocol: what a client asked is carried as an opaque message, and so is the value that
 a next hop gave for it. Decisions come from the driver. The exchange holds what must be true whatever is
 decided: each transaction gets one final answer before its deadline, and nothing runs twice that must not.
 """
@@ -66,7 +66,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Request:
-    """What the caller side took in, for any protocol."""
+    """What the client side took in, for any protocol."""
 
     class_name: str
     plan: str
@@ -76,7 +76,7 @@
     ring_size: int
     ring_first: int
     message: Any
-    ident: object = None  # the caller's own name for it; no two open ones may share it
+    ident: object = None  # the client's own name for it; no two open ones may share it
     release: Callable[[], None] | None = None  # called once when nothing of it is needed any more
 
 
@@ -131,7 +131,7 @@
     succeeded: int = 0
     declined: int = 0
     aborted: int = 0
-    gone: int = 0  # the caller had left
+    gone: int = 0  # the client had left
 
     @property
     def open(self) -> int:
@@ -140,7 +140,7 @@
 
 
 class UnacceptableError(ValueError):
-    """A request that can't be taken in; its text tells the caller why."""
+    """A request that can't be taken in; its text tells the client why."""
 
 
 class Branch:
@@ -198,7 +198,7 @@
 
     @property
     def may_refuse(self) -> bool:
-        """True while a caller's repeat would do no harm."""
+        """True while a client's repeat would do no harm."""
         return self.safe or not any(branch.may_have_run for branch in self.branches)
 
 
@@ -232,7 +232,7 @@
 
 
 class Exchange:
-    """Opens transactions for the caller side and branches at the next-hop side."""
+    """Opens transactions for the client side and branches at the next-hop side."""
 
     GUARD = 0.003  # seconds before the deadline at which what is still open is answered here, at most
 
@@ -254,7 +254,7 @@
     ) -> None:
         self.loop, self.log, self.tally, self.branch_counted = loop, log, tally, branch_counted
         self.classes, self.plans = dict(classes), plans  # classes: by name, true where safe to repeat
-        self.leaving: dict[str, bool] = {}  # as classes were until lately: callers may not know yet
+        self.leaving: dict[str, bool] = {}  # as classes were until lately: clients may not know yet
         self.max_branches, self.max_open = max_branches, max_open
         self.ingresses, self.number, self.max_units = ingresses, number, max_units
         # The module decides two ticks before the deadline: with a short tick the guard would come before it.
@@ -269,7 +269,7 @@
         self.ends: dict[str, Ends] = {name: Ends() for name in classes}  # one dropped keeps its counts
         self.serial = 0
 
-    # The caller side.
+    # The client side.
 
     def open(self, request: Request, heard: float, reply: Callable[[Final], None]) -> Transaction:
         """Takes in a request that came at a time of the loop's clock; reply is called once, maybe at once."""
@@ -327,8 +327,8 @@
         """The classes before the last `retune` are over."""
         self.leaving = {}
 
-    def caller_gone(self, transaction: Transaction) -> None:
-        """The caller has left: nothing is owed any more. A branch whose command is written runs on as the
+    def client_gone(self, transaction: Transaction) -> None:
+        """The client has left: nothing is owed any more. A branch whose command is written runs on as the
         module sees fit; one that still waits for its connection is taken back.
         """
         if transaction.open:
@@ -433,7 +433,7 @@
     def branch_began(self, branch: Branch, value: Any) -> bool:
         """The first bytes of a long value have come; where they are the answer, nothing cuts it off any more.
 
-        `value` goes to the caller as the value that it is the beginning of. False where nobody waits for it.
+        `value` goes to the client as the value that it is the beginning of. False where nobody waits for it.
         """
         transaction = branch.transaction
         if branch.ended is not None or not transaction.open:
@@ -452,7 +452,7 @@
         return True
 
     def branch_ended(self, branch: Branch, result: Result) -> None:
-        """Takes a branch's one outcome; the first good one is the caller's answer."""
+        """Takes a branch's one outcome; the first good one is the client's answer."""
         if branch.ended is not None:
             return
         transaction = branch.transaction
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -79,7 +79,7 @@
 
 
 class ClientConnection:
-    """One connection of a caller."""
+    """One connection of a client."""
 
     def __init__(self, side: Host, sock: socket.socket) -> None:
         self.side, self.sock = side, sock
@@ -99,7 +99,7 @@
         self.moved = self.made  # when bytes came last
         self.room = 0  # reserved for the body that is being read
         self.waits = False  # for such room
-        self.left = False  # the caller has closed: what is read now was sent before, and nobody waits for it
+        self.left = False  # the client has closed: what is read now was sent before, and nobody waits for it
         self.task: Task | None = None
 
     @property
@@ -127,7 +127,7 @@
             for slot in self.slots:
                 self._release_room(slot)
                 if slot.transaction is not None:
-                    self.side.exchange.caller_gone(slot.transaction)
+                    self.side.exchange.client_gone(slot.transaction)
 
     def _serve(self) -> Coroutine[str]:
         while True:
@@ -146,7 +146,7 @@
                     self.stalls = 0
                     self.refusing = self.leaving
                     self.moved = self.side.loop.now()
-                    # what lay in the kernel while reading paused has used up its caller's time all the same
+                    # what lay in the kernel while reading paused has used up its client's time all the same
                     self.heard = self.held_since or self.side.loop.heard
                     self.held_since = None
                 elif ready & BROKEN:
@@ -157,7 +157,7 @@
             except OSError as error:
                 return broken(error)
             if self._cut_off():
-                return "cut_off"  # in the middle of the value: the caller can tell
+                return "cut_off"  # in the middle of the value: the client can tell
             if self._done():
                 return self.reason
             if self.too_slow():
@@ -188,9 +188,9 @@
         return size > MAX_OUT or (size > PAUSE_OUT and self.side.unread > self.side.max_unread)
 
     def mask(self) -> int:
-        """Reading pauses while too much of this connection is open or unread, and until callers are served.
+        """Reading pauses while too much of this connection is open or unread, and until clients are served.
 
-        That the caller leaves is heard all the same.
+        That the client leaves is heard all the same.
         """
         not_served_yet = not self.side.ready and not self.leaving
         paused = self.full() or self.framing_lost or self.waits or not_served_yet
--- a/standflow/net/caller.py
+++ b/standflow/net/client_side.py
@@ -1,4 +1,4 @@
-"""The caller side: accepts client connections, and ends those that hold their place for nothing."""
+"""The client side: accepts client connections, and ends those that hold their place for nothing."""
 
 from __future__ import annotations
 
@@ -41,8 +41,8 @@
 ACCEPT_PAUSE = 0.1  # seconds without accepting when descriptors run out
 
 
-class CallerSide:
-    """The listener and the client connections; the exchange's caller side."""
+class ClientSide:
+    """The listener and the client connections; the exchange's client side."""
 
     def __init__(
         self,
@@ -73,7 +73,7 @@
         self.connections: set[ClientConnection] = set()
         # Those with nothing open, the longest idle first.
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
-        self.waiting_since: float | None = None  # since when callers may have waited to be accepted
+        self.waiting_since: float | None = None  # since when clients may have waited to be accepted
         self.unread = 0  # bytes written by no connection yet
         self.shared = passed is not None
         self.paused = self.shared
@@ -140,7 +140,7 @@
         send_at_once(sock)
         connection = ClientConnection(self, sock)
         if self.waiting_since is not None and self.has_more(connection):
-            connection.held_since = self.waiting_since  # its caller may have waited so long to be accepted
+            connection.held_since = self.waiting_since  # its client may have waited so long to be accepted
         self.connections.add(connection)
         self.idle[connection] = None
         try:
@@ -240,7 +240,7 @@
             self.loop.resume(connection.task, TICK)
 
     def pong(self) -> bytes:
-        """The answer to a front that asks whether callers may be sent here."""
+        """The answer to a front that asks whether clients may be sent here."""
         return resp.error("evacuated") if self.evacuated else resp.PONG
 
     def closed(self, connection: ClientConnection) -> None:
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -180,7 +180,7 @@
                 return "stalled"  # a length that doesn't fit: the rest never comes
 
     def _wait_for_more(self) -> Coroutine[int]:
-        """The next bytes of a long value; while its caller takes nothing, none are read and no time runs."""
+        """The next bytes of a long value; while its client takes nothing, none are read and no time runs."""
         assert self.flow is not None
         while not self.flow.room:
             ready = yield self.mask & ~IN
@@ -191,7 +191,7 @@
         return (yield from self.side.loop.wait(self.mask, STALL))
 
     def _more(self) -> None:
-        """The caller has taken something: reading goes on, at once, as bytes may lie in the stream itself."""
+        """The client has taken something: reading goes on, at once, as bytes may lie in the stream itself."""
         if self.task is not None and not self.task.running:
             self.side.loop.call_later(0.0, self.side.loop.resume, self.task, IN)
 
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from standflow.exchange import Exchange
-from standflow.net.caller import CallerSide
+from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop, Timer
 from standflow.shutdown_schedule import ShutdownSchedule, schedule_for
 
@@ -18,9 +18,9 @@
     """Accepts a little longer, ends connections as they fall idle, answers the rest before SIGKILL."""
 
     def __init__(
-        self, loop: Loop, log: Callable[[str], None], callers: CallerSide, exchange: Exchange
+        self, loop: Loop, log: Callable[[str], None], clients: ClientSide, exchange: Exchange
     ) -> None:
-        self.loop, self.log, self.callers, self.exchange = loop, log, callers, exchange
+        self.loop, self.log, self.clients, self.exchange = loop, log, clients, exchange
         self.begun_at: float | None = None  # of the loop's clock
         self.plan: ShutdownSchedule | None = None
         self.timers: list[Timer] = []
@@ -59,7 +59,7 @@
         self.plan = plan
         self.exchange.answer_by(begun_at + plan.answer_all)
         # A listener that was passed in goes on with the next process: this one leaves it at once.
-        stop_accepting = 0.0 if self.callers.shared else plan.stop_accepting
+        stop_accepting = 0.0 if self.clients.shared else plan.stop_accepting
         serve_for = plan.stop_serving - stop_accepting
         self.timers = [
             self.loop.call_at(begun_at + stop_accepting, self._stop_accepting, serve_for),
@@ -68,15 +68,15 @@
         ]
 
     def _stop_accepting(self, serve_for: float) -> None:
-        self.callers.stop(serve_for)
+        self.clients.stop(serve_for)
         self._note("accepts no more")
 
     def answer_all(self) -> None:
         """Answers whatever is open or has come: nobody will later."""
         self._note("answers all")
-        self.callers.dismiss()  # first: what is answered makes room for what was read behind it
+        self.clients.dismiss()  # first: what is answered makes room for what was read behind it
         left = self.exchange.abandon_all()
-        self.callers.dismiss()  # and for what lies unread: this may be the last round before the end
+        self.clients.dismiss()  # and for what lies unread: this may be the last round before the end
         for transaction in left[:MOST_DESCRIBED]:
             self.log(f"shutdown: answered at the end: {transaction.describe()}")
         if len(left) > MOST_DESCRIBED:
@@ -89,11 +89,11 @@
     def _note(self, state: str) -> None:
         """Each state is a line of the log, with what is owed in it."""
         self.log(
-            f"shutdown: {state}, connections={len(self.callers.connections)} open={self.exchange.open_count}"
+            f"shutdown: {state}, connections={len(self.clients.connections)} open={self.exchange.open_count}"
         )
 
     def _stop_when_done(self) -> None:
-        if self.callers.listener is None and not self.callers.connections:
+        if self.clients.listener is None and not self.clients.connections:
             self.loop.stop()
         else:
             self.loop.call_later(LOOK_EVERY_SECONDS, self._stop_when_done)
--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -14,8 +14,8 @@
 from standflow.config import read
 from standflow.exchange import Branch, Result, Transaction
 from standflow.net import resp
-from standflow.net.caller import CallerSide
 from standflow.net.client_connection import MAX_PIPELINED
+from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop
 from tests.test_connections import Recorder
 from tests.test_endings import Wired, known
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self.at = Recorder()
-        self.side = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
+        self.side = ClientSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
         self.side.open()
         self.client = socket.create_connection(self.side.address)
         self.got = b""
@@ -138,9 +138,9 @@
         loop = Loop(log.append)
         ingress = Ingress(read(config(known=known(hop)), log.append), loop, log.append)
         ingress.start()
-        turn_until(loop, lambda: ingress.callers.ready)
+        turn_until(loop, lambda: ingress.clients.ready)
         monkeypatch.setattr(ingress.exchange, "decisions", Undecided())
-        client = socket.create_connection(ingress.callers.address, LIMIT)
+        client = socket.create_connection(ingress.clients.address, LIMIT)
         sent = b"".join(command(f"{n:04x}", d=60_000) for n in range(many))
         client.sendall(sent)
         turn_until(loop, lambda: ingress.exchange.open_count == MAX_PIPELINED)
@@ -205,10 +205,10 @@
         loop = Loop(log.append)
         ingress = Ingress(read(config(known=known(hop)), log.append), loop, log.append)
         ingress.start()
-        turn_until(loop, lambda: ingress.callers.ready)
+        turn_until(loop, lambda: ingress.clients.ready)
 
         def ask(ident: str) -> socket.socket:
-            client = stack.enter_context(socket.create_connection(ingress.callers.address, LIMIT))
+            client = stack.enter_context(socket.create_connection(ingress.clients.address, LIMIT))
             client.sendall(command(ident, d=60_000))
             return client
 
--- a/tests/test_attempt_time.py
+++ b/tests/test_attempt_time.py
@@ -7,7 +7,7 @@
 import socket
 import time
 
-from standflow.net.caller import CallerSide
+from standflow.net.client_side import ClientSide
 from tests.test_connections import Recorder
 from tests.test_endings import Greeted, Wired
 from tests.wire import command, listener, turn_until
@@ -91,7 +91,7 @@
 def test_the_wait_to_be_accepted_is_the_time_of_a_request_that_was_sent_before() -> None:
     """At the cap nobody is accepted while all have a request open."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 1)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 1)
     side.open()
     clients = [socket.create_connection(side.address) for _ in range(3)]
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -13,8 +13,8 @@
 from standflow.config import read
 from standflow.exchange import Outcome, Served
 from standflow.net import resp
-from standflow.net.caller import CallerSide
 from standflow.net.client_connection import MAX_PIPELINED, PAUSE_OUT
+from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop
 from tests.test_connections import Recorder
 from tests.test_endings import Wired, known
@@ -90,8 +90,8 @@
             read(config(known=known(hop), discovery="127.0.0.1:1"), log.append), loop, log.append
         )
         ingress.start()
-        turn_until(loop, lambda: ingress.callers.ready)
-        client = socket.create_connection(ingress.callers.address)
+        turn_until(loop, lambda: ingress.clients.ready)
+        client = socket.create_connection(ingress.clients.address)
         client.sendall(command("aa01", d=3000))
         turn_until(loop, lambda: ingress.next_hops.forwards == 1)
         module = ingress.driver.module
@@ -115,7 +115,7 @@
 
     def __init__(self) -> None:
         self.at = Recorder()
-        self.side = CallerSide(
+        self.side = ClientSide(
             self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10, max_bodies=100_000
         )
         self.side.open()
@@ -203,7 +203,7 @@
 def test_a_request_sent_and_closed_is_not_opened_by_a_look_at_its_connection(looks: str) -> None:
     """What lies unread is taken before a connection is judged; the close lies behind it."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
     side.open()
     client = socket.create_connection(side.address)
     client.sendall(b"*1\r\n$4\r\nPING\r\n")
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -27,8 +27,8 @@
     Transaction,
 )
 from standflow.net import resp
-from standflow.net.caller import MAX_HALF, SPEAK_WITHIN, CallerSide
 from standflow.net.client_connection import MAX_PIPELINED
+from standflow.net.client_side import MAX_HALF, SPEAK_WITHIN, ClientSide
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
 from tests.wire import command, listener, read_until, turn_until
@@ -77,7 +77,7 @@
     @initialize()
     def start(self) -> None:
         self.at = Recorder()
-        self.side = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
+        self.side = ClientSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
         self.side.ready = True
         self.caller = socket.create_connection(self.side.address)
         turn_until(self.at.loop, lambda: len(self.side.connections) == 1)
@@ -455,7 +455,7 @@
 def test_nothing_is_read_before_callers_are_served_and_the_wait_is_their_time() -> None:
     """A restarted ingress sent what came at once by its saved list, a moment before discovery's word."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
     with socket.create_connection(side.address) as caller:
         caller.sendall(b"*1\r\n$4\r\nPING\r\n" + command("0001", d=300))
         turn_until(at.loop, lambda: side.connections)
@@ -473,7 +473,7 @@
 def test_a_connection_that_has_just_come_is_not_closed_over_its_command_by_a_drain() -> None:
     """1.5 s after the call every connection was ended, new ones over what was under way: 3 to 8 of 5,100."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
     side.open()
     with socket.create_connection(side.address) as caller:
         turn_until(at.loop, lambda: side.connections)
@@ -490,7 +490,7 @@
     """They held their places for 20 s."""
     at, clock = Recorder(), [100.0]
     at.loop.now = lambda: clock[0]  # type: ignore[method-assign]
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
     side.ready = True
 
     def sweep() -> None:
@@ -532,7 +532,7 @@
 def test_an_answered_request_leaves_no_circle_of_objects() -> None:
     """Such circles waited for the collector by the megabyte, and read as memory that keeps growing."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 4)
     side.open()
     with socket.create_connection(side.address) as caller:
         for serial in range(20):
@@ -551,7 +551,7 @@
 
 def test_a_command_held_back_behind_others_has_less_time_left() -> None:
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
     side.open()
     with socket.create_connection(side.address) as caller:
         caller.sendall(b"".join(command(f"{n:04x}") for n in range(MAX_PIPELINED + 1)))
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from standflow.net.caller import CallerSide
+from standflow.net.client_side import ClientSide
 from tests.test_connections import Recorder
 from tests.test_endings import known
 from tests.wire import LIMIT, Program, command, config, listener, program, read_until, turn_until
@@ -75,7 +75,7 @@
 def test_a_request_taken_while_room_is_made_makes_none_in_turn(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each of many clients has just asked: one frame in another, they would go beyond the stack."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 100)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 100)
     side.open()
     clients = [socket.create_connection(side.address) for _ in range(50)]
     for client in clients:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -18,8 +18,8 @@
 from standflow.assembly import Ingress
 from standflow.config import read
 from standflow.exchange import Outcome, Phase, Route, RouteSet
-from standflow.net.caller import CallerSide
 from standflow.net.client_connection import MAX_PIPELINED
+from standflow.net.client_side import ClientSide
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.nexthop import REST, NextHops
 from standflow.net.routes import Objects, Routes
@@ -57,8 +57,8 @@
         make: Callable[[Route, socket.socket], Stream] = lambda route, sock: PlainStream(sock),
     ) -> None:
         self.at = Recorder()
-        self.callers = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
-        self.callers.open()
+        self.clients = ClientSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
+        self.clients.open()
         times = (60.0, 600.0, grace)
         self.hops = NextHops(self.at.loop, self.at.log.append, self.at.exchange, *times, 10, make, rest=rest)
         self.at.exchange.next_hops = self.hops
@@ -71,7 +71,7 @@
 
     def ask(self, ident: str) -> socket.socket:
         """A caller of its own whose request has been taken."""
-        caller, before = socket.create_connection(self.callers.address), len(self.at.opened)
+        caller, before = socket.create_connection(self.clients.address), len(self.at.opened)
         caller.settimeout(LIMIT)
         caller.sendall(command(ident, d=60_000))
         turn_until(self.at.loop, lambda: len(self.at.opened) > before)
@@ -199,7 +199,7 @@
 
 def test_what_was_sent_before_the_ingress_was_ready_is_not_taken_when_its_caller_has_left() -> None:
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
     stays, leaves = (socket.create_connection(side.address) for _ in range(2))
     stays.sendall(command("aa01"))
     leaves.sendall(command("aa02"))
@@ -215,7 +215,7 @@
 
 def test_a_caller_that_has_sent_and_closed_before_it_was_accepted_is_not_served() -> None:
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
     side.open()
     with socket.create_connection(side.address) as leaves:
         leaves.sendall(command("aa01"))
@@ -252,7 +252,7 @@
 def test_a_connection_that_was_just_accepted_is_not_asked_to_make_way_and_the_cap_holds() -> None:
     """Its command is under way: closed with no answer it would be a request turned away unheard."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 3)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 3)
     side.open()
     callers = [socket.create_connection(side.address) for _ in range(6)]
     at.loop.turn()
@@ -271,7 +271,7 @@
 
 def test_a_command_that_has_come_as_a_drain_presses_is_taken_first() -> None:
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 3)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 3)
     side.open()
     caller = socket.create_connection(side.address)
     turn_until(at.loop, lambda: side.connections)
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -22,7 +22,7 @@
 from standflow.exchange import Outcome, RouteSet
 from standflow.net import loop as loop_module
 from standflow.net import momentary
-from standflow.net.caller import CallerSide
+from standflow.net.client_side import ClientSide
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.peers import Peers
 from standflow.net.routes import Routes
@@ -111,7 +111,7 @@
 
 def test_a_connection_that_cannot_be_waited_on_at_once_is_served_and_one_that_never_can_is_closed() -> None:
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
     side.open()
     at.loop.epoll = Failing(at.loop.epoll, 2)  # type: ignore[assignment]
     with socket.create_connection(side.address) as client:
@@ -132,7 +132,7 @@
 
 def test_the_listener_outlives_a_fault_of_its_coroutine(monkeypatch: pytest.MonkeyPatch) -> None:
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
     side.open()
     accept, faults = side._accept, [ZeroDivisionError(), OSError(errno.EINVAL, "invalid")]
 
@@ -300,7 +300,7 @@
 
     monkeypatch.setattr(socket.socket, call, failing)
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 10)
     assert faults == []
     side.stop()
     at.close()
@@ -311,7 +311,7 @@
     with listener() as other:
         began = time.monotonic()
         with pytest.raises(OSError, match="in use"):
-            CallerSide(at.loop, at.log.append, at.exchange, other.getsockname(), 10)
+            ClientSide(at.loop, at.log.append, at.exchange, other.getsockname(), 10)
         assert time.monotonic() - began < momentary.START_PATIENCE / 2
     at.close()
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -15,7 +15,7 @@
 
 from standflow.exchange import Outcome, Phase, Route, RouteSet
 from standflow.net.bodies import Bodies
-from standflow.net.caller import CallerSide
+from standflow.net.client_side import ClientSide
 from standflow.net.flow import MOST, Flow, Flows
 from standflow.net.nexthop import NextHops
 from tests.test_connections import Recorder
@@ -97,7 +97,7 @@
         loop, log, exchange = self.at.loop, self.at.log.append, self.at.exchange
         self.hops = NextHops(loop, log, exchange, 5.0, 9.0, 0.5, 9)
         exchange.next_hops = self.hops
-        self.side = CallerSide(loop, log, exchange, ("127.0.0.1", 0), 9)
+        self.side = ClientSide(loop, log, exchange, ("127.0.0.1", 0), 9)
         self.side.ready = True
         route = Route("s-1", self.hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
         self.hops.routes_told(RouteSet(1, True, (route,)))
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -18,7 +18,7 @@
 from hypothesis import strategies as st
 
 from standflow.exchange import Ends, Phase, Route, RouteSet
-from standflow.net.caller import PRESS
+from standflow.net.client_side import PRESS
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.nexthop import REST
 from standflow.ops import figures, server
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from standflow.net.caller import MAX_HALF, SPEAK_WITHIN, CallerSide
 from standflow.net.client_connection import ClientConnection
+from standflow.net.client_side import MAX_HALF, SPEAK_WITHIN, ClientSide
 from standflow.net.nexthop import Connection
 from tests.test_connections import Recorder
 from tests.test_endings import Wired
@@ -23,7 +23,7 @@
 
     def __init__(self, sent: bytes = PING) -> None:
         self.at = Recorder()
-        self.side = CallerSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
+        self.side = ClientSide(self.at.loop, self.at.log.append, self.at.exchange, ("127.0.0.1", 0), 10)
         self.side.open()
         self.client = socket.create_connection(self.side.address)
         self.client.settimeout(LIMIT)
@@ -120,7 +120,7 @@
 def test_all_that_wait_to_be_accepted_are_served_as_the_listener_ends() -> None:
     """More than are accepted in one go: the rest was reset with the listener."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 500)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 500)
     side.open()
     clients = [socket.create_connection(side.address) for _ in range(150)]
     side.stop()
@@ -137,7 +137,7 @@
         wired.send()
         at_backend = wired.accept(hop)
         ends: list[ClientConnection | Connection] = [
-            *wired.callers.connections,
+            *wired.clients.connections,
             *wired.hops.hops["s-1"].connections,
         ]
         assert len(ends) == 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -206,12 +206,12 @@
     log: list[str] = []
     loop = Loop(log.append)
     ingress = Ingress(read(with_deadline(config(), deadline), log.append), loop, log.append)
-    ingress.callers.ready = True
+    ingress.clients.ready = True
     before = loop.now()
     ingress.stop()
     ends = [when for when, _, timer in loop.timers if timer.call == ingress.shutdown._stop_accepting]
     assert ends[0] >= before + 0.4
-    with socket.create_connection(ingress.callers.address) as late:
+    with socket.create_connection(ingress.clients.address) as late:
         late.settimeout(LIMIT)
         late.sendall(b"*1\r\n$4\r\nPING\r\n")
         turn_until(loop, lambda: loop.stopped)  # the connection's end is the last thing that is waited for
@@ -378,8 +378,8 @@
     assert sum("a member was passed over" in line for line in log) == 2
     ingress.start()
     assert len(ingress.next_hops.hops) == len(ingress.driver.module.order) == 5000
-    ingress.callers.ready = True
-    with socket.create_connection(ingress.callers.address) as connection:
+    ingress.clients.ready = True
+    with socket.create_connection(ingress.clients.address) as connection:
         connection.settimeout(LIMIT)
         connection.sendall(
             command("00000000000000aa")
--- a/tests/test_restart_readiness.py
+++ b/tests/test_restart_readiness.py
@@ -60,11 +60,11 @@
         due = [when for when, _, timer in loop.timers if timer.call == ingress._ready]
         assert due
         assert due[0] <= loop.now() + READY_AT_LATEST <= loop.now() + LONGEST_WAIT
-        with socket.create_connection(ingress.callers.address, LIMIT) as client:
+        with socket.create_connection(ingress.clients.address, LIMIT) as client:
             client.sendall(PING)
-            turn_until(loop, lambda: ingress.callers.ready)
+            turn_until(loop, lambda: ingress.clients.ready)
             assert loop.now() >= before + READY_AT_LATEST  # the list may be stale: discovery comes first
-            turn_until(loop, lambda: any(connection.answered for connection in ingress.callers.connections))
+            turn_until(loop, lambda: any(connection.answered for connection in ingress.clients.connections))
             assert read_until(client, b"\r\n") == b"+PONG\r\n"
         assert not ingress.told
         ingress.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -23,7 +23,7 @@
 from lab.box import Box, Mode
 from lab.shutdown import Client, Send, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
-from standflow.net.caller import CallerSide
+from standflow.net.client_side import ClientSide
 from standflow.platform_terms import HOLD_UP_SECONDS
 from standflow.shutdown import close_all
 from standflow.shutdown_schedule import schedule_for
@@ -319,7 +319,7 @@
 def test_who_waits_for_room_to_be_accepted_is_not_reset_with_the_listener() -> None:
     """All connections have a request open as the listener is to end: it ends when all who wait are in."""
     at = Recorder()
-    side = CallerSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 2)
+    side = ClientSide(at.loop, at.log.append, at.exchange, ("127.0.0.1", 0), 2)
     side.open()
     clients = [socket.create_connection(side.address) for _ in range(3)]
     for number, client in enumerate(clients):
