A request behind a long value waits for the backend's pace, not for a slow client's

Change: that something has come has the rest of the value gathered, in the same budget; it is read when the value is whole. The new test fails without it.

--- a/standflow/net/bodies.py
+++ b/standflow/net/bodies.py
@@ -20,12 +20,18 @@
 
     def reserve(self, who: Hashable, size: int, granted: Callable[[], None]) -> bool:
         """True where the room is had at once; else `granted` is called when it is."""
-        if not self.waiting and self._fits(size):
-            self.used += size
+        if self.take(size):
             return True
         self.waiting[who] = (size, granted)
         return False
 
+    def take(self, size: int) -> bool:
+        """Reserves at once or not at all."""
+        if self.waiting or not self._fits(size):
+            return False
+        self.used += size
+        return True
+
     def forget(self, who: Hashable) -> None:
         """Whoever waits no more."""
         if self.waiting.pop(who, None) is not None:
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -137,7 +137,9 @@
                     return "peer_closed"  # while reading paused: what lies unread is nobody's any more
                 if ready & OUT:
                     self._push()
-                if ready & IN and not self.framing_lost:
+                if ready & IN and self.slots and self.slots[0].passing:
+                    self._gather_rest(self.slots[0])
+                elif ready & IN and not self.framing_lost:
                     self.left = bool(ready & LEFT)
                     data = self.sock.recv(READ_SIZE)
                     if not data:
@@ -194,6 +196,8 @@
         """
         not_served_yet = not self.side.ready and not self.leaving
         paused = self.full() or self.framing_lost or self.waits or not_served_yet
+        if paused and not self.framing_lost and self.slots and self.slots[0].passing:
+            paused = self.slots[0].asked_room  # that something lies unread has the rest of the value gathered
         if paused and self.held_since is None:
             self.held_since = self.side.loop.now()
         return (LEFT if paused else IN) | (OUT if self.out else 0)
@@ -379,6 +383,16 @@
         if self.side.values.reserve(slot, flow.size, granted):
             granted()
 
+    def _gather_rest(self, slot: Slot) -> None:
+        """Something has come behind a value that is being passed on: it is read once the value is whole.
+
+        The backend gives the rest at its own pace then, however slowly the client takes it.
+        """
+        slot.asked_room = True
+        if slot.flow is not None and self.side.values.take(slot.flow.left):
+            slot.room = slot.flow.left
+            slot.flow.gather()
+
     def _value_late(self, slot: Slot) -> None:
         """A value that was gathered is not whole in time: it fails, and those behind it go on."""
         transaction = slot.transaction
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -277,6 +277,25 @@
     rig.close()
 
 
+def test_a_request_behind_a_long_value_does_not_wait_for_a_slow_client() -> None:
+    """The rest of the value is gathered at the backend's pace, and then what has come is read."""
+    rig = Rig()
+    size = 4 * 1024 * 1024
+    hop = rig.ask(command("aa01"))
+    writer = threading.Thread(
+        target=lambda: _send(hop, b"*3\r\n$%d\r\n%b\r\n$-1\r\n$2\r\na=\r\n" % (size, bytes(size)))
+    )
+    writer.start()
+    turn_until(rig.at.loop, lambda: rig.at.began)
+    rig.caller.sendall(command("aa02"))
+    turn_until(rig.at.loop, lambda: len(rig.at.opened) == 2)  # the client has taken nothing yet
+    assert 0 < rig.side.values.used <= size
+    rig.until(lambda: len(rig.got) > size)
+    rig.until(lambda: rig.side.values.used == 0)
+    writer.join(LIMIT)
+    rig.close()
+
+
 def test_long_values_that_find_no_room_wait_for_their_turn() -> None:
     """Room for one value, which another connection has: until that is free only a pipe's part is taken in."""
     rig = Behind(1)
