--- a/lab/soak/plan.py
+++ b/lab/soak/plan.py
@@ -15,6 +15,7 @@
 BACKENDS = 3
 DEADLINES = (0.3, 0.5, 0.8, 1.2, 1.6, 2.4, 3.0, 4.0, 5.0)  # seconds
 HOLD_UP_SECONDS = 0.15  # for which an ingress may be held up, by the standing terms
+RELOAD_SECONDS = 0.2  # in which a file is read after SIGHUP, with a hold-up
 LAST_SEND_SECONDS = 0.01  # before SIGKILL: the last moment at which a client sends
 LONG_VALUE_BYTES = 300_000
 CUT_PART = 0.9  # of a long value, after which its connection is cut
@@ -192,7 +193,17 @@
             continue  # two together would be a longer one
         else:
             signals.append(SignalAt(at, signal))
-    return tuple(sorted(signals, key=lambda one: one.at))
+    return _without_unread_files(sorted(signals, key=lambda one: one.at))
+
+
+def _without_unread_files(signals: list[SignalAt]) -> tuple[SignalAt, ...]:
+    """Leaves out reloads soon behind another: a file replaced before it is read was never in force."""
+    kept: list[SignalAt] = []
+    for one in signals:
+        reloads = [other.at for other in kept if other.signal is Signal.RELOAD]
+        if one.signal is not Signal.RELOAD or not reloads or one.at - reloads[-1] > RELOAD_SECONDS:
+            kept.append(one)
+    return tuple(kept)
 
 
 def _draw_clients(chance: random.Random, begin: float, end: float) -> list[PlannedClient]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import replace
+from itertools import pairwise
 
 import pytest
 
@@ -84,6 +85,8 @@
         assert max(sends) <= end
         assert max(sends) > end - 0.1  # clients go on until SIGKILL
         assert sum(signal.signal is Signal.HOLD for signal in one.signals) <= 1
+        reloads = [signal.at for signal in one.signals if signal.signal is Signal.RELOAD]
+        assert all(later - sooner > 0.2 for sooner, later in pairwise(reloads))
     assert HOLD_UP_SECONDS == 0.15
     assert {signal.signal for _, one in lives for signal in one.signals} == set(Signal)
 
