Quotas in a cut: what is left is not taken by both sides before the cut is noticed

Change: a member that has not heard half of those it counts as reached for two epochs (they send one an epoch) lets in only what would fit beside as much from every member. It looks there only where little of a quota is left, and where a membership is kept. Why it works: the larger side goes on as before, and the smaller one leaves it the headroom.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -13,7 +13,7 @@
 from hoistfold.coordinators import Coordination
 from hoistfold.counted import Stores
 from hoistfold.overload import ClassPriority
-from hoistfold.partition import partition_of
+from hoistfold.partition import may_be_cut_off, partition_of
 from hoistfold.state import (
     FORGOTTEN,
     ONCE,
@@ -119,7 +119,8 @@
             quota.silent = len(others) - heard if read < WITNESSED_FOR else 0
             # where others are heard the members are gone and ask no more; where nobody is, we are cut off
             quota.alone = not (told or self.fleet or any(self.answers(n) for n in self.peers))
-            self._admit(request, self._within_quota(quota, event.units, told))
+            within = self._within_quota(quota, event.units, told)
+            self._admit(request, within and not self._contended(quota, event.units, others))
 
     def _totals_known(self, others: list[int], heard: int, read: float) -> bool:
         """Whether what the other members use is known, or that they are gone.
@@ -135,6 +136,15 @@
             return read < WITNESSED_FOR
         return heard > 0 or read < WITNESSED_FOR or self._silent_are_gone()
 
+    def _contended(self, quota: Quota, units: float, others: list[int]) -> bool:
+        """Little is left of a quota, and the other side of a cut that has just begun may take the same."""
+        on_ring = self.fleet is not None and self.settings.may_tell_peers
+        if not on_ring or quota.part < 1 or not quota.plan.rate or quota.holds_one_from_each(units):
+            return False
+        reached = (n for n in others if n not in self.partition.unreached)
+        silences = [self.now - max(self.peers[n].heard, self.started_at) for n in reached]
+        return may_be_cut_off(silences, self.epoch)
+
     def _timer(self, event: i.TimerFired) -> None:
         request = self.timers.pop(event.handle, None)
         if event.handle == 0:
--- a/hoistfold/partition.py
+++ b/hoistfold/partition.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence, Set
+from collections.abc import Collection, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from hoistfold.interface import FleetSeen
 
 MINORITY_PART = 0.1  # of its even shares, for the side of a cut that may not take over
 SILENT_EPOCHS = 4  # without a message after which a member counts as not heard
+DOUBTED_EPOCHS = 2  # without a message from half of the members after which a cut may have begun
 BELIEVED_SECONDS = (
     6.0  # of silence after which the membership is believed that a member is there all the same
 )
@@ -61,3 +62,12 @@
     """More than half of all, or just half with the lowest number: two sides can't both be."""
     ours, theirs = len(reached), len(unreached)
     return ours > theirs or (0 < ours == theirs and min(reached) < min(unreached))
+
+
+def may_be_cut_off(silences: Collection[float], epoch_seconds: float) -> bool:
+    """Whether this member may be on the smaller side of a cut that nobody has noticed yet.
+
+    `silences`: seconds for which each of the others that count as reached was not heard.
+    """
+    silent = sum(silence >= DOUBTED_EPOCHS * epoch_seconds for silence in silences)
+    return 2 * silent >= len(silences) + 1
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -150,6 +150,11 @@
         """What is used of the window, as a part of the burst."""
         return (self.own + self.others) / self.plan.burst
 
+    def holds_one_from_each(self, units: float) -> bool:
+        """Whether a request of so many units from each member fits at once; an unused window holds one."""
+        used = self.own + self.others
+        return not used or used + units * self.size <= self.plan.burst
+
     def narrow(self, part: float, units: float) -> None:
         """Takes a smaller part, of which as much counts as used as of the larger one.
 
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -285,6 +285,27 @@
     assert ring.verdict().use <= 1.10
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_what_is_left_of_a_pressed_quota_is_not_taken_by_both_sides_before_a_cut_is_noticed(
+    seed: int,
+) -> None:
+    # The smaller side went on with all that was left for the four epochs until a member counts as not heard.
+    ring = OwnEpochs(seed)
+    ring._pass(ring.now + 3.0)
+    ring.play(3.0, {"heavy0": 8.0})
+    ring.cut(4, 5)
+    ring._pass(ring.now + 0.25)
+    served = {"heavy0": 0, "new": 0}
+    for n in range(4):
+        for customer in served:
+            for number in (4, 5):
+                name = f"{customer}-{n}-{number}"
+                served[customer] += ring.ask(number, name, customer=customer, ring_size=ring.size)
+        ring._pass(ring.now + 0.03)
+    assert served["heavy0"] == 0
+    assert served["new"] >= 2  # of an unused quota each may take what fits beside as much from all
+
+
 def test_the_side_that_goes_on_serving_refuses_little_of_what_is_inside_quota() -> None:
     ring = Ring()
     ring.play(8.0, ASKED)
