Tests of power losses: verdicts that the time of a start can't move

Seen beside load: test_losses_of_all_spend_no_quota_twice_and_without_the_store_they_do fails as its control, the half without the store, stays under 1.10 (0.827 to 1.058), and test_discovery_that_comes_last_... once served nothing where more than 20 are asked for. Traced, 3 December 2026, four plays of each at a load of 9 on six cores: the ingresses are what is late, by their start. They are ready 1.0 to 2.0 s after their start (0.3 s on a calm machine), the next step of the schedule comes at its own time, and meanwhile the quota drains as it should: without the store 1.154, 1.038, 1.058, 1.077; at a load of 11 0.808 to 0.904 in six plays. Clients send at their time, refusals and answers are prompt once a process is ready. In the other test all were ready 6.2 to 6.7 s after the begin, where the window that is counted is 5.5 to 8.5 (49 to 62 served); a start of 4 s leaves none of it. So the sites are at fault, not the product. Change: the promise stays on real processes (1.10 with the store, as before, without the control). A second one asks for it with a plan that drains in 24 s, so that a late return can't hide a quota that is spent again. The control is in simulated time (20 numbers). What is served while discovery is away counts from the moment all have started to the heal, with the bounds as they were; lab.fleet's Site plays a further span for that. Planted, on scratch copies: the store's windows are not taken in (handover.refill): simulated 20 of 20 fail, real 2 of 2 at a load of 12 (1.529); the next hops of the store are dropped (Keeper.begin): the discovery test fails. The new forms pass beside load (one play each, load 9 to 15).

--- a/lab/fleet/site.py
+++ b/lab/fleet/site.py
@@ -133,6 +133,7 @@
         self.down_since: dict[int, float] = {}
         self.killed: set[int] = set()  # what was under way there may have run
         self.asked: list[Asked] = []
+        self.runs = 0  # so many spans were played
         self.done: list[tuple[float, Step]] = []
         self.begin = time.time()
         try:
@@ -271,7 +272,8 @@
             one.tell(f"s-{number}", address, phase, up_since=self.boxes[number].started)
 
     def run(self, steps: list[Step], span: float, load: bool = True) -> None:
-        """Plays a schedule, with callers all the while."""
+        """Plays a schedule, with callers all the while; may be called again, and the next span follows."""
+        self.runs += 1
         began = self.now()
         askers = [threading.Thread(target=self._ask, args=(n, span), daemon=True) for n in range(self.size)]
         for asker in askers if load else ():
@@ -291,7 +293,8 @@
         return {f"heavy{n}": 2.0 for n in range(HEAVY)} | {f"calm{n}": 0.3 for n in range(CALM)}
 
     def _ask(self, number: int, span: float) -> None:
-        chance = random.Random(f"{self.seed} {number}")
+        span_name = "" if self.runs == 1 else f"r{self.runs}"
+        chance = random.Random(f"{self.seed} {number}{span_name}")
         due = sorted(
             (at, school)
             for school, times in self.schools().items()
@@ -302,7 +305,7 @@
         for serial, (at, school) in enumerate(due):
             time.sleep(max(0.0, began + at - time.monotonic()))
             member = self._dealt(number, chance)
-            ident, safe = f"{self.seed:x}n{number}s{serial}", chance.random() < 0.8
+            ident, safe = f"{self.seed:x}{span_name}n{number}s{serial}", chance.random() < 0.8
             sent, begun = self.now(), time.monotonic()
             end = self._one(socks, member, school, ident, safe)
             self.asked.append(Asked(sent, school, member, ident, safe, end, time.monotonic() - begun))
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -88,8 +88,8 @@
             if self.members is not None:
                 self.members.kill(number)
 
-    def lose_all(self, away: float) -> None:
-        """All end at one moment, and come back so much later with what their stores kept."""
+    def lose_all(self, away: float, store: bool = True) -> None:
+        """All end at one moment, and come back so much later; with the store, with what that kept."""
         assert self.members is not None
         plans = {BASIC.name: Plan(BASIC.burst, BASIC.rate)}
         kept: dict[int, tuple[list[Record], dict[int, tuple[int, Address | None]]]] = {}
@@ -108,7 +108,7 @@
         for number, (use, lives) in kept.items():
             self.restart(number)
             self.members.start(number).remember(lives)
-            found = trust(use, Clock("boot", self.now), plans)
+            found = trust(use if store else [], Clock("boot", self.now), plans)
             rows = [[w.key, w.plan, w.first, w.size, w.own, w.others] for w in found.windows]
             handover.refill(self.live[number], self.now, rows)
 
@@ -260,8 +260,8 @@
         super().play(seconds, asked, weights or (1.0,) * self.size)
         self._pass(end)
 
-    def lose_all(self, away: float) -> None:
-        super().lose_all(away)
+    def lose_all(self, away: float, store: bool = True) -> None:
+        super().lose_all(away, store)
         self.next_epochs.clear()
 
     def verdict(self) -> Verdict:
@@ -306,6 +306,22 @@
     assert served["new"] >= 2  # of an unused quota each may take what fits beside as much from all
 
 
+@pytest.mark.parametrize("number", range(20))
+def test_losses_of_all_spend_a_quota_twice_without_the_store_and_not_with_it(number: int) -> None:
+    # The control of test_losses_of_all_spend_no_quota_twice in tests/test_power.py, apart from the machine.
+    use = {}
+    for store in (True, False):
+        ring = OwnEpochs(number)
+        ring._pass(ring.now + 3.0)
+        ring.play(3.0, {f"heavy{n}": 8.0 for n in range(2)})
+        for _ in range(2):
+            ring.lose_all(0.5, store)
+            ring.play(2.5, {f"heavy{n}": 8.0 for n in range(2)})
+        ring.play(4.0, {f"heavy{n}": 8.0 for n in range(2)})
+        use[store] = ring.verdict().use
+    assert use[True] <= 1.10 < use[False]
+
+
 def test_the_side_that_goes_on_serving_refuses_little_of_what_is_inside_quota() -> None:
     ring = Ring()
     ring.play(8.0, ASKED)
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -14,8 +14,10 @@
 
 from lab.fleet import schedule
 from lab.fleet.record import faults, quotas, record
-from lab.fleet.site import Site
+from lab.fleet.schedule import Step
+from lab.fleet.site import Deployment, Site
 from lab.processes import Ingress
+from lab.quotas import judge
 from standflow.recovery.records import Record, encode, head, identity, read
 from standflow.recovery.store import FILE
 from tests.wire import LIMIT
@@ -61,21 +63,33 @@
     return all(figure(one, "recovery.stage") == "normal" for one in site.live.values())
 
 
-def test_losses_of_all_spend_no_quota_twice_and_without_the_store_they_do(seed: int) -> None:
-    text, use = loss(3, 1) + "\n" + loss(6, 2), {}
-    for store in (True, False):
-        with Pressed(SIZE, store=store, seed=seed) as site:
-            assert site.until_agreed(LIMIT) < LIMIT
-            site.run(schedule.read(text, SIZE), 13.0)
-            assert site.until_agreed(LIMIT) < LIMIT
-            table = record(site)
-            if store:
-                assert faults(table) == []
-                until(lambda site=site: normal(site))
-                assert any(int(figure(one, "recovery.assumed")) > 0 for one in site.live.values())
-        assert table.filter(pl.col("end") == "served").height > 50
-        use[store] = quotas(table).use
-    assert use[True] <= 1.10 < use[False]
+def losses(site: Site, text: str) -> pl.DataFrame:
+    """The record of a site whose ingresses all end together, once or more."""
+    assert site.until_agreed(LIMIT) < LIMIT
+    site.run(schedule.read(text, SIZE), 13.0)
+    assert site.until_agreed(LIMIT) < LIMIT
+    return record(site)
+
+
+def test_losses_of_all_spend_no_quota_twice(seed: int) -> None:
+    # That a quota is spent twice without the store is shown in simulated time, by tests/test_fleet_quotas.py.
+    with Pressed(SIZE, store=True, seed=seed) as site:
+        table = losses(site, loss(3, 1) + "\n" + loss(6, 2))
+        assert faults(table) == []
+        until(lambda: normal(site))
+        assert any(int(figure(one, "recovery.assumed")) > 0 for one in site.live.values())
+    assert table.filter(pl.col("end") == "served").height > 50
+    assert quotas(table).use <= 1.10
+
+
+def test_a_loss_of_all_spends_no_quota_twice_however_long_the_return_takes(seed: int) -> None:
+    # A burst that drains within the time that a busy machine takes to start a fleet may be spent again.
+    slow = Deployment(rate=0.5, burst=12.0)
+    with Pressed(SIZE, store=True, seed=seed, deployment=slow) as site:
+        losses(site, loss(3, 1))
+        tries = site.tries()
+    assert sum(one.ran for one in tries) > 50
+    assert judge(tries, slow.rate, slow.burst).use <= 1.10
 
 
 def test_a_second_loss_in_the_middle_of_the_return_and_one_alone_first(seed: int) -> None:
@@ -153,14 +167,20 @@
 
 
 def test_discovery_that_comes_last_is_waited_for_with_the_next_hops_of_the_store(seed: int) -> None:
+    # What is served counts from the moment all have started, however long that takes.
     everybody = " ".join(map(str, range(SIZE)))
-    text = f"4 kill {everybody}\n4 list-cut {everybody}\n4.5 start {everybody}\n9 box-heal"
     served = {}
     for store in (True, False):
         with Site(SIZE, boxes=3, store=store, streams=True, seed=seed) as site:
             assert site.until_agreed(LIMIT) < LIMIT
             begun = site.now()
-            site.run(schedule.read(text, SIZE), 13.0)
+            site.run(schedule.read(f"4 kill {everybody}\n4 list-cut {everybody}", SIZE), 4.5)
+            site.do(Step(site.now(), "start", tuple(range(SIZE))))
+            started = site.now()
+            site.run([], 3.0)
+            healed = site.now()
+            site.do(Step(healed, "box-heal"))
+            site.run([], 4.0)
             assert site.until_agreed(LIMIT) < LIMIT
             table = record(site)
             assert faults(table) == []
@@ -168,7 +188,7 @@
                 line for _, at, one in site.lives if at > begun for line in one.log if "next hops" in line
             ]
         ends = table.filter((pl.col("what") == "asked") & (pl.col("end") == "served"))
-        served[store] = ends.filter(pl.col("t").is_between(begun + 5.5, begun + 8.5)).height
+        served[store] = ends.filter(pl.col("t").is_between(started, healed)).height
         assert all("3 next hops" in line for line in told)
         assert len(told) == SIZE * store
     assert served[True] > 20 > 0 == served[False]
