Tests: lower bounds on what real processes do are judged by what was asked, or waited for

Searched: every comparison with a lower bound in the tests that start processes (grep of `>` in asserts and of sleeps before them), and what holds each up on a starved machine: - test_fleet, without a view `use > 1.2`: nothing. The control in simulated time (> 1.3) was there before. - test_upgrade, each of four callers has a further answer within 0.3 or 0.5 s of sleep (three tests): nothing.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,6 +15,7 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -36,8 +37,9 @@
     unanswered,
     views,
 )
-from lab.fleet.site import Site
+from lab.fleet.site import BURST, RATE, Site
 from lab.processes import ROOT, Ingress
+from lab.quotas import judge
 from lab.streams import Streams
 from standflow.config import ConfigError
 from standflow.config.operators import load
@@ -142,10 +144,11 @@
 
 
 def test_without_a_view_a_cut_spends_far_more_than_the_quota(seed: int) -> None:
-    """What the view is for; the same cut with it stays under 1.10."""
+    # The control of the cut with a view, which stays under 1.10 where 1.65 and more are asked for.
     with Site(5, view=False, seed=seed) as site:
         site.run(schedule.read("3 cut 3 4", 5), 16.0)
-        assert quotas(record(site)).use > 1.2
+        asked = judge([replace(one, ran=True) for one in site.tries()], RATE, BURST)
+        assert quotas(record(site)).use > 0.73 * asked.use
         assert not any("fleet" in line for _, _, ingress in site.lives for line in ingress.log)
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -445,6 +445,14 @@
                 sock = None
             time.sleep(0.002)
 
+    def until_answered_again(self, seconds: float) -> None:
+        """Goes on for so long, and until each caller has had a further answer, however late that is."""
+        before, end = list(self.answered), time.monotonic() + LIMIT
+        time.sleep(seconds)
+        while not all(after > once for after, once in zip(self.answered, before, strict=True)):
+            assert time.monotonic() < end
+            time.sleep(0.01)
+
     def stop(self) -> None:
         self.stopped = True
         for thread in self.threads if self.begun else ():
@@ -490,7 +498,7 @@
 def test_two_upgrades_in_a_row_turn_nobody_away(tmp_path: Path) -> None:
     with upgrading(tmp_path) as (start, door, load, _):
         first = start()
-        time.sleep(0.3)
+        load.until_answered_again(0.3)
         second = start()
         second.logged("took over")
         first.logged("silent on the ring")
@@ -498,16 +506,15 @@
         third = start()
         third.logged("took over")
         over(second)
-        before = list(load.answered)
-        time.sleep(0.3)
+        load.until_answered_again(0.3)
         load.stop()
         assert load.unheard == []
-        assert all(after > once > 0 for after, once in zip(load.answered, before, strict=True))
 
 
 def test_files_under_load_and_an_upgrade_right_behind_one_turn_nobody_away(tmp_path: Path) -> None:
     with upgrading(tmp_path) as (start, door, load, _):
         first = start()
+        load.until_answered_again(0.0)
         raw = json.loads((tmp_path / "config.json").read_text())
         for attempts in (4, 5, 2, 7):
             raw["settings"]["Caps"]["TryLimit"] = attempts
@@ -520,11 +527,9 @@
         first.logged("attempts 6\n")
         second = start()
         over(first)
-        before = list(load.answered)
-        time.sleep(0.3)
+        load.until_answered_again(0.3)
         load.stop()
         assert load.unheard == []
-        assert all(after > once > 0 for after, once in zip(load.answered, before, strict=True))
         assert "sighup_applied=0" in ask(second, "GET", "/api/telemetry")[1]
 
 
@@ -554,10 +559,8 @@
         third = start()  # and the one before may end without a word
         first.process.kill()
         first.process.wait(LIMIT)
-        before = list(load.answered)
-        time.sleep(0.5)
+        load.until_answered_again(0.5)
         load.stop()
-        assert all(after > once for after, once in zip(load.answered, before, strict=True))
         assert ask(third, "GET", "/api/ready")[0] == 200
 
 
