Soak: in a quarter of the seeds something is owed at the last moment

Change: every fourth seed draws two clients whose first request comes just before the end of accepting and the second just before the end of serving; backends hang on the requests of their tenant and answer all others, so that no backend is ejected; and they keep their connection until SIGKILL, ended or not. Other seeds draw what they drew.

--- a/lab/box.py
+++ b/lab/box.py
@@ -105,6 +105,7 @@
         self.context, self.mode = context, mode or Mode()
         self.delay = delay
         self.value = 0  # bytes of a value at least
+        self.hung_tenants: frozenset[int] = frozenset()  # their requests are taken and never answered
         self.work, self.cores, self.cold_from, self.cold_time = work, cores, cold_from, cold_time
         self.started = 0.0  # Unix time; long ago
         self.counts = Counts()
@@ -239,7 +240,7 @@
                 parts, size = found
                 data = data[size:]
                 answer = self._answer(parts, time.monotonic() - since_received(wire.sock))
-                if mode.silent:
+                if mode.silent or self._hangs(parts):
                     continue
                 if mode.alert:
                     wire.write(answer[:5])
@@ -251,6 +252,9 @@
                     wire.close(mode.notify)
                     return
 
+    def _hangs(self, parts: list[bytes]) -> bool:
+        return bool(self.hung_tenants) and parts[0] != b"PING" and int(parts[1], 16) in self.hung_tenants
+
     def _answer(self, parts: list[bytes], came_at: float) -> bytes:
         if parts[0] == b"PING":
             return b"+PONG\r\n"
--- a/lab/shutdown.py
+++ b/lab/shutdown.py
@@ -68,11 +68,15 @@
 
 @dataclass(slots=True, eq=False)
 class Client:
-    """One connection and the requests on it, in their order. `leaves_at`: it closes, whatever is open."""
+    """One connection and the requests on it, in their order. `leaves_at`: it closes, whatever is open.
+
+    `stays`: it is not closed when the ingress ends it, but kept until SIGKILL.
+    """
 
     sends: list[Send]
     connects_at: float = -1.0
     leaves_at: float | None = None
+    stays: bool = False
     sock: socket.socket | None = None
     sent: list[Sent] = field(default_factory=list)
     connected_at: float | None = None
@@ -160,6 +164,7 @@
         self.zero = 0.0
         self.serial = first_serial
         self.selector = selectors.DefaultSelector()
+        self.kept: list[socket.socket] = []  # ended by the ingress, of clients that stay
         self.due: list[tuple[float, int, Callable[[], None]]] = []  # a heap
         self.order = itertools.count()  # of what is due at one moment
         for client in clients:
@@ -257,12 +262,17 @@
         sock, client.sock = client.sock, None
         if sock is not None:
             self.selector.unregister(sock)
-            with contextlib.suppress(OSError):
-                sock.close()
+            if client.stays and how == "closed":
+                self.kept.append(sock)
+            else:
+                with contextlib.suppress(OSError):
+                    sock.close()
         client.ended_by, client.ended_at = how, self.now()
 
     def close(self) -> None:
         for client in self.clients:
             if client.sock is not None:
                 self._ended(client, "open")
+        for sock in self.kept:
+            sock.close()
         self.selector.close()
--- a/lab/soak/plan.py
+++ b/lab/soak/plan.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from lab.shutdown import kill_time
+from standflow.shutdown_schedule import schedule_for
 
 MOST_INGRESSES = 4
 BACKENDS = 3
@@ -21,6 +22,10 @@
 CUT_PART = 0.9  # of a long value, after which its connection is cut
 CROWD_SOCKETS = 256  # descriptors of an ingress before a crowd
 CROWD_IDLE, CROWD_AT_ONCE = 140, 200  # connections
+FIRST_WAIT_SECONDS = (
+    0.05  # before the end of accepting, and of serving, at which clients send that wait for both
+)
+WAITING_TENANT = 50  # of these clients
 PLAN_RATE, PLAN_BURST = 4.0, 6.0  # units a second and units of each tenant's quota
 
 
@@ -67,11 +72,12 @@
 
 @dataclass(slots=True, frozen=True)
 class PlannedClient:
-    """One connection. `leaves_at`: closes then, whatever is open."""
+    """One connection. `leaves_at`: closes then, whatever is open. `stays`: until SIGKILL, ended or not."""
 
     connects_at: float
     sends: tuple[PlannedSend, ...]
     leaves_at: float | None = None
+    stays: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -128,6 +134,7 @@
     look_deadline: float
     change_deadline: float
     crowd: bool
+    owed_at_the_end: bool  # backends hang on requests of a tenant whose clients wait until SIGKILL
     lives: tuple[tuple[Life, ...], ...]
     backends: tuple[BackendTrouble, ...]
     silences: tuple[DiscoverySilence, ...]
@@ -150,6 +157,7 @@
     longest = max(look_deadline, change_deadline)
     ingresses = chance.randint(1, MOST_INGRESSES)
     crowd = seed % 3 == 0
+    owed_at_the_end = seed % 4 == 2
     lives = tuple(
         tuple(
             _draw_life(chance, longest, ingresses, crowd and number == 0 and life == 0)
@@ -162,7 +170,10 @@
     silences = tuple(
         _draw_silence(chance, number, span) for number in range(ingresses) if chance.random() < 0.3
     )
-    return Run(seed, look_deadline, change_deadline, crowd, lives, backends, silences)
+    if owed_at_the_end:  # what is drawn for other seeds stays as it is
+        lives = tuple(tuple(_with_waiting_clients(life, longest) for life in of) for of in lives)
+        backends = ()
+    return Run(seed, look_deadline, change_deadline, crowd, owed_at_the_end, lives, backends, silences)
 
 
 def _draw_life(chance: random.Random, longest: float, ingresses: int, crowd: bool) -> Life:
@@ -231,6 +242,21 @@
     return clients
 
 
+def _with_waiting_clients(life: Life, longest: float) -> Life:
+    """Adds clients that are owed an answer at the last moment, and keep their connection beyond it.
+
+    The first request keeps the connection from being ended as an idle one; the second comes just before the
+    end of serving, so that its time is over after the last moment.
+    """
+    schedule = schedule_for(life.counted_deadline(longest))
+    waiting = []
+    for safe in (True, False):
+        times = (schedule.stop_accepting - FIRST_WAIT_SECONDS, schedule.stop_serving - FIRST_WAIT_SECONDS)
+        sends = tuple(PlannedSend(at, safe, WAITING_TENANT) for at in times)
+        waiting.append(PlannedClient(-FIRST_WAIT_SECONDS, sends, stays=True))
+    return replace(life, clients=life.clients + tuple(waiting))
+
+
 def _draw_crowd(chance: random.Random, begin: float, end: float) -> list[PlannedClient]:
     """Idle connections near the limit of descriptors, and hundreds that come at once."""
     idle = [PlannedClient(begin + n * 0.001, ()) for n in range(CROWD_IDLE)]
--- a/lab/soak/play.py
+++ b/lab/soak/play.py
@@ -23,6 +23,7 @@
     LONG_VALUE_BYTES,
     PLAN_BURST,
     PLAN_RATE,
+    WAITING_TENANT,
     BackendMode,
     BackendTrouble,
     DiscoverySilence,
@@ -81,6 +82,7 @@
         ) as site:
             for box in site.boxes:
                 box.arrived = self.arrived
+                box.hung_tenants = frozenset([WAITING_TENANT] if plan.owed_at_the_end else [])
             self.begin = time.monotonic()
             beside = [
                 threading.Thread(target=self._trouble, args=(site,)),
@@ -131,6 +133,7 @@
                 [Send(send.at, send.safe, send.tenant, self._patience(send.safe)) for send in one.sends],
                 one.connects_at,
                 one.leaves_at,
+                one.stays,
             )
             for one in life.clients
         ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
 )
 from lab.soak.plan import HOLD_UP_SECONDS, Run, Signal, draw
 from lab.soak.record import Row, table
+from standflow.shutdown_schedule import schedule_for
 
 RUN = draw(1)  # without a crowd
 CROWD = draw(3)
@@ -91,6 +92,22 @@
     assert {signal.signal for _, one in lives for signal in one.signals} == set(Signal)
 
 
+def test_in_a_quarter_of_the_seeds_something_is_owed_at_the_last_moment() -> None:
+    # An end that comes too late was not noticed where all connections had drained long before.
+    runs = [draw(seed) for seed in range(200)]
+    assert sum(run.owed_at_the_end for run in runs) == len(runs) / 4
+    for run in runs:
+        for life in (life for of in run.lives for life in of):
+            waiting = [client for client in life.clients if client.stays]
+            assert bool(waiting) == run.owed_at_the_end
+            plan = schedule_for(life.counted_deadline(run.longest_deadline))
+            for client in waiting:
+                first, last = (send.at for send in client.sends)
+                assert first < plan.stop_accepting < first + run.longest_deadline
+                assert plan.stop_serving - 0.1 < last < plan.stop_serving
+                assert last + run.longest_deadline > plan.answer_all
+
+
 def test_a_run_in_which_all_is_well_breaks_nothing() -> None:
     assert faults(*WELL) == []
 
