Quotas in a cut: a level that was raised with a smaller part is lowered with the larger one

What callers see: since, a tenant whose ingress was cut off for a moment, or merely not heard, is refused for some seconds after it, as its window counts as full. Cause: the window keeps its fullness as the part gets smaller, and on the way back the level was only held to the burst. Found by reading docs/design/fleet.md on false alarms. Change: Quota.take_part scales both ways.

--- a/hoistfold/brain.py
+++ b/hoistfold/brain.py
@@ -433,11 +433,12 @@
             return
         part = self.partition.part_of_quota(self.members(quota, 0))
         if part <= quota.part:
-            quota.narrow(part, units)
+            quota.take_part(part, units)
             quota.parted = self.now
         elif self.now - max(quota.parted, self.fleet_at) > 4 * self.epoch:
+            quota.take_part(part, units)
             keep = min(1.0, quota.plan.burst / max(quota.plan.burst, quota.own + quota.others))
-            quota.part, quota.own, quota.others = part, quota.own * keep, quota.others * keep
+            quota.own, quota.others = quota.own * keep, quota.others * keep
 
     def _epoch(self) -> None:
         self.actions.append(i.SetTimer(self.epoch, 0))
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -155,8 +155,8 @@
         used = self.own + self.others
         return not used or used + units * self.size <= self.plan.burst
 
-    def narrow(self, part: float, units: float) -> None:
-        """Takes a smaller part, of which as much counts as used as of the larger one.
+    def take_part(self, part: float, units: float) -> None:
+        """Takes another part of the quota, of which as much counts as used as of the one before.
 
         Of a part under one request the window is that request of so many units: one has to fit.
         """
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -364,6 +364,19 @@
     assert served_at[0] > full_window_seconds
 
 
+def test_a_short_cut_leaves_no_window_fuller_than_it_was() -> None:
+    # The level was raised with the smaller part, and not lowered again with the larger one.
+    ring = Ring(max_units=1.0)
+    ring._pass(ring.now + 3.0)
+    assert sum(ring.ask(3, f"a{n}", customer="one", ring_size=SIZE) for n in range(6)) == 6
+    ring.cut(3, 4)
+    ring._pass(ring.now + 0.6)
+    assert not ring.ask(3, "in the cut", customer="one", ring_size=SIZE)
+    ring.blocked = lambda sender, to: False
+    ring._pass(ring.now + 1.0)
+    assert sum(ring.ask(3, f"b{n}", customer="one", ring_size=SIZE) for n in range(5)) == 5
+
+
 @pytest.mark.parametrize(
     ("size", "cut_off"), [(5, (3, 4)), (6, (4, 5)), (8, (5, 6, 7)), (12, (7, 8, 9, 10, 11))]
 )
