Handshakes: the age of a backend does not hang on the clock of this ingress's start

What callers see: an ingress with TLS to its backends starts while the wall clock is wrong, which is put right later. An hour ahead: a backend that has just started counts as warm, and handshakes with it are not limited; an hour behind: it counts as cold for an hour. Change: the keeper reckons starts by StartTimes too.

--- a/standflow/handshakes/keeper.py
+++ b/standflow/handshakes/keeper.py
@@ -11,6 +11,7 @@
 from standflow.net.loop import Loop, Timer
 from standflow.net.nexthop import OURS, Connection, NextHops
 from standflow.net.stream import Stream
+from standflow.start_times import StartTimes
 
 SOONEST = 0.002  # seconds between two looks at the same next hop
 NO_ROOM = 0.1  # seconds until the next look where no connection can be opened from here
@@ -37,6 +38,7 @@
         self.loop, self.log, self.limits, self.next_hops = loop, log, limits, next_hops
         self.show, self.want_ready, self.resumable, self.forget = show, ready, resumable, forget
         self.showing = Showing()
+        self.starts = StartTimes()
         self.wanted: set[str] = set()  # a branch found no connection, and none could be opened for it
         self.timers: dict[str, Timer] = {}
         self.generation = 1
@@ -48,15 +50,15 @@
 
     def routes_told(self, routes: RouteSet) -> None:
         """Takes in what discovery says; what may be shown goes on to the driver at once."""
-        now = self.loop.now()
+        now, wall = self.loop.now(), time.time()
         before = set(self.showing.known)
         passed = self.showing.told(routes, now + self.offset)
         self.next_hops.routes_told(routes)
         for hop, known in self.showing.known.items():
-            up = known.route.up_since
-            self.limits.told(hop, known.route.kind, None if up is None else up - self.offset, now)
+            self.limits.told(hop, known.route.kind, self._started(known.route, now, wall), now)
         for hop in before - set(self.showing.known):
             self.limits.gone(hop)
+            self.starts.forget(hop)
             self.forget(hop)
             self.wanted.discard(hop)
         if passed.routes or passed.complete:
@@ -64,6 +66,12 @@
         for route in self.showing.waiting():
             self._look(route.hop)
 
+    def _started(self, route: Route, now: float, wall: float) -> float | None:
+        """When a next hop started, of the loop's clock; `wall`: Unix time at `now`. None: long ago."""
+        if route.up_since is None:
+            return None
+        return self.starts.started(route.hop, route.up_since, now + self.offset, wall) - self.offset
+
     # Admission: what NextHops asks before it dials, and tells after.
 
     def refusal(self, hop: str) -> Outcome | None:
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 import random
+import time
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -436,6 +437,21 @@
     assert not rigged.at.gone
 
 
+@pytest.mark.parametrize("ahead", [-3600.0, 3600.0])
+def test_a_clock_that_was_wrong_at_the_start_makes_no_cold_next_hop_warm_and_none_cold_for_long(
+    ahead: float, rigged: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The age of a next hop was reckoned by the clock of the start alone, though that was put right since.
+    wall = time.time
+    with monkeypatch.context() as patch:
+        patch.setattr(time, "time", lambda: wall() + ahead)
+        kept = Kept(rigged, ingresses=40)
+    kept.told(up=time.time() - 1.0)
+    now = kept.rig.at.loop.now()
+    assert kept.limits.cold("tt-07", now)
+    assert not kept.limits.cold("tt-07", now + WARMING.cold_time)
+
+
 def test_one_that_drains_is_told_at_once_and_a_restarted_one_goes_until_it_is_ready(rigged: Any) -> None:
     kept = Kept(rigged)
     kept.told(up=5.0)
