Handshakes: a replacement on its way is waited for, not joined by another every 50 ms

What callers see: nothing but slower backends: with new TLS material each idle connection is replaced, and while a handshake takes long a further one began every 50 ms, up to eight for one backend. Seen: test_sighup_takes_new_material_up_and_a_bad_set_changes_nothing failed once on a busy machine (3 handshakes where 2 are due), traced with 48 plays, six at once beside six busy processes: 4 failed. Cause: Keeper._replace looks every 50 ms, and _old did not ask for a replacement on its way. Ruled out: a dial for a request; a backend that stalls handshakes gets 8 connections in 0.5 s with none asked for. Change: a connection on its way up ahead of any request is waited for.

--- a/standflow/handshakes/keeper.py
+++ b/standflow/handshakes/keeper.py
@@ -158,9 +158,14 @@
         self._replace()
 
     def _old(self, hop: str) -> bool:
-        """Every next hop that holds idle connections on old material replaces one at a time."""
+        """Every next hop that holds idle connections on old material replaces one at a time.
+
+        One that is on its way up ahead of any branch is waited for, however long its handshake takes.
+        """
         held = self.next_hops.hops.get(hop)
-        return held is not None and any(one.stream.generation != self.generation for one in held.idle)
+        if held is None or any(not one.up and one.errand is None for one in held.connections):
+            return False
+        return any(one.stream.generation != self.generation for one in held.idle)
 
     def _replace(self) -> None:
         left = False
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -495,6 +495,19 @@
     rigged.at.exchange.cancel(busy.transaction.name, busy.number)
 
 
+def test_a_replacement_is_waited_for_however_long_its_handshake_takes(rigged: Any) -> None:
+    # Every 50 ms of a slow handshake a further connection was opened in place of the same old one.
+    kept = Kept(rigged)
+    kept.told()
+    kept.until(lambda: kept.shown_hops() == ["tt-07"])
+    opened_before, looked_until = kept.keeper.opened_ahead, kept.rig.at.loop.now() + 0.5
+    rigged.box.mode = Mode(stall_at=0)
+    rigged.streams.reload(rigged.streams.options)
+    kept.until(lambda: kept.rig.at.loop.now() > looked_until)
+    assert kept.keeper.opened_ahead - opened_before == 1
+    assert rigged.ends().count("rotated") == 0
+
+
 def test_the_last_connection_lost_throws_doubt_on_a_next_hop_and_one_closed_from_here_does_not(
     rigged: Any,
 ) -> None:
