--- a/lab/bench_counter.py
+++ b/lab/bench_counter.py
@@ -1,6 +1,6 @@
 """The measurement of the second witness: `make bench-counter`. See docs/design/counter.md for what it says.
 
-Real ingress processes on loopback, a box and a counter; heavy, spiky and calm schools ask through all.
+Real ingress processes on loopback, a box and a counter; heavy, spiky and calm tenants ask through all.
 What ran is held against a store that sees everything (lab/quotas.py). Cases run a few at a time.
 """
 
@@ -37,14 +37,14 @@
 
 INGRESSES = 3
 RATE, BURST = 4.0, 12.0
-SPAN = 26.0  # seconds that schools ask for
+SPAN = 26.0  # seconds that tenants ask for
 GOES_AT = 12.0  # seconds until a case's failure begins: by then the counter is asked rarely (modes.CALM)
-WEIGHTS = (0.5, 0.3, 0.2)  # of a school's requests, through which ingress
+WEIGHTS = (0.5, 0.3, 0.2)  # of a tenant's requests, through which ingress
 AT_ONCE = 6  # cases
 PARTS = 2  # of the counter
 DOWN = 50  # requests that come to an ingress in the 2 s at most in which it is restarted
 SCHOOLS = 100_000  # in a window of 10 s
-LIKELY = 20_000  # as many as a core has requests for in that time, each of another school
+LIKELY = 20_000  # as many as a core has requests for in that time, each of another tenant
 FILE = """
 name      n{number}
 listen    127.0.0.1:0
@@ -130,7 +130,7 @@
     def _ask(self) -> None:
         begin = time.monotonic()
         sock: socket.socket | None = None
-        for serial, (at, school) in enumerate(self.due):
+        for serial, (at, tenant) in enumerate(self.due):
             time.sleep(max(0.0, begin + at - time.monotonic()))
             options = b"c=look,t=plain,d=3000,units=1,spread=%d,first=0" % INGRESSES
             ident = b"n%ds%d" % (self.number, serial)
@@ -139,7 +139,7 @@
                 if sock is None:
                     sock = socket.create_connection(self.site.addresses[self.number], 1.0)
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.sendall(command([b"Q.ASK", b"%016x" % crc32(school.encode()), ident, options]))
+                sock.sendall(command([b"Q.ASK", b"%016x" % crc32(tenant.encode()), ident, options]))
                 answer = read(sock)
             except OSError:
                 if sock is not None:
@@ -147,7 +147,7 @@
                 sock = None
             end = kind_of(answer)
             if end in ("served", "refused"):
-                self.tries.append(Try(time.monotonic() - begin, school, 1.0, end == "served"))
+                self.tries.append(Try(time.monotonic() - begin, tenant, 1.0, end == "served"))
             else:
                 self.unanswered += 1
         if sock is not None:
@@ -155,14 +155,14 @@
 
 
 def schedule(chance: random.Random) -> list[list[tuple[float, str]]]:
-    """When which school asks through which ingress."""
+    """When which tenant asks through which ingress."""
     due: list[list[tuple[float, str]]] = [[] for _ in range(INGRESSES)]
     kinds = [(f"heavy{n}", 2.0) for n in range(3)] + [(f"spiky{n}", 1.5) for n in range(3)]
-    for school, part in kinds + [(f"calm{n}", 0.3) for n in range(6)]:
+    for tenant, part in kinds + [(f"calm{n}", 0.3) for n in range(6)]:
         at = 0.0
         while (at := at + chance.expovariate(part * RATE)) < SPAN:
-            when = at - at % 3 + (at % 3) / 3 if school.startswith("spiky") else at  # in one second of three
-            due[chance.choices(range(INGRESSES), WEIGHTS)[0]].append((when, school))
+            when = at - at % 3 + (at % 3) / 3 if tenant.startswith("spiky") else at  # in one second of three
+            due[chance.choices(range(INGRESSES), WEIGHTS)[0]].append((when, tenant))
     return [sorted(one) for one in due]
 
 
@@ -326,19 +326,19 @@
 
 
 def memory(report: Report) -> None:
-    """What a window with many schools takes, in the module and, with the counter, in the ledger."""
+    """What a window with many tenants takes, in the module and, with the counter, in the ledger."""
     spawn = multiprocessing.get_context("spawn")
-    for schools, longest in ((LIKELY, 40), (SCHOOLS, 250)):
-        for name, witness in ((f"window_{schools}_off", False), (f"window_{schools}_on", True)):
+    for tenants, longest in ((LIKELY, 40), (SCHOOLS, 250)):
+        for name, witness in ((f"window_{tenants}_off", False), (f"window_{tenants}_on", True)):
             with ProcessPoolExecutor(1, spawn) as pool:
-                held, worst, noted = pool.submit(window, witness, schools).result()
+                held, worst, noted = pool.submit(window, witness, tenants).result()
             report.tell(f"{name}_memory", held, "MB", "<=192")
             report.tell(f"{name}_epoch", 1000 * worst, "ms_at_worst", f"<={longest}")
             report.tell(f"{name}_noted", noted, "customers")
 
 
-def window(witness: bool, schools: int) -> tuple[float, float, int]:
-    """Megabytes of a window with so many schools, seconds of the longest epoch of the two seconds after it,
+def window(witness: bool, tenants: int) -> tuple[float, float, int]:
+    """Megabytes of a window with so many tenants, seconds of the longest epoch of the two seconds after it,
     and customers in the ledger.
     """
     before, ledger, timers = resident(), Ledger(), deque[tuple[float, int]]()
@@ -346,8 +346,8 @@
     gateway.handle(0.0, i.Started())
     hops = [i.BackendEntry(f"b{n}", "a", "box", 0, i.Availability.ACTIVE, 1.0, None) for n in range(3)]
     gateway.handle(0.0, i.BackendsListed(i.ListKind.SAVED, tuple(hops)))
-    for n in range(schools):
-        now, ident = 10.0 * n / schools, f"r{n}"
+    for n in range(tenants):
+        now, ident = 10.0 * n / tenants, f"r{n}"
         while timers and timers[0][0] <= now:
             gateway.handle(now, i.TimerFired(timers.popleft()[1]))
         asked = i.RequestArrived(ident, "view", "full", f"{n:016x}", 4.5, 1.0, INGRESSES, 0)
--- a/lab/bench_fleet.py
+++ b/lab/bench_fleet.py
@@ -37,7 +37,7 @@
 
     use: float
     wrong: float
-    serving: float  # of the side of the cut that goes on, by schools that keep within their quota
+    serving: float  # of the side of the cut that goes on, by tenants that keep within their quota
     unanswered: int
     twice: int
 
--- a/lab/bench_power.py
+++ b/lab/bench_power.py
@@ -27,7 +27,7 @@
 SIZE, BOXES, LOSS, SPAN = 6, 3, 8.0, 26.0
 ALL = " ".join(map(str, range(SIZE)))
 TEXT = f"{LOSS} kill {ALL}\n{LOSS} back 0 1 2\n{LOSS + 0.5} start {ALL}"
-SCHOOLS = 20_000
+TENANTS = 20_000
 WINDOW = 1.0  # seconds over which service is counted
 
 
@@ -97,17 +97,17 @@
 
 
 def disk(report: Report) -> None:
-    """The store alone with many schools: how long `put` holds its caller, what is written, reading back."""
+    """The store alone with many tenants: how long `put` holds its caller, what is written, reading back."""
     whose = identity("n0", 0, "lab")
-    rows = [Record(USE, f"{n:010x}", ["plain", 0, 5, 3.25, 1.5], "b", 10.0) for n in range(SCHOOLS)]
+    rows = [Record(USE, f"{n:010x}", ["plain", 0, 5, 3.25, 1.5], "b", 10.0) for n in range(TENANTS)]
     with tempfile.TemporaryDirectory() as folder:
         store = Store(Path(folder), whose, 16 << 20)
         store.lock()
         held = 0.0
         began = time.monotonic()
-        for turn in range(40):  # 1,000 requests a second, each of another school, every 250 ms
+        for turn in range(40):  # 1,000 requests a second, each of another tenant, every 250 ms
             at = time.monotonic()
-            store.put([rows[(turn * 250 + n) % SCHOOLS] for n in range(250)])
+            store.put([rows[(turn * 250 + n) % TENANTS] for n in range(250)])
             held = max(held, time.monotonic() - at)
             time.sleep(0.25)
         took = time.monotonic() - began
--- a/lab/fleet/record.py
+++ b/lab/fleet/record.py
@@ -15,7 +15,7 @@
 from lab.quotas import Try, Verdict, judge
 
 SCHEMA = {
-    "t": pl.Float64, "what": pl.String, "member": pl.Int64, "school": pl.String, "ident": pl.String,
+    "t": pl.Float64, "what": pl.String, "member": pl.Int64, "tenant": pl.String, "ident": pl.String,
     "safe": pl.Boolean, "end": pl.String, "took": pl.Float64, "place": pl.Int64, "state": pl.String,
 }  # fmt: skip
 GRACE = 0.5  # seconds after a word on a drain in which what is on its way still comes
@@ -32,7 +32,7 @@
     rows: list[tuple[object, ...]] = []
     for one in site.asked:
         rows.append(
-            (one.at, "asked", one.member, one.school, one.ident, one.safe, one.end, one.took, None, None)
+            (one.at, "asked", one.member, one.tenant, one.ident, one.safe, one.end, one.took, None, None)
         )
     for number, box in enumerate(site.boxes):
         for ident, times in box.ran().items():
@@ -126,11 +126,11 @@
 
 
 def quotas(table: pl.DataFrame, members: set[int] | None = None) -> Verdict:
-    """Use of each school over any 10 s, and what was refused; `members`: asked through these alone."""
+    """Use of each tenant over any 10 s, and what was refused; `members`: asked through these alone."""
     rows = table.filter((pl.col("what") == "asked") & pl.col("end").is_in(["served", "refused"]))
     if members is not None:
         rows = rows.filter(pl.col("member").is_in(sorted(members)))
-    tries = [Try(row["t"], row["school"], 1.0, row["end"] == "served") for row in rows.iter_rows(named=True)]
+    tries = [Try(row["t"], row["tenant"], 1.0, row["end"] == "served") for row in rows.iter_rows(named=True)]
     return judge(tries, RATE, BURST)
 
 
--- a/lab/fleet/site.py
+++ b/lab/fleet/site.py
@@ -1,4 +1,4 @@
-"""A fleet of real ingresses on loopback, callers with schools in sets, and what a schedule does to them."""
+"""A fleet of real ingresses on loopback, callers with tenants in sets, and what a schedule does to them."""
 
 from __future__ import annotations
 
@@ -24,10 +24,10 @@
 from lab.quotas import Try
 from lab.streams import Streams
 
-RATE, BURST = 4.0, 12.0  # of each school's plan, in requests of one unit
+RATE, BURST = 4.0, 12.0  # of each tenant's plan, in requests of one unit
 NOTICED = (0.9, 3.1)  # seconds for which a front goes on sending to a dead ingress
 DEADLINE = 3.0
-HEAVY, CALM = 3, 6  # schools
+HEAVY, CALM = 3, 6  # tenants
 WORK = 0.05  # processor seconds of a request at a box of one core, where streams are relayed
 FILE = """
 name      n{number}
@@ -67,7 +67,7 @@
     """One request: when it was sent, to whom, and how it ended after how long."""
 
     at: float
-    school: str
+    tenant: str
     member: int
     ident: str
     safe: bool
@@ -288,27 +288,27 @@
 
     # Callers: one thread for what the fronts deal out to one ingress.
 
-    def schools(self) -> dict[str, float]:
-        """Each school and how many times its rate it asks for."""
+    def tenants(self) -> dict[str, float]:
+        """Each tenant and how many times its rate it asks for."""
         return {f"heavy{n}": 2.0 for n in range(HEAVY)} | {f"calm{n}": 0.3 for n in range(CALM)}
 
     def _ask(self, number: int, span: float) -> None:
         span_name = "" if self.runs == 1 else f"r{self.runs}"
         chance = random.Random(f"{self.seed} {number}{span_name}")
         due = sorted(
-            (at, school)
-            for school, times in self.schools().items()
+            (at, tenant)
+            for tenant, times in self.tenants().items()
             for at in _arrivals(chance, span, times * RATE / self.size)
         )
         socks: dict[int, socket.socket] = {}
         began = time.monotonic()
-        for serial, (at, school) in enumerate(due):
+        for serial, (at, tenant) in enumerate(due):
             time.sleep(max(0.0, began + at - time.monotonic()))
             member = self._dealt(number, chance)
             ident, safe = f"{self.seed:x}{span_name}n{number}s{serial}", chance.random() < 0.8
             sent, begun = self.now(), time.monotonic()
-            end = self._one(socks, member, school, ident, safe)
-            self.asked.append(Asked(sent, school, member, ident, safe, end, time.monotonic() - begun))
+            end = self._one(socks, member, tenant, ident, safe)
+            self.asked.append(Asked(sent, tenant, member, ident, safe, end, time.monotonic() - begun))
         for sock in socks.values():
             sock.close()
 
@@ -319,14 +319,14 @@
             return number
         return chance.choice([m for m in range(self.size) if m not in self.down_since] or [number])
 
-    def _one(self, socks: dict[int, socket.socket], member: int, school: str, ident: str, safe: bool) -> str:
+    def _one(self, socks: dict[int, socket.socket], member: int, tenant: str, ident: str, safe: bool) -> str:
         options = b"c=%b,t=plain,d=%d,units=1,spread=%d,first=0" % (
             b"look" if safe else b"change",
             round(DEADLINE * 1000),
             self.size,
         )
         name = b"Q.ASK" if safe else b"Q.DO"
-        text = command([name, b"%016x" % crc32(school.encode()), ident.encode(), options])
+        text = command([name, b"%016x" % crc32(tenant.encode()), ident.encode(), options])
         if member in socks and select.select([socks[member]], [], [], 0)[0]:
             socks.pop(member).close()  # it was closed meanwhile, and nothing crosses that
         for kept in (True, False) if member in socks else (False,):
@@ -351,9 +351,9 @@
     # What is seen of it.
 
     def tries(self) -> list[Try]:
-        """The schools' history, for lab.quotas.judge."""
+        """The tenants' history, for lab.quotas.judge."""
         return [
-            Try(one.at, one.school, 1.0, one.end == "served")
+            Try(one.at, one.tenant, 1.0, one.end == "served")
             for one in self.asked
             if one.end in ("served", "refused")
         ]
--- a/lab/quotas.py
+++ b/lab/quotas.py
@@ -1,4 +1,4 @@
-"""Checks the promise on quotas against the truth: what ran for each school, and what was refused. No I/O.
+"""Checks the promise on quotas against the truth: what ran for each tenant, and what was refused. No I/O.
 
 The truth is a store that sees every try at once and in order: a bucket of `burst` units that fills at `rate`
 a second. What such a store would have let in was inside quota, whoever was asked.
@@ -15,24 +15,24 @@
 
 @dataclass(slots=True, frozen=True)
 class Try:
-    """One request of a school, answered at `at` seconds: its units ran, or were refused."""
+    """One request of a tenant, answered at `at` seconds: its units ran, or were refused."""
 
     at: float
-    school: str
+    tenant: str
     units: float
     ran: bool
 
 
 @dataclass(slots=True, frozen=True)
 class Verdict:
-    """Of all schools, units: how far use went, and what was refused though it was inside quota."""
+    """Of all tenants, units: how far use went, and what was refused though it was inside quota."""
 
-    schools: int
-    use: float  # greatest of any school over any 10 s, as a part of the allowance
-    worst: str  # that school
+    tenants: int
+    use: float  # greatest of any tenant over any 10 s, as a part of the allowance
+    worst: str  # that tenant
     inside: float  # units that a store which sees everything lets in
     short: float  # of them, units that did not run
-    calm: float  # units asked for by schools that were inside quota throughout
+    calm: float  # units asked for by tenants that were inside quota throughout
     refused_calm: float  # of them, units that did not run
 
     @property
@@ -42,7 +42,7 @@
 
     @property
     def wrong_calm(self) -> float:
-        """The same for schools that never asked for more than their quota."""
+        """The same for tenants that never asked for more than their quota."""
         return self.refused_calm / self.calm if self.calm else 0.0
 
 
@@ -53,13 +53,13 @@
         raise ValueError("a plan without an allowance can't be judged")
     of: dict[str, list[Try]] = defaultdict(list)
     for one in history:
-        of[one.school].append(one)
+        of[one.tenant].append(one)
     use, worst, inside, short, calm, refused_calm = 0.0, "", 0.0, 0.0, 0.0, 0.0
-    for school, tries in of.items():
+    for tenant, tries in of.items():
         tries.sort(key=lambda one: one.at)
         most = _most(tries) / allowance
         if most > use:
-            use, worst = most, school
+            use, worst = most, tenant
         ideal = _ideal(tries, rate, burst)
         asked, ran = sum(one.units for one in tries), sum(one.units for one in tries if one.ran)
         inside += ideal
--- a/standflow/recovery/trust.py
+++ b/standflow/recovery/trust.py
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Window:
-    """A school's window as it is taken to be now."""
+    """A tenant's window as it is taken to be now."""
 
     key: str
     plan: str
@@ -106,7 +106,7 @@
 
 
 def full(record: Record, clock: Clock, plans: dict[str, Plan], newest: Record) -> tuple[Window | None, float]:
-    """A school's window, taken for full when the store was written last, which `newest` tells: all that was
+    """A tenant's window, taken for full when the store was written last, which `newest` tells: all that was
     left of it may have gone after that. With it the seconds until it has drained.
 
     None where it has drained by now, or its plan is no more. One that was not used for a whole window before
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -306,7 +306,7 @@
         "t": t,
         "what": "asked",
         "member": 0,
-        "school": "a",
+        "tenant": "a",
         "ident": ident,
         "safe": False,
         "end": end,
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -48,18 +48,18 @@
     def play(
         self, seconds: float, asked: dict[str, float], weights: tuple[float, ...] = (3, 3, 2, 2, 2)
     ) -> None:
-        """Lets time pass, with schools that ask so many times the rate through all of those that live."""
+        """Lets time pass, with tenants that ask so many times the rate through all of those that live."""
         due = sorted(
-            (self.now + at, school)
-            for school, times in asked.items()
+            (self.now + at, tenant)
+            for tenant, times in asked.items()
             for at in _arrivals(self.chance, seconds, times * RATE)
         )
-        for at, school in due:
+        for at, tenant in due:
             self._pass(at)
             number = self.chance.choices(range(self.size), weights)[0]
             if number in self.live:
-                ran = self.ask(number, f"r{len(self.tries)}", customer=school, ring_size=self.size)
-                self.tries.append(Try(at, school, 1.0, ran))
+                ran = self.ask(number, f"r{len(self.tries)}", customer=tenant, ring_size=self.size)
+                self.tries.append(Try(at, tenant, 1.0, ran))
         self._pass(self.now + 0.0)
 
     def _pass(self, until: float) -> None:
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -26,9 +26,9 @@
 
 
 class Pressed(Site):
-    """Schools that send far beyond their quota, and some within."""
+    """Tenants that send far beyond their quota, and some within."""
 
-    def schools(self) -> dict[str, float]:
+    def tenants(self) -> dict[str, float]:
         return {f"heavy{n}": 4.0 for n in range(2)} | {f"calm{n}": 0.3 for n in range(6)}
 
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -9,8 +9,8 @@
 RATE, BURST = 2.0, 10.0  # an allowance of 30 in any 10 s
 
 
-def steady(a_second: float, seconds: float, ran: bool = True, school: str = "a") -> list[Try]:
-    return [Try(n / a_second, school, 1.0, ran) for n in range(round(a_second * seconds))]
+def steady(a_second: float, seconds: float, ran: bool = True, tenant: str = "a") -> list[Try]:
+    return [Try(n / a_second, tenant, 1.0, ran) for n in range(round(a_second * seconds))]
 
 
 @pytest.mark.parametrize(
@@ -29,10 +29,10 @@
     assert judge(history, RATE, BURST).use == pytest.approx(use)
 
 
-def test_the_school_that_went_beyond_is_named_among_many() -> None:
-    history = [one for n in range(50) for one in steady(1, 20, school=f"calm{n}")]
-    verdict = judge(history + steady(4, 20, school="heavy"), RATE, BURST)
-    assert (verdict.worst, verdict.schools) == ("heavy", 51)
+def test_the_tenant_that_went_beyond_is_named_among_many() -> None:
+    history = [one for n in range(50) for one in steady(1, 20, tenant=f"calm{n}")]
+    verdict = judge(history + steady(4, 20, tenant="heavy"), RATE, BURST)
+    assert (verdict.worst, verdict.tenants) == ("heavy", 51)
     assert verdict.use == pytest.approx(40 / 30)
 
 
