--- a/standflow/handshakes/keeper.py
+++ b/standflow/handshakes/keeper.py
@@ -8,8 +8,9 @@
 from standflow.exchange import Outcome, Phase, Route, RouteSet
 from standflow.handshakes.limits import Answer, Limits
 from standflow.handshakes.showing import Showing
+from standflow.net.backend_connection import Connection
 from standflow.net.loop import Loop, Timer
-from standflow.net.nexthop import OURS, Connection, NextHops
+from standflow.net.nexthop import OURS, NextHops
 from standflow.net.stream import Stream
 from standflow.start_times import StartTimes
 
@@ -19,7 +20,10 @@
 
 
 class Keeper:
-    """Stands between the route set, the pools of connections and the driver; see nexthop.Admission."""
+    """Stands between the route set, the pools of connections and the driver.
+
+    It is the Admission of backend_connection.py.
+    """
 
     def __init__(
         self,
@@ -163,7 +167,7 @@
         One that is on its way up ahead of any branch is waited for, however long its handshake takes.
         """
         held = self.next_hops.hops.get(hop)
-        if held is None or any(not one.up and one.errand is None for one in held.connections):
+        if held is None or any(not one.up and one.pending is None for one in held.connections):
             return False
         return any(one.stream.generation != self.generation for one in held.idle)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -570,7 +570,7 @@
     at.close()
 
 
-def test_an_errand_whose_first_write_fails_goes_whole_to_another_connection() -> None:
+def test_a_command_whose_first_write_fails_goes_whole_to_another_connection() -> None:
     """Nothing of it had left; it must neither be lost nor count as begun."""
     at, hop = Recorder(), listener()
     side = NextHops(at.loop, at.log.append, at.exchange, 60.0, 600.0, 60.0, 10)
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from standflow.net.backend_connection import Connection
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import MAX_HALF, SPEAK_WITHIN, ClientSide
-from standflow.net.nexthop import Connection
 from tests.test_connections import Recorder
 from tests.test_endings import Wired
 from tests.wire import LIMIT, command, listener, read_until, turn_until
