Test of failing system calls: asked by number, in a longer window, not by what is left of 2.6 s

Traced by its own record: all 37 were served; the span is counted from before the start of the process, which takes 1 s and more there, so 1.4 s of 2.6 were left to ask in. Change: calls fail until 4.0 s after the start, not 2.2, so that a late start still meets them, and requests go on until more were asked than a second has. The bound stays. With calls that fail for longer the test is the stricter one.

--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -33,7 +33,8 @@
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, turn_until
 
 PING = b"*1\r\n$4\r\nPING\r\n"
-BEGIN, END = 0.6, 2.2  # seconds after the start in which calls fail; it is ready after 0.3 to 0.4
+BEGIN = 0.6  # seconds after the start from which calls fail; it is ready after 0.3, on a busy machine after 2
+END = 4.0  # seconds after the start until which they do
 RATE = 40.0  # requests a second, each on a connection of its own
 AFTER = 0.4  # seconds for which it goes on afterwards
 FAULTS: dict[str, list[tuple[str, str, int]]] = {
@@ -51,9 +52,9 @@
 
 
 def ask_on(address: tuple[str, int], until: float) -> list[str]:
-    """How requests end, each on a new connection."""
+    """How requests end, each on a new connection: until a time, and more of them than a second has."""
     ends: list[str] = []
-    while time.monotonic() < until:
+    while time.monotonic() < until or len(ends) <= RATE:
         due = time.monotonic() + 1 / RATE
         with socket.create_connection(address, LIMIT) as client:
             client.sendall(command(f"{len(ends):04x}", d=2000))
