tests: members restarted in simulated time take their windows with the plan that is played

Cause: Ring.restart_all handed select_trusted the plan BASIC (2.0, 10), whatever plan the ring plays; OwnEpochs plays 4.0, 12. A stored window of more than 10 units was cut to BASIC's burst, and drained at BASIC's rate. Change: the ring's own plan. No check or bound is changed.

--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -25,6 +25,8 @@
 class Ring(PeerNetwork):
     """Modules with a simulated membership, on one network that can be partitioned."""
 
+    plan = BASIC  # of all tenants
+
     def __init__(
         self, membership: bool = True, loss: float = 0.0, seed: int = 2, size: int = SIZE, **changes: Any
     ) -> None:
@@ -93,7 +95,7 @@
     def restart_all(self, downtime: float, store: bool = True) -> None:
         """Ends all members at once and restarts them later; with the store, with what it kept."""
         assert self.members is not None
-        plans = {BASIC.name: Plan(BASIC.burst, BASIC.rate)}
+        plans = {self.plan.name: Plan(self.plan.burst, self.plan.rate)}
         stored: dict[int, tuple[list[Record], dict[int, tuple[int, Address | None]]]] = {}
         for number, gateway in self.gateways.items():
             rows = handover.used_windows(gateway, self.now - 10.0)
