hoistfold: members just found silent still count as a sign of a partition

Callers: none seen with real processes; in simulated time a tenant near its quota got a unit on the smaller side of a cut that nobody had declared yet. Cause: the rule that leaves the rest of a quota alone while half of the members are silent counted only members not yet found unreachable. Silences pass four epochs one after the other; as soon as three of four had, the one left was a minority of those counted, and the rule no longer held, while the other three still had to be declared dead. Why this works: silent members count until the membership declares them dead; from then on the share of the side holds.

--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -138,11 +138,13 @@
 
     def _contended(self, quota: Quota, units: float, others: list[int]) -> bool:
         """Whether little is left of a quota that the other side of an unnoticed partition may use as well."""
-        on_ring = self.membership is not None and self.settings.may_message_peers
-        if not on_ring or quota.share < 1 or not quota.plan.rate or quota.fits_one_per_member(units):
+        if self.membership is None or not self.settings.may_message_peers:
             return False
-        others_reached = (n for n in others if n not in self.partition.unreachable)
-        silences = [self.now - max(self.peers[n].last_seen, self.started_at) for n in others_reached]
+        if quota.share < 1 or not quota.plan.rate or quota.fits_one_per_member(units):
+            return False
+        # Members count until the membership declares them dead, however long they have been silent.
+        alive = (n for n in others if n not in self.membership.unreachable)
+        silences = [self.now - max(self.peers[n].last_seen, self.started_at) for n in alive]
         return may_be_cut_off(silences, self.epoch)
 
     def _timer_fired(self, event: i.TimerFired) -> None:
--- a/hoistfold/partition.py
+++ b/hoistfold/partition.py
@@ -72,7 +72,7 @@
 def may_be_cut_off(silences: Collection[float], epoch_seconds: float) -> bool:
     """Whether this member may be on the smaller side of a partition that was not detected yet.
 
-    `silences`: seconds since each other reachable member was last seen.
+    `silences`: seconds since each other member that the membership holds for alive was last seen.
     """
     silent = sum(silence >= SUSPICIOUS_EPOCHS * epoch_seconds for silence in silences)
     return 2 * silent >= len(silences) + 1
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -11,7 +11,7 @@
 from hoistfold import handover
 from hoistfold import interface as i
 from hoistfold.gateway import Gateway
-from hoistfold.partition import MINORITY_SHARE
+from hoistfold.partition import MINORITY_SHARE, Partition
 from lab.fleet.simulated import Members
 from lab.quotas import QuotaReport, TenantRequest, evaluate_quotas
 from standflow.config.model import Address
@@ -482,3 +482,16 @@
     for number in range(10):  # with eight alive members there are as many sharers as before
         instances[number].handle(50.0, membership_without(0, 3))
     assert count_sharers([n for n in range(10) if n not in (0, 3)]) == 6
+
+
+def test_a_member_just_found_silent_still_counts_as_one_that_may_be_cut_off() -> None:
+    # Guards against the rest of a quota being used on both sides while silences are found one by one.
+    ring = Ring(size=6, max_units=1.0)
+    ring.advance(ring.now + 3.0)
+    assert sum(ring.submit(5, f"a{n}", tenant="one", ring_size=6) for n in range(9)) >= 8
+    ring.advance(ring.now + 1.0)
+    ring.partition(4, 5)
+    while ring.gateways[5].partition == Partition():
+        ring.advance(ring.now + 0.1)
+    ring.gateways[5].partition = Partition(frozenset({0, 1, 2}))  # 3 is found silent later
+    assert not ring.submit(5, "cut off", tenant="one", ring_size=6)
