hoistfold: use that may exceed a quota is reported to the whole ring at once

Change: use that would exceed the rest of a quota if every member used as much goes to all members at once, within 0.76 of a receiver's intake, or with the messages of the next epoch, which go to all anyway; where neither has happened yet and the budget is spent, the member waits for its report. A report tells the member's own part of the window, so that first reports add up. The reserve for use on its way shrinks from a round to an epoch. A member that tells a restarted one its lost count adds its own. Bounds are as they were.

--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -6,14 +6,14 @@
 import math
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Container, Set
 
 from hoistfold import interface as i
 from hoistfold.codec import ENTRY, MAX_ENTRY_BYTES, decode_message, encode_message, pack_entry
 from hoistfold.coordinators import Coordination
 from hoistfold.counter_quotas import CounterQuotas
 from hoistfold.overload import ClassPriority
-from hoistfold.partition import detect_partition, may_be_cut_off
+from hoistfold.partition import SILENT_EPOCHS, detect_partition, may_be_cut_off
 from hoistfold.state import (
     COUNTS_PER_UNIT,
     REPORT_ONCE,
@@ -27,6 +27,7 @@
     Quota,
     Request,
 )
+from hoistfold.triggered_reports import REPORT_TO_ALL_URGENCY, TRIGGER_URGENCY, TriggeredReports, urgency
 
 INITIAL_LIMIT = 8.0  # concurrent attempts per backend, summed over all gateways
 MIN_TRIAL_INTERVAL, MAX_TRIAL_INTERVAL = 1.0, 8.0  # seconds between trial requests to an ejected backend
@@ -71,6 +72,7 @@
         window = min((plan.burst / plan.rate for plan in settings.plans if plan.rate), default=math.inf)
         self.long_ring = settings.may_message_peers and settings.gateways * self.epoch > window
         self.epoch = IDLE_QUOTA_SECONDS / 4 if self.long_ring else self.epoch
+        self.triggered_reports = TriggeredReports(settings.peer_intake, len(self.peers), self.epoch)
         self.priority = ClassPriority()
         self.coordination = Coordination(self, self._admit, self._within_quota)
 
@@ -168,6 +170,7 @@
             if fits:  # otherwise the quota is not charged
                 self._record_use(quota, request.units, request.ceiling_granted)
                 self._queue_report(quota, quota.index, REPORT_TWICE)
+                self._report_at_once_if_due(quota)
             self._send(request, backend)
         else:  # retry within the aim, or once the window has capacity or more totals are known
             needed = quota.own + quota.others + request.units / quota.share
@@ -391,11 +394,13 @@
             return True  # a small share may be less than one request
         left = plan.burst - quota.others - quota.silent_members * quota.since_observed
         # Reserves what the others are likely to have used since their last report.
-        reserve = min(0.5, quota.others_rate * self.epoch * (quota.size - 1) / max(left, 1 / COUNTS_PER_UNIT))
+        reserve = min(0.5, quota.others_rate * self.epoch / max(left, 1 / COUNTS_PER_UNIT))
         if not known:  # part of an even share; at least one request if none was refused before
             minimum = 0.0 if quota.refusals else self.settings.max_units
             share = max(self.allowance, self._isolated_share(quota))
             left = min(left, max(minimum, share * plan.burst / quota.size))
+        if self._must_wait_for_report(quota, units):
+            return False
         # Own use drains at the rate, so it acts as the local token bucket too.
         return not plan.rate or quota.own + units / quota.share <= (1 - reserve) * left
 
@@ -416,7 +421,7 @@
     # Membership, where it is kept.
 
     def _membership_changed(self, event: i.MembershipChanged) -> None:
-        """Reports the windows to members that joined or returned, if they are the successor in the ring."""
+        """Reports the windows to members that joined or returned."""
         if self.membership is None:  # they may still report their use from here on
             self.learning_until = min(self.now, self.first_seen_at) + max(
                 MIN_LEARNING_SECONDS, 4 * self.epoch
@@ -428,9 +433,14 @@
         )
         self._update_partition()
         self._resize_subset()
-        for quota in self.quotas.values() if event.returned else ():
-            following = (n for n in self.members(quota, quota.index)[1:] if n in event.alive)
-            if next(following, None) in event.returned and quota.own + quota.others:
+        if event.returned:
+            self._report_windows_to(event.returned, event.alive)
+
+    def _report_windows_to(self, returned: Set[int], alive: Container[int]) -> None:
+        """Reports all windows in use to members that return, if they are the successor in the ring."""
+        for quota in self.quotas.values():
+            following = (n for n in self.members(quota, quota.index)[1:] if n in alive)
+            if next(following, None) in returned and quota.own + quota.others:
                 for index in quota.counts:
                     self._queue_report(quota, index, REPORT_TWICE)
 
@@ -502,12 +512,56 @@
             if report != REPORT_TO_OWNER and (target == owner or level * COUNTS_PER_UNIT < 1):
                 del quota.unreported[index]
             elif len(messages[target]) + ENTRY.size <= MAX_ENTRY_BYTES:
-                messages[target] += pack_entry(self.settings.plans, quota, MessageKind.REPORT, index, level)
+                messages[target] += self._pack_report(quota, index)
+                if report == REPORT_TO_OWNER:  # which has lost this gateway's count as well
+                    self._append_own_report(quota, messages, [target])
                 quota.unreported[index] = REPORT_ONCE
                 if report != REPORT_TWICE:
                     del quota.unreported[index]
         if not quota.unreported:
             del self.unreported[quota.key]
+        if urgency(quota) > REPORT_TO_ALL_URGENCY:
+            self._append_own_report(quota, messages, [number for number in following if number != successor])
+        quota.unreported_units = 0.0
+
+    def _append_own_report(self, quota: Quota, messages: dict[int, bytes], targets: list[int]) -> None:
+        """Appends the report of own use to the messages of some members, as far as it fits."""
+        report = self._pack_report(quota, quota.index)
+        for number in targets:
+            if len(messages[number]) + ENTRY.size <= MAX_ENTRY_BYTES:
+                messages[number] += report
+
+    def _pack_report(self, quota: Quota, index: int) -> bytes:
+        """Encodes the report of a ring member's count, with the member's part of the window if known."""
+        own_count = round(quota.own * quota.share * COUNTS_PER_UNIT)
+        window_count = own_count if index == quota.index else quota.window_counts.get(index, 0)
+        level, units = quota.own + quota.others, min(window_count, 0xFFFF)
+        return pack_entry(self.settings.plans, quota, MessageKind.REPORT, index, level, units=units)
+
+    def _on_ring(self, quota: Quota) -> bool:
+        """Whether the totals of the quota pass round a ring."""
+        on_ring = self.settings.may_message_peers and not self.long_ring
+        return on_ring and quota.size > 1 and quota.plan.rate > 0
+
+    def _report_at_once_if_due(self, quota: Quota) -> None:
+        """Reports own use to all members of the ring where waiting for a round may exceed the quota."""
+        if not self._on_ring(quota):
+            return
+        if urgency(quota) > TRIGGER_URGENCY and self.triggered_reports.take(quota, self.now):
+            message = encode_message(self._pack_report(quota, quota.index))
+            quota.unreported_units = 0.0
+            for number in self.members(quota, quota.index)[1:]:
+                self.actions.append(i.SendPeerMessage(number, message))
+
+    def _must_wait_for_report(self, quota: Quota, units: float) -> bool:
+        """Whether other members don't know of earlier use yet that leaves no room for as much from each."""
+        if (
+            not self._on_ring(quota)
+            or not quota.unreported_units
+            or self.triggered_reports.covers(quota, self.now)
+        ):
+            return False
+        return urgency(quota, units) > TRIGGER_URGENCY
 
     def _peer_message(self, event: i.PeerMessage) -> None:
         entries = decode_message(event.content)
@@ -529,13 +583,11 @@
                 self.coordination.report_received(quota, entry)
             elif entry.kind == MessageKind.REPORT:
                 before = quota.counts.get(entry.index)
-                self.merge(quota, entry.index, entry.count, entry.level)
+                self.merge(quota, entry.index, entry.count, entry.level, entry.units)
                 changed = self.membership is not None and quota.counts.get(entry.index) != before
                 # Forwards it to members that the sender can't reach, and skipped, but this gateway can.
                 for number in filter(self.reachable, self.members_between(quota, sender) if changed else ()):
-                    entries = pack_entry(
-                        self.settings.plans, quota, MessageKind.REPORT, entry.index, quota.own + quota.others
-                    )
-                    self.actions.append(i.SendPeerMessage(number, encode_message(entries)))
+                    report = self._pack_report(quota, entry.index)
+                    self.actions.append(i.SendPeerMessage(number, encode_message(report)))
             elif entry.kind == MessageKind.REPLY and sender in quota.awaiting_reply:
                 self.coordination.reply_received(quota, sender, entry)
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -107,12 +107,16 @@
     used_at: float  # last mention by a request or a peer
     # running use counts by ring index, merged by maximum
     counts: dict[int, int] = field(default_factory=dict)
+    # of the counts, how much may still be in the window, for members that reported it
+    window_counts: dict[int, int] = field(default_factory=dict)
+    level_restored: bool = False  # by a member that knew this gateway's use from before a restart
     # Units of the window, used by this gateway and by the other members.
     own: float = 0.0
     others: float = 0.0
     ceiling_tokens: float = 0.0
     in_flight: int = 0
     others_rate: float = 0.0
+    unreported_units: float = 0.0  # used by this gateway since its last report to other members
     # ring indices whose counts are still to be reported, and how
     unreported: dict[int, int] = field(default_factory=dict)
     # Long rings, where coordinators keep the total:
@@ -373,11 +377,17 @@
         if quota.size > 1 and quota.plan.rate and not self.long_ring:
             quota.unreported[index], self.unreported[quota.key] = report, quota
 
-    def merge(self, quota: Quota, index: int, count: int, level: int) -> None:
-        """Merges a running count. Counts only grow, so late, repeated or reordered messages are harmless."""
+    def merge(self, quota: Quota, index: int, count: int, level: int, window_count: int = 0) -> None:
+        """Merges a running count. Counts only grow, so late, repeated or reordered messages are harmless.
+
+        `level`: of the whole window; `window_count`: the member's part of it, 0 if unknown. Both in counts.
+        """
         first = index == quota.index or index not in quota.counts
+        # A restored level already holds the parts of all members.
+        part_known = window_count > 0 and index != quota.index and not quota.level_restored
         # Counts wrap at 16 bits.
-        increase = (count - quota.counts.get(index, max(0, count - min(level, 0x7FFF)))) & 0xFFFF
+        in_window = min(window_count if part_known else level, 0x7FFF)
+        increase = (count - quota.counts.get(index, max(0, count - in_window))) & 0xFFFF
         if increase > 0x7FFF and index != quota.index:
             # the member has lost its own count: report it back
             self._queue_report(quota, index, REPORT_TO_OWNER)
@@ -385,8 +395,13 @@
         if 0 < increase <= 0x7FFF:
             # A count from an earlier boot of this gateway: the use since the start is added to it.
             quota.counts[index] = (count + (index == quota.index) * quota.counts.get(index, 0)) & 0xFFFF
-            # The window holds no more than the level, so all first reports together are limited to it.
-            limit = max(quota.others, level / COUNTS_PER_UNIT) if first else math.inf
+            quota.level_restored = quota.level_restored or index == quota.index
+            if part_known:
+                quota.window_counts[index] = window_count
+            # The window holds no more than the level, so first reports that do not tell the member's part of
+            # it are limited to it together.
+            limited = first and not part_known
+            limit = max(quota.others, level / COUNTS_PER_UNIT) if limited else math.inf
             quota.others = min(quota.others + min(increase, level) / COUNTS_PER_UNIT / quota.share, limit)
             quota.others_rate += increase / COUNTS_PER_UNIT / 2
             self._queue_report(quota, index, REPORT_TWICE)
@@ -406,6 +421,7 @@
         quota.own += units / quota.share
         quota.since_observed += units
         quota.own_rate += units / 2
+        quota.unreported_units += units
         quota.ceiling_tokens -= 0.0 if ceiling_granted else units * quota.size
         quota.counts[quota.index] = (quota.counts[quota.index] + round(units * COUNTS_PER_UNIT)) & 0xFFFF
         if self.settings.counter_reconciliation and quota.size > 1 and quota.plan.rate:
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -136,15 +136,16 @@
     loss: float,
 ) -> None:
     use = {}
-    for membership in (True, False):
-        ring = Ring(membership, loss)
-        ring.run(8.0, MIXED_LOAD)
-        ring.partition(3, 4)
-        ring.run(10.0, MIXED_LOAD)
-        ring.blocked = lambda sender, to: False
-        ring.run(10.0, MIXED_LOAD)
-        use[membership] = ring.verdict().use
-    assert use[True] <= 1.10
+    for load in (MIXED_LOAD, MIXED_LOAD | {"pressed": 9.0}):  # which asks each side for more than the quota
+        for membership in (True, False):
+            ring = Ring(membership, loss)
+            ring.run(8.0, load)
+            ring.partition(3, 4)
+            ring.run(10.0, load)
+            ring.blocked = lambda sender, to: False
+            ring.run(10.0, load)
+            use[membership] = ring.verdict().use
+        assert use[True] <= 1.10
     assert use[False] > 1.3  # the effect of the membership
 
 
@@ -484,6 +485,60 @@
     assert count_sharers([n for n in range(10) if n not in (0, 3)]) == 6
 
 
+class SmallWindows(OwnEpochs):
+    """A quota that is small beside what the members let in while reports are on their way."""
+
+    plan = i.Plan("basic", 0.5, 12.0, 0, 1.0, 0.0, 0.5, 0.0, 0.0, 0.0)
+
+
+def _pressed_load(requests_per_second: float) -> dict[str, float]:
+    pressed = {f"heavy{n}": requests_per_second / RATE for n in range(2)}
+    return pressed | {f"calm{n}": 1.2 / RATE for n in range(6)}
+
+
+@pytest.mark.parametrize(
+    ("size", "requests_per_second", "loss"),
+    [(6, 16.0, 0.0), (6, 16.0, 0.065), (6, 100.0, 0.0), (12, 16.0, 0.0)],
+)
+@pytest.mark.parametrize("number", [43, 12, 13])
+def test_a_small_quota_is_not_exceeded_before_the_ring_has_told_of_its_use(
+    number: int, size: int, requests_per_second: float, loss: float
+) -> None:
+    # Guards against members that each use what is left while reports are still passing round the ring.
+    ring = SmallWindows(number, size)
+    ring.loss = loss
+    ring.advance(ring.now + 3.0)
+    ring.run(13.0, _pressed_load(requests_per_second))
+    assert ring.verdict().use <= 1.10
+    assert ring.verdict().refused_share <= 0.02
+
+
+@pytest.mark.parametrize("number", range(20))
+def test_a_small_quota_is_not_exceeded_after_a_loss_of_all(number: int) -> None:
+    # The restart scenario of tests/test_power.py with a window that takes 24 s to drain, in simulated time.
+    ring = SmallWindows(number)
+    ring.advance(ring.now + 3.0)
+    ring.run(3.0, _pressed_load(16.0))
+    ring.restart_all(0.8)
+    ring.run(10.0, _pressed_load(16.0))
+    assert ring.verdict().use <= 1.10
+
+
+def test_members_that_are_heard_of_for_the_first_time_at_once_are_all_counted() -> None:
+    # Guards against first reports that are together limited to the level that one of them told.
+    network = PeerNetwork(3)
+    network.run_epochs(4)
+    network.now += network.gateways[0].epoch
+    reports = []
+    for number in (1, 2):  # each reports a level that lacks the other's use
+        assert all(network.submit(number, f"{number}-{n}", ring_size=3) for n in range(2))
+        reports.append((number, network.gateways[number].handle(network.now, i.TimerFired(0))))
+    for number, actions in reports:
+        network.deliver(number, actions)
+    (quota,) = network.gateways[0].quotas.values()
+    assert quota.others == 4.0
+
+
 def test_a_member_just_found_silent_still_counts_as_one_that_may_be_cut_off() -> None:
     # Guards against the rest of a quota being used on both sides while silences are found one by one.
     ring = Ring(size=6, max_units=1.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -136,6 +136,7 @@
         """Submits a request, answered at once if it is sent; returns whether it was."""
         event = request(name, **({"ring_size": 2} | changes))
         actions = self.gateways[number].handle(self.now, event)
+        self.deliver(number, actions)
         for send in sends(actions):
             self.gateways[number].handle(self.now, ended(send, i.Outcome.OK))
         return bool(sends(actions))
