hoistfold: a level is not halved as members come back one after the other

Cause: on a side with a small share use counts 1/share times, in a window that holds one request (60 units at a share of 0.1 x 1/6). When the share grew, the level was cut to the plan's burst (12) in this scale (20 at 3/6), and scaled back: 12 of 12 came out as 7. Why this works: the level is cut to the window in the scale it is in, so that a full window stays full at every share. Test: new, failed before (1 of 1), passes now; tests/test_fleet_quotas.py passes.

--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -461,8 +461,6 @@
             quota.share_limited_at = self.now
         elif self.now - max(quota.share_limited_at, self.membership_at) > 4 * self.epoch:
             quota.set_share(share, units)
-            factor = min(1.0, quota.plan.burst / max(quota.plan.burst, quota.own + quota.others))
-            quota.own, quota.others = quota.own * factor, quota.others * factor
 
     def _run_epoch(self) -> None:
         self.actions.append(i.SetTimer(self.epoch, 0))
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -170,8 +170,10 @@
 
         A part that is smaller than one request is treated as large enough for one request of `units`.
         """
-        burst = self.plan.burst
-        scale = max(burst, units / share) / max(burst, units / self.share)
+        before, after = (max(self.plan.burst, units / part) for part in (self.share, share))
+        scale = after / before
+        if share > self.share:  # more than the whole window is not carried over
+            scale *= before / max(before, self.own + self.others)
         self.share, self.own, self.others = share, self.own * scale, self.others * scale
 
     def min_counter_level(self, now: float) -> float:
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -550,3 +550,19 @@
         ring.advance(ring.now + 0.1)
     ring.gateways[5].partition = Partition(frozenset({0, 1, 2}))  # 3 is found silent later
     assert not ring.submit(5, "cut off", tenant="one", ring_size=6)
+
+
+def test_a_member_that_rejoins_others_step_by_step_keeps_the_level_of_a_window() -> None:
+    # Guards against a level that is cut to the burst in the larger scale of a small share, and halved by it.
+    ring = SmallWindows(0)
+    ring.advance(ring.now + 3.0)
+    used = sum(ring.submit(n % 6, f"a{n}", tenant="one", ring_size=6) for n in range(12))
+    ring.advance(ring.now + 1.0)
+    for side in ((5,), (4, 5), (3, 4, 5)):  # as members come back one after the other
+        ring.partition(*side)
+        ring.advance(ring.now + 1.0)
+        assert not ring.submit(5, f"side of {len(side)}", tenant="one", ring_size=6)
+    ring.blocked = lambda sender, to: False
+    ring.advance(ring.now + 1.0)
+    used += sum(ring.submit(5, f"b{n}", tenant="one", ring_size=6) for n in range(12))
+    assert used <= ring.plan.burst + (ring.now - 1e6 - 3.0) * ring.plan.rate
