hoistfold: a member that is heard again is told what was used while it was silent

Cause: reports are sent twice and then not again. What was told while a member could not be reached, before its silence was noticed, never came to it; only the membership's word of a return, which follows a declared death, repeated it.

--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -564,7 +564,11 @@
     def _peer_message(self, event: i.PeerMessage) -> None:
         entries = decode_message(event.content)
         if entries is not None and event.sender in self.peers:
+            silent_for = self.now - self.peers[event.sender].last_seen
             self.peers[event.sender].last_seen = self.now
+            if SILENT_EPOCHS * self.epoch <= silent_for < math.inf and not self.long_ring:
+                # Reports that it missed meanwhile are not repeated otherwise.
+                self._report_windows_to({event.sender}, {n for n in self.peers if self.reachable(n)})
             self.first_seen_at = min(self.first_seen_at, self.now)
             for entry in entries:
                 self._entry_received(event.sender, entry)
--- a/tests/test_fleet_quotas.py
+++ b/tests/test_fleet_quotas.py
@@ -566,3 +566,16 @@
     ring.advance(ring.now + 1.0)
     used += sum(ring.submit(5, f"b{n}", tenant="one", ring_size=6) for n in range(12))
     assert used <= ring.plan.burst + (ring.now - 1e6 - 3.0) * ring.plan.rate
+
+
+def test_a_member_learns_after_a_short_partition_what_was_used_before_it() -> None:
+    # Guards against use that is reported while a partition is not noticed yet, and never again.
+    ring = SmallWindows(0)
+    ring.advance(ring.now + 3.0)
+    used = sum(ring.submit(n % 6, f"a{n}", tenant="one", ring_size=6) for n in range(12))
+    ring.partition(5)
+    ring.advance(ring.now + 1.5)
+    ring.blocked = lambda sender, to: False
+    ring.advance(ring.now + 1.5)
+    used += sum(ring.submit(5, f"b{n}", tenant="one", ring_size=6) for n in range(12))
+    assert used <= ring.plan.burst + (ring.now - 1e6 - 3.0) * ring.plan.rate
