standflow: a process held up at SIGTERM has time left for its own end

Cause: the moments of a shutdown counted from when the loop came to SIGTERM, and the exit was just the 0.15 s of the terms before SIGKILL. Held up at the signal, a process had nothing left for its end. Change: the receipt is noted in the signal's handler; answers and exit come 0.1 s earlier; late last answers are followed by 0.05 s for the connections instead of the exit in the same round; the store closes last and waits for the disk as long as the schedule allows (1 s before, by reading). Log lines tell the seconds since SIGTERM and slow closes.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -497,9 +497,10 @@
         if self.peers is not None and self.sends_to_peers:
             self.peers.send_message(peer, content)
 
-    def stop(self) -> None:
-        """SIGTERM."""
-        if self.shutdown.begin(self.reloading.config.longest_deadline) and self.fleet_member is not None:
+    def stop(self, received_at: float | None = None) -> None:
+        """SIGTERM, received at this time of the loop's clock, now by default."""
+        begun = self.shutdown.begin(self.reloading.config.longest_deadline, received_at)
+        if begun and self.fleet_member is not None:
             self.fleet_member.leave()
 
     def reload(self) -> None:
@@ -510,9 +511,14 @@
     def close(self) -> None:
         """Closes every connection; each writes its line to the log."""
         components = (
-            *(self.clients, self.next_hops, self.ops, self.handover, self.store),
+            *(self.clients, self.next_hops, self.ops, self.handover),
             *(self.counter_reconciliation, self.counter_calls, self.fleet_member, self.routes),
         )
         closes = [component.close for component in components if component is not None]
         last_counts = [] if self.tls is None else [self.tls.log_counts]
-        close_all([self.tally.flush, *closes, *last_counts], self.log)
+        close_all([self.tally.flush, *closes, *last_counts, self._close_store], self.log)
+
+    def _close_store(self) -> None:
+        """Last, as it may wait for the disk."""
+        if self.store is not None:
+            self.store.close(self.shutdown.store_time_limit())
--- a/standflow/program.py
+++ b/standflow/program.py
@@ -26,8 +26,14 @@
         sys.stderr.write(f"standflow: {error}\n")
         return 2
     log.serve(loop)
-    stop, reload = ingress.stop, ingress.reload
-    inbox.serve(loop, {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGHUP: reload})
+    inbox.serve(
+        loop,
+        {
+            signal.SIGTERM: lambda: ingress.stop(inbox.first_received_at.get(signal.SIGTERM)),
+            signal.SIGINT: lambda: ingress.stop(inbox.first_received_at.get(signal.SIGINT)),
+            signal.SIGHUP: ingress.reload,
+        },
+    )
     ingress.start()
     # The objects of the startup live until the exit; collections during service cover only newer ones.
     gc.collect()
--- a/standflow/recovery/writer.py
+++ b/standflow/recovery/writer.py
@@ -135,12 +135,12 @@
         if not self.closed and self.store.lock_fd >= 0:
             self.store.put(self._operator_records(read_boot_clock().uptime))
 
-    def close(self) -> None:
-        """Writes a last time and closes the store."""
+    def close(self, limit: float = 1.0) -> None:
+        """Writes a last time and closes the store, within `limit` seconds."""
         if not self.closed:
             self._write()
             self.closed = True
-            self.store.close()
+            self.store.close(limit)
             self._flush_log()
 
     def _set_stage(self, name: str) -> None:
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import time
 import traceback
 from collections.abc import Callable, Iterable
 
 from standflow.exchange import Exchange
 from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop, Timer
-from standflow.shutdown_schedule import ShutdownSchedule, schedule_for
+from standflow.shutdown_schedule import FLUSH_SECONDS, ShutdownSchedule, schedule_for
 
 POLL_SECONDS = 0.01  # between checks whether all connections have ended
+MIN_STORE_SECONDS = 0.05  # for the last write of the store, however late the exit is
+MAX_STORE_SECONDS = 1.0
 MAX_DESCRIBED = 50  # requests answered at the end that are described in the log
+SLOW_CLOSE_SECONDS = 0.01  # a component that takes longer to close is named in the log
 
 
 class Shutdown:
@@ -26,22 +30,25 @@
         self.begun_at: float | None = None  # on the loop's clock
         self.schedule: ShutdownSchedule | None = None
         self.timers: list[Timer] = []
+        self.exit_timer: Timer | None = None
 
     @property
     def begun(self) -> bool:
         """True once SIGTERM was received."""
         return self.begun_at is not None
 
-    def begin(self, longest_deadline: float) -> bool:
+    def begin(self, longest_deadline: float, received_at: float | None = None) -> bool:
         """Starts the shutdown on SIGTERM; `longest_deadline` of the deployment in seconds.
 
-        False if it has started before.
+        `received_at`: when SIGTERM was received, as the loop may come to it late. False if the shutdown has
+        started before.
         """
         if self.begun:
             return False
-        self.begun_at = self.loop.now()
+        self.begun_at = self.loop.now() if received_at is None else received_at
         schedule = schedule_for(longest_deadline)
-        self.log(f"stopping answer_all={schedule.answer_all:.2f} exit={schedule.exit:.2f}")
+        late = self.loop.now() - self.begun_at
+        self.log(f"stopping answer_all={schedule.answer_all:.2f} exit={schedule.exit:.2f} at={late:.3f}")
         self._follow(schedule, self.begun_at)
         self._stop_when_done()
         return True
@@ -57,8 +64,9 @@
         self.log(
             f"shutdown: by a shorter deadline, answer_all={schedule.answer_all:.2f} exit={schedule.exit:.2f}"
         )
-        for timer in self.timers:
-            timer.cancel()
+        for timer in (*self.timers, self.exit_timer):
+            if timer is not None:
+                timer.cancel()
         self._follow(schedule, self.begun_at)
 
     def _follow(self, schedule: ShutdownSchedule, begun_at: float) -> None:
@@ -71,8 +79,8 @@
         self.timers = [
             self.loop.call_at(begun_at + stop_accepting, self._stop_accepting, serve_for),
             self.loop.call_at(begun_at + schedule.answer_all, self.answer_all),
-            self.loop.call_at(begun_at + schedule.exit, self._exit),
         ]
+        self.exit_timer = self.loop.call_at(begun_at + schedule.exit, self._exit)
 
     def _stop_accepting(self, serve_for: float) -> None:
         self.clients.stop(serve_for)
@@ -90,16 +98,36 @@
         if len(left) > MAX_DESCRIBED:
             self.log(f"shutdown: answered at the end: {len(left) - MAX_DESCRIBED} more")
 
+        self._keep_time_to_flush()
+
+    def _keep_time_to_flush(self) -> None:
+        """Postpones an exit that would follow at once because the last answers were late."""
+        earliest = self.loop.now() + FLUSH_SECONDS
+        if self.begun_at is None or self.schedule is None or self.exit_timer is None:
+            return
+        if self.begun_at + self.schedule.exit < earliest:
+            self.exit_timer.cancel()
+            self.exit_timer = self.loop.call_at(earliest, self._exit)
+
     def _exit(self) -> None:
         self._log_state("ends")
         self.loop.stop()
 
     def _log_state(self, state: str) -> None:
         """Logs a step with the connections and requests still open."""
+        since = 0.0 if self.begun_at is None else self.loop.now() - self.begun_at
         self.log(
             f"shutdown: {state}, connections={len(self.clients.connections)} open={self.exchange.open_count}"
+            f" at={since:.3f}"
         )
 
+    def store_time_limit(self) -> float:
+        """Seconds that the exit may wait for a slow disk."""
+        if self.begun_at is None or self.schedule is None:
+            return MAX_STORE_SECONDS
+        left = self.begun_at + self.schedule.exit - self.loop.now()
+        return min(MAX_STORE_SECONDS, max(MIN_STORE_SECONDS, left))
+
     def _stop_when_done(self) -> None:
         if self.clients.listener is None and not self.clients.connections:
             self.loop.stop()
@@ -108,9 +136,15 @@
 
 
 def close_all(closes: Iterable[Callable[[], None]], log: Callable[[str], None]) -> None:
-    """Calls each; an exception in one is logged and does not prevent the others."""
+    """Calls each; an exception in one is logged and does not prevent the others, and slow ones are named."""
+    begin = time.monotonic()
     for close in closes:
+        before = time.monotonic()
         try:
             close()
         except Exception:
             log("fault at the end: " + traceback.format_exc().replace("\n", " | "))
+        taken = time.monotonic() - before
+        if taken > SLOW_CLOSE_SECONDS:
+            log(f"shutdown: {close.__qualname__} took {taken:.3f}")
+    log(f"shutdown: closed in {time.monotonic() - begin:.3f}")
--- a/standflow/shutdown_schedule.py
+++ b/standflow/shutdown_schedule.py
@@ -12,6 +12,7 @@
 from standflow.platform_terms import KILL_AFTER_SECONDS, MAX_COUNTED_DEADLINE_SECONDS, MAX_PAUSE_SECONDS
 
 FLUSH_SECONDS = 0.05  # for sending the last answers and closing connections in order
+END_SECONDS = 0.1  # for the exit itself, also where SIGTERM was handled after the longest pause
 ACCEPT_SECONDS = 0.5  # of accepting after SIGTERM: new connections keep arriving for 0.2 to 0.4 s
 SERVING_SHARE = 0.5  # of the time after accepting in which requests on open connections are still served
 
@@ -30,7 +31,7 @@
 def schedule_for(longest_deadline: float) -> ShutdownSchedule:
     """The schedule for a deployment with this longest deadline in seconds."""
     kill = min(longest_deadline, MAX_COUNTED_DEADLINE_SECONDS) + KILL_AFTER_SECONDS
-    latest_exit = kill - MAX_PAUSE_SECONDS
+    latest_exit = kill - MAX_PAUSE_SECONDS - END_SECONDS
     answer_all = latest_exit - FLUSH_SECONDS
     stop_accepting = min(ACCEPT_SECONDS, answer_all)
     stop_serving = stop_accepting + (answer_all - stop_accepting) * SERVING_SHARE
--- a/standflow/signals.py
+++ b/standflow/signals.py
@@ -8,6 +8,7 @@
 
 import os
 import signal
+import time
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
@@ -24,10 +25,15 @@
     def __init__(self) -> None:
         self.reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+        self.first_received_at: dict[int, float] = {}  # by signal, on the monotonic clock
         for number in HANDLED:  # also if the process was started with one of them ignored
-            signal.signal(number, lambda *_: None)
+            signal.signal(number, self._received)
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
 
+    def _received(self, number: int, _frame: object) -> None:
+        """Runs as soon as the process does, while the loop may still be busy for longer."""
+        self.first_received_at.setdefault(number, time.monotonic())
+
     def serve(self, loop: Loop, calls: Mapping[int, Callable[[], None]]) -> None:
         """Calls the handler of each signal, starting with those already received."""
         from standflow.net.loop import IN
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -25,6 +25,7 @@
 from standflow.exchange import Refused, Request
 from standflow.net.client_side import ClientSide
 from standflow.platform_terms import MAX_PAUSE_SECONDS
+from standflow.shutdown import Shutdown as ShutdownSteps
 from standflow.shutdown import close_all
 from standflow.shutdown_schedule import schedule_for
 from tests.test_adapter import ROOT
@@ -83,13 +84,15 @@
 class Restart:
     """A restart to run; `reloaded`: another longest deadline, applied by SIGHUP before SIGTERM.
 
-    `rewritten`: the longest deadline in the file when a SIGHUP of `signals` is sent.
+    `rewritten`: the longest deadline in the file when a SIGHUP of `signals` is sent. `spare_seconds`: the
+    process must end this long before SIGKILL.
     """
 
     longest_deadline: float
     signals: tuple[tuple[float, int], ...] = ()
     reloaded: float | None = None
     rewritten: float | None = None
+    spare_seconds: float = 0.0
 
     @property
     def counted(self) -> float:
@@ -143,6 +146,8 @@
     violations = [f"{one.ident} (safe: {one.safe}), sent at {one.at:.3f}, is lost" for one in ended.lost]
     if ended.ended_at is None:
         violations.append("the process was alive at SIGKILL")
+    elif ended.ended_at > ended.killed_at - restart.spare_seconds:
+        violations.append(f"the process ended at {ended.ended_at:.3f}, SIGKILL came at {ended.killed_at:.3f}")
     if ended.reset:
         violations.append(f"{ended.reset} connections were reset")
     if len(ended.sent) < MIN_SENT:
@@ -172,6 +177,59 @@
     assert run_all(tmp_path, restarts) == []
 
 
+def test_a_process_paused_when_sigterm_arrives_has_time_left_for_its_end(tmp_path: Path) -> None:
+    # Guards against a schedule that spends the whole pause of the terms before the end of the process begins.
+    pause = ((-0.0001, int(signal.SIGSTOP)), (-0.0001 + MAX_PAUSE_SECONDS, int(signal.SIGCONT)))
+    restarts = [Restart(deadline, pause, spare_seconds=0.05) for deadline in (0.3, 0.8, 1.6, 5.0)]
+    assert run_all(tmp_path, restarts) == []
+
+
+def test_a_shutdown_counts_from_the_receipt_of_sigterm_and_not_from_its_handling() -> None:
+    # Guards against an end that is later by the time in which a busy loop leaves SIGTERM unread.
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 2)
+    received_at = recorder.loop.now() - 0.25
+    shutdown = ShutdownSteps(recorder.loop, recorder.log.append, side, recorder.exchange)
+    assert shutdown.begin(0.3, received_at)
+    begun = time.monotonic()
+    recorder.loop.run()
+    assert time.monotonic() - begun < schedule_for(0.3).exit - 0.2
+    side.close()
+    recorder.close()
+
+
+def test_late_last_answers_leave_time_to_close_the_connections_in_order() -> None:
+    # Guards against an exit in the round of late last answers, which loses a request that arrives meanwhile.
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 2)
+    side.start_serving()
+    client = socket.create_connection(side.address)
+    client.sendall(command("aa01", d=60_000))
+    run_until(recorder.loop, lambda: len(recorder.opened) == 1)
+    shutdown = ShutdownSteps(recorder.loop, recorder.log.append, side, recorder.exchange)
+    shutdown.begin(0.3, recorder.loop.now() - schedule_for(0.3).exit)  # every step is due at once
+    recorder.loop.run_once()
+    assert not recorder.loop.stopped
+    recorder.loop.run()
+    assert read_until(client, b"\r\n").startswith(b"-")
+    client.close()
+    side.close()
+    recorder.close()
+
+
+def test_the_exit_waits_for_the_disk_no_longer_than_its_schedule_allows() -> None:
+    # Guards against a last write to a slow disk that delays the exit by a second, beyond SIGKILL.
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 2)
+    exit_at = schedule_for(0.3).exit
+    for since_sigterm, longest in ((exit_at + 0.1, 0.051), (exit_at, 0.051), (exit_at - 0.3, 0.301)):
+        shutdown = ShutdownSteps(recorder.loop, recorder.log.append, side, recorder.exchange)
+        shutdown.begin(0.3, recorder.loop.now() - since_sigterm)
+        assert shutdown.store_time_limit() <= longest
+    side.close()
+    recorder.close()
+
+
 def test_sigkill_may_be_timed_by_the_deadlines_before_or_after_a_reload(tmp_path: Path) -> None:
     assert run_all(tmp_path, [Restart(0.8, reloaded=2.4), Restart(2.4, reloaded=0.8)]) == []
 
