lab/fleet: a kill excuses what was on its way until the process was gone

Seen: test_a_second_loss_in_the_middle_of_the_return_and_one_alone_first fails 7 of 8 times on a busy machine, test_until_discovery_answers_... 2 of 12, one request without an answer each. No fault of the product. Change: an end has both times. A lost request is excused if it was on its way between them, with 0.1 s behind the first as before and nothing behind the second. That is stricter: a loss up to 0.3 s before a kill was excused, and one beside an orderly end. Test: new, 2 of its 5 cases failed before (a loss 0.1 s after the process was gone, and beside an orderly end); a loss 0.3 s before a kill and 0.1 s after the next process began are still found.

--- a/lab/fleet/record.py
+++ b/lab/fleet/record.py
@@ -1,8 +1,9 @@
 """A columnar record of a fleet run, and checks that read only the record.
 
 A row is a request (`asked`), an execution at a box (`ran`, and `came` with its time and work), a step of the
-schedule (`step`), the start or exit of an ingress process (`began`, `ended`), or a change of a member's
-membership list (`view`). Times are seconds since the site began.
+schedule (`step`), the start or exit of an ingress process (`began`, `ended`, where `took` is the time since
+SIGKILL was sent and `state` tells whether it was), or a change of a member's membership list (`view`). Times
+are seconds since the site began.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
     "t": pl.Float64, "what": pl.String, "member": pl.Int64, "tenant": pl.String, "ident": pl.String,
     "safe": pl.Boolean, "end": pl.String, "took": pl.Float64, "place": pl.Int64, "state": pl.String,
 }  # fmt: skip
+STOPPED = "stopped"  # state of a process that ended without SIGKILL
+AFTER_KILL_SECONDS = 0.1  # in which a request may be sent to a process that was killed, and be lost
 IN_FLIGHT_GRACE_SECONDS = 0.5  # after a drain is published, for requests already on their way
 # A box fails when it is sent this multiple of its capacity over this window.
 OVERLOAD_FACTOR, OVERLOAD_WINDOW_SECONDS = 4.0, 3.0
@@ -51,15 +54,22 @@
     for at, member, place, state in site.changes():
         what = "began" if state == "began" else "view"
         rows.append((at, what, member, None, None, None, None, None, place, state))
-    for member, at in site.process_ends:
-        rows.append((at, "ended", member, None, None, None, None, None, None, None))
+    for end in site.process_ends:
+        taken = None if end.killed_at is None else end.at - end.killed_at
+        how = STOPPED if end.killed_at is None else None
+        rows.append((end.at, "ended", end.member, None, None, None, None, taken, None, how))
     return pl.DataFrame(rows, schema=SCHEMA, orient="row").sort("t", maintain_order=True)
 
 
 def unanswered(table: pl.DataFrame) -> int:
-    """Requests without a complete answer whose ingress was neither killed nor paused in the meantime."""
+    """Requests without a complete answer whose ingress was neither killed nor paused in the meantime.
+
+    A kill excuses what was on its way between SIGKILL and the end of the process.
+    """
     lost = table.filter((pl.col("what") == "asked") & (pl.col("end") == "lost"))
-    ends = table.filter(pl.col("what") == "ended").select("member", gone="t")
+    ended = table.filter((pl.col("what") == "ended") & pl.col("state").ne_missing(STOPPED))
+    ends = ended.select("member", gone="t", killed=pl.col("t") - pl.col("took").fill_null(0.0))
+    ends = ends.with_columns(last=pl.max_horizontal("gone", pl.col("killed") + AFTER_KILL_SECONDS))
     held = table.filter((pl.col("what") == "step") & (pl.col("state") == "hold")).select(
         "member", gone="t", for_="took"
     )
@@ -67,7 +77,7 @@
     for row in lost.iter_rows(named=True):
         until = row["t"] + row["took"]
         killed = ends.filter(
-            (pl.col("member") == row["member"]) & pl.col("gone").is_between(row["t"] - 0.1, until + 0.3)
+            (pl.col("member") == row["member"]) & (pl.col("killed") <= until) & (pl.col("last") >= row["t"])
         )
         paused = held.filter(
             (pl.col("member") == row["member"])
--- a/lab/fleet/site.py
+++ b/lab/fleet/site.py
@@ -75,6 +75,15 @@
     took: float
 
 
+@dataclass(slots=True, frozen=True)
+class ProcessEnd:
+    """The end of an ingress process. `killed_at`: when SIGKILL was sent; None if it was not."""
+
+    member: int
+    at: float
+    killed_at: float | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Deployment:
     """Request settings in the file of every ingress; deadlines in seconds."""
@@ -129,7 +138,7 @@
         self.live: dict[int, Ingress] = {}
         self.addresses: dict[int, tuple[str, int]] = {}
         self.process_runs: list[tuple[int, float, Ingress]] = []  # member, start time, process
-        self.process_ends: list[tuple[int, float]] = []  # member, exit time
+        self.process_ends: list[ProcessEnd] = []
         self.down_since: dict[int, float] = {}
         self.killed: set[int] = set()  # requests in flight there may have run
         self.asked: list[RequestRecord] = []
@@ -208,14 +217,15 @@
         return self.folder / f"disk-{member}"
 
     def kill(self, *members: int) -> None:
-        """Sends SIGKILL to all at once."""
+        """Sends SIGKILL to all at once. On a busy machine a process goes on for some time after it."""
+        killed_at: dict[int, float] = {}
         for member in members:
-            self.down_since[member] = self.now()
+            self.down_since[member] = killed_at[member] = self.now()
             self.killed.add(member)
-            self.process_ends.append((member, self.now()))
             self.live[member].process.kill()
         for member in members:
             self.live.pop(member).process.wait()
+            self.process_ends.append(ProcessEnd(member, self.now(), killed_at[member]))
 
     def stop(self, *members: int) -> None:
         """Sends SIGTERM and waits for the exits."""
@@ -224,7 +234,7 @@
             self.live[member].signal(signal.SIGTERM)
         for member in members:
             self.live.pop(member).process.wait(WAIT_LIMIT_SECONDS)
-            self.process_ends.append((member, self.now()))
+            self.process_ends.append(ProcessEnd(member, self.now()))
 
     def do(self, step: Step) -> None:
         """Executes one step."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -315,6 +315,24 @@
     } | more
 
 
+@pytest.mark.parametrize(
+    ("sent_at", "lost_after", "state", "count"),
+    [
+        (5.2, 0.1, None, 0),  # SIGKILL was sent at 5.0, the process went at 5.4
+        (5.35, 0.1, None, 0),
+        (4.6, 0.1, None, 1),  # lost before the kill
+        (5.5, 0.1, None, 1),  # lost by the process that came after it
+        (5.2, 0.1, "stopped", 1),  # an orderly end loses nothing
+    ],
+)
+def test_a_kill_excuses_what_was_on_its_way_until_the_process_was_gone(
+    sent_at: float, lost_after: float, state: str | None, count: int
+) -> None:
+    # Guards against requests that a process reset on a busy machine well after SIGKILL, and counted as lost.
+    ended = {"t": 5.4, "what": "ended", "member": 0, "took": 0.4, "state": state}
+    assert unanswered(table(asked(sent_at, "x", "lost", took=lost_after), ended)) == count
+
+
 def test_each_checker_finds_a_violation_of_its_rule() -> None:
     ended = {"t": 5.05, "what": "ended", "member": 0}
     assert unanswered(table(asked(1.0, "x", "lost"))) == 1
