hoistfold: registers that are read for the first time add up

A register tells its writer's own part only, so two members of three units each counted as three. Change: a reading is taken as the member's part, and first readings add up. Where members are silent the reserve for use on its way is a round of the ring again, as before. Test: new, failed before.

--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -393,8 +393,10 @@
         if quota.share < 1 and not quota.own + quota.others:
             return True  # a small share may be less than one request
         left = plan.burst - quota.others - quota.silent_members * quota.since_observed
-        # Reserves what the others are likely to have used since their last report.
-        reserve = min(0.5, quota.others_rate * self.epoch / max(left, 1 / COUNTS_PER_UNIT))
+        # Reserves what the others are likely to have used since their last report: an epoch ago at most where it
+        # matters, longer where members are silent and known by counter reconciliation.
+        report_age = self.epoch * (quota.size - 1 if quota.silent_members else 1)
+        reserve = min(0.5, quota.others_rate * report_age / max(left, 1 / COUNTS_PER_UNIT))
         if not known:  # part of an even share; at least one request if none was refused before
             minimum = 0.0 if quota.refusals else self.settings.max_units
             share = max(self.allowance, self._isolated_share(quota))
@@ -492,12 +494,9 @@
             if event.ring_index != quota.index:
                 quota.observed_at, quota.since_observed = self.now, 0.0
             if (event.count - quota.counts.get(event.ring_index, event.count)) & 0xFFFF <= 0x7FFF:
-                self.merge(
-                    quota,
-                    event.ring_index,
-                    event.count,
-                    round(event.level * quota.plan.burst * COUNTS_PER_UNIT),
-                )
+                # A register tells the member's own part of the window.
+                window_count = round(event.level * quota.plan.burst * COUNTS_PER_UNIT)
+                self.merge(quota, event.ring_index, event.count, window_count, window_count)
 
     def _append_reports(self, quota: Quota, messages: dict[int, bytes]) -> None:
         """Appends a tenant's pending reports to the messages of its successor, as far as they fit."""
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -144,3 +144,13 @@
             gateway.handle(now, ended(send, i.Outcome.OK))
             served += 1
     assert served == admissible
+
+
+def test_registers_that_are_read_for_the_first_time_add_up() -> None:
+    # Guards against members that are together taken to have used no more than the last of them.
+    gateway = started(counter_reconciliation=True, gateways=3)
+    gateway.handle(0.0, request("first", ring_size=3))
+    (quota,) = gateway.quotas.values()
+    for ring_index in (1, 2):
+        gateway.handle(0.0, i.UseObserved(quota.key, ring_index, 12, 0.3))  # 3 units of a burst of 10
+    assert quota.others == 6.0
