--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -393,8 +393,8 @@
         if quota.share < 1 and not quota.own + quota.others:
             return True  # a small share may be less than one request
         left = plan.burst - quota.others - quota.silent_members * quota.since_observed
-        # Reserves what the others are likely to have used since their last report: an epoch ago at most where it
-        # matters, longer where members are silent and known by counter reconciliation.
+        # Reserves what the others are likely to have used since their last report: an epoch ago at most where
+        # it matters, longer where members are silent and known by counter reconciliation.
         report_age = self.epoch * (quota.size - 1 if quota.silent_members else 1)
         reserve = min(0.5, quota.others_rate * report_age / max(left, 1 / COUNTS_PER_UNIT))
         if not known:  # part of an even share; at least one request if none was refused before
