--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -6,19 +6,17 @@
 import math
 import random
 import zlib
-from collections.abc import Callable, Container, Set
+from collections.abc import Callable
 
 from hoistfold import interface as i
-from hoistfold.codec import ENTRY, MAX_ENTRY_BYTES, decode_message, encode_message, pack_entry
+from hoistfold.codec import decode_message
 from hoistfold.coordinators import Coordination
 from hoistfold.counter_quotas import CounterQuotas
 from hoistfold.overload import ClassPriority
 from hoistfold.partition import SILENT_EPOCHS, detect_partition, may_be_cut_off
+from hoistfold.ring_reports import RingReports
 from hoistfold.state import (
     COUNTS_PER_UNIT,
-    REPORT_ONCE,
-    REPORT_TO_OWNER,
-    REPORT_TWICE,
     Attempt,
     Backend,
     Entry,
@@ -27,7 +25,6 @@
     Quota,
     Request,
 )
-from hoistfold.triggered_reports import REPORT_TO_ALL_URGENCY, TRIGGER_URGENCY, TriggeredReports, urgency
 
 INITIAL_LIMIT = 8.0  # concurrent attempts per backend, summed over all gateways
 MIN_TRIAL_INTERVAL, MAX_TRIAL_INTERVAL = 1.0, 8.0  # seconds between trial requests to an ejected backend
@@ -72,7 +69,7 @@
         window = min((plan.burst / plan.rate for plan in settings.plans if plan.rate), default=math.inf)
         self.long_ring = settings.may_message_peers and settings.gateways * self.epoch > window
         self.epoch = IDLE_QUOTA_SECONDS / 4 if self.long_ring else self.epoch
-        self.triggered_reports = TriggeredReports(settings.peer_intake, len(self.peers), self.epoch)
+        self.ring_reports = RingReports(self)
         self.priority = ClassPriority()
         self.coordination = Coordination(self, self._admit, self._within_quota)
 
@@ -169,8 +166,7 @@
         if backend is not None:
             if fits:  # otherwise the quota is not charged
                 self._record_use(quota, request.units, request.ceiling_granted)
-                self._queue_report(quota, quota.index, REPORT_TWICE)
-                self._report_at_once_if_due(quota)
+                self.ring_reports.use_recorded(quota)
             self._send(request, backend)
         else:  # retry within the aim, or once the window has capacity or more totals are known
             needed = quota.own + quota.others + request.units / quota.share
@@ -401,7 +397,7 @@
             minimum = 0.0 if quota.refusals else self.settings.max_units
             share = max(self.allowance, self._isolated_share(quota))
             left = min(left, max(minimum, share * plan.burst / quota.size))
-        if self._must_wait_for_report(quota, units):
+        if self.ring_reports.must_wait(quota, units):
             return False
         # Own use drains at the rate, so it acts as the local token bucket too.
         return not plan.rate or quota.own + units / quota.share <= (1 - reserve) * left
@@ -436,15 +432,7 @@
         self._update_partition()
         self._resize_subset()
         if event.returned:
-            self._report_windows_to(event.returned, event.alive)
-
-    def _report_windows_to(self, returned: Set[int], alive: Container[int]) -> None:
-        """Reports all windows in use to members that return, if they are the successor in the ring."""
-        for quota in self.quotas.values():
-            following = (n for n in self.members(quota, quota.index)[1:] if n in alive)
-            if next(following, None) in returned and quota.own + quota.others:
-                for index in quota.counts:
-                    self._queue_report(quota, index, REPORT_TWICE)
+            self.ring_reports.queue_windows_for(event.returned, event.alive)
 
     def _update_partition(self) -> None:
         """Updates the partition from the membership and, where all exchange messages, from silences."""
@@ -471,12 +459,7 @@
         self._update_partition()
         if self.settings.counter_reconciliation:
             self._report_to_reconciliation()
-        due = dict.fromkeys(() if self.long_ring or not self.settings.may_message_peers else self.peers, b"")
-        # Most utilized first: what does not fit a message waits for the next epoch.
-        for quota in self._most_utilized(self.unreported, MAX_PER_EPOCH) if due else ():
-            self._append_reports(quota, due)
-        for number, entries in due.items():
-            self.actions.append(i.SendPeerMessage(number, encode_message(entries)))
+        self.ring_reports.send_pending(lambda quotas: self._most_utilized(quotas, MAX_PER_EPOCH))
 
     def _report_to_reconciliation(self) -> None:
         """Reports use to counter reconciliation until it has drained."""
@@ -498,68 +481,6 @@
                 window_count = round(event.level * quota.plan.burst * COUNTS_PER_UNIT)
                 self.merge(quota, event.ring_index, event.count, window_count, window_count)
 
-    def _append_reports(self, quota: Quota, messages: dict[int, bytes]) -> None:
-        """Appends a tenant's pending reports to the messages of its successor, as far as they fit."""
-        following, level = self.members(quota, quota.index)[1:], quota.own + quota.others
-        successor = next((n for n in following if self.reachable(n)), following[0])
-        for index, report in sorted(quota.unreported.items()):
-            owner = (quota.first + index) % self.settings.gateways
-            target = owner if report == REPORT_TO_OWNER else successor
-            # Members know their own use, and drained use is no news.
-            if report != REPORT_TO_OWNER and (target == owner or level * COUNTS_PER_UNIT < 1):
-                del quota.unreported[index]
-            elif len(messages[target]) + ENTRY.size <= MAX_ENTRY_BYTES:
-                messages[target] += self._pack_report(quota, index)
-                if report == REPORT_TO_OWNER:  # which has lost this gateway's count as well
-                    self._append_own_report(quota, messages, [target])
-                quota.unreported[index] = REPORT_ONCE
-                if report != REPORT_TWICE:
-                    del quota.unreported[index]
-        if not quota.unreported:
-            del self.unreported[quota.key]
-        if urgency(quota) > REPORT_TO_ALL_URGENCY:
-            self._append_own_report(quota, messages, [number for number in following if number != successor])
-        quota.unreported_units = 0.0
-
-    def _append_own_report(self, quota: Quota, messages: dict[int, bytes], targets: list[int]) -> None:
-        """Appends the report of own use to the messages of some members, as far as it fits."""
-        report = self._pack_report(quota, quota.index)
-        for number in targets:
-            if len(messages[number]) + ENTRY.size <= MAX_ENTRY_BYTES:
-                messages[number] += report
-
-    def _pack_report(self, quota: Quota, index: int) -> bytes:
-        """Encodes the report of a ring member's count, with the member's part of the window if known."""
-        own_count = round(quota.own * quota.share * COUNTS_PER_UNIT)
-        window_count = own_count if index == quota.index else quota.window_counts.get(index, 0)
-        level, units = quota.own + quota.others, min(window_count, 0xFFFF)
-        return pack_entry(self.settings.plans, quota, MessageKind.REPORT, index, level, units=units)
-
-    def _on_ring(self, quota: Quota) -> bool:
-        """Whether the totals of the quota pass round a ring."""
-        on_ring = self.settings.may_message_peers and not self.long_ring
-        return on_ring and quota.size > 1 and quota.plan.rate > 0
-
-    def _report_at_once_if_due(self, quota: Quota) -> None:
-        """Reports own use to all members of the ring where waiting for a round may exceed the quota."""
-        if not self._on_ring(quota):
-            return
-        if urgency(quota) > TRIGGER_URGENCY and self.triggered_reports.take(quota, self.now):
-            message = encode_message(self._pack_report(quota, quota.index))
-            quota.unreported_units = 0.0
-            for number in self.members(quota, quota.index)[1:]:
-                self.actions.append(i.SendPeerMessage(number, message))
-
-    def _must_wait_for_report(self, quota: Quota, units: float) -> bool:
-        """Whether other members don't know of earlier use yet that leaves no room for as much from each."""
-        if (
-            not self._on_ring(quota)
-            or not quota.unreported_units
-            or self.triggered_reports.covers(quota, self.now)
-        ):
-            return False
-        return urgency(quota, units) > TRIGGER_URGENCY
-
     def _peer_message(self, event: i.PeerMessage) -> None:
         entries = decode_message(event.content)
         if entries is not None and event.sender in self.peers:
@@ -567,7 +488,9 @@
             self.peers[event.sender].last_seen = self.now
             if SILENT_EPOCHS * self.epoch <= silent_for < math.inf and not self.long_ring:
                 # Reports that it missed meanwhile are not repeated otherwise.
-                self._report_windows_to({event.sender}, {n for n in self.peers if self.reachable(n)})
+                self.ring_reports.queue_windows_for(
+                    {event.sender}, {n for n in self.peers if self.reachable(n)}
+                )
             self.first_seen_at = min(self.first_seen_at, self.now)
             for entry in entries:
                 self._entry_received(event.sender, entry)
@@ -583,12 +506,6 @@
             elif entry.kind == MessageKind.REPORT and self.long_ring:
                 self.coordination.report_received(quota, entry)
             elif entry.kind == MessageKind.REPORT:
-                before = quota.counts.get(entry.index)
-                self.merge(quota, entry.index, entry.count, entry.level, entry.units)
-                changed = self.membership is not None and quota.counts.get(entry.index) != before
-                # Forwards it to members that the sender can't reach, and skipped, but this gateway can.
-                for number in filter(self.reachable, self.members_between(quota, sender) if changed else ()):
-                    report = self._pack_report(quota, entry.index)
-                    self.actions.append(i.SendPeerMessage(number, encode_message(report)))
+                self.ring_reports.received(quota, sender, entry)
             elif entry.kind == MessageKind.REPLY and sender in quota.awaiting_reply:
                 self.coordination.reply_received(quota, sender, entry)
--- a/hoistfold/handover.py
+++ b/hoistfold/handover.py
@@ -188,7 +188,7 @@
         quota.used_at = now
         quota.own += count / COUNTS_PER_UNIT
         quota.counts[quota.index] = (quota.counts[quota.index] + count) & 0xFFFF
-        gateway._queue_report(quota, quota.index, REPORT_TWICE)
+        gateway.queue_report(quota, quota.index, REPORT_TWICE)
 
 
 def _identity(quota: Quota) -> tuple[str, str, int, int]:
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -374,7 +374,7 @@
         self.timers[self.last_timer_handle] = request
         self.actions.append(i.SetTimer(max(0.0, delay), self.last_timer_handle))
 
-    def _queue_report(self, quota: Quota, index: int, report: int) -> None:
+    def queue_report(self, quota: Quota, index: int, report: int) -> None:
         """Queues the report of a member's count. It is sent twice to tolerate one lost message."""
         if quota.size > 1 and quota.plan.rate and not self.long_ring:
             quota.unreported[index], self.unreported[quota.key] = report, quota
@@ -392,7 +392,7 @@
         increase = (count - quota.counts.get(index, max(0, count - in_window))) & 0xFFFF
         if increase > 0x7FFF and index != quota.index:
             # the member has lost its own count: report it back
-            self._queue_report(quota, index, REPORT_TO_OWNER)
+            self.queue_report(quota, index, REPORT_TO_OWNER)
             increase = 0
         if 0 < increase <= 0x7FFF:
             # A count from an earlier boot of this gateway: the use since the start is added to it.
@@ -406,7 +406,7 @@
             limit = max(quota.others, level / COUNTS_PER_UNIT) if limited else math.inf
             quota.others = min(quota.others + min(increase, level) / COUNTS_PER_UNIT / quota.share, limit)
             quota.others_rate += increase / COUNTS_PER_UNIT / 2
-            self._queue_report(quota, index, REPORT_TWICE)
+            self.queue_report(quota, index, REPORT_TWICE)
 
     def _is_valid_entry(self, sender: int, entry: Entry) -> bool:
         """Whether the entry belongs to a ring that both the sender and this gateway are members of."""
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -160,7 +160,7 @@
     admitted(network, 0, 3, "a")
     quota = network.gateways[0].quotas[key_of("basic c1")]
     quota.counts[quota.index] = 0xF000
-    network.gateways[0]._queue_report(quota, quota.index, REPORT_TWICE)
+    network.gateways[0].queue_report(quota, quota.index, REPORT_TWICE)
     network.restart(1)
     network.run_epochs(3)
     assert 5 <= admitted(network, 1, 20, "b") <= 8
