lab/soak: only a killed process run is excused, and only for what its kill explains

Change: only killed process runs, and only their exit, lost and late requests; all other rules are checked on the whole record.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -35,8 +35,15 @@
 
 
 def violations_in_spite_of_pauses(table: pl.DataFrame) -> list[str]:
-    """Violations of rules that hold however long an ingress is paused."""
-    return [*_ran_twice(table), *_quotas(table)]
+    """Violations of rules that a process which is held up at its end and killed can't break by that."""
+    return [
+        *_ran_twice(table),
+        *_after_disconnect(table),
+        *_reported_too_much_time(table),
+        *_to_draining_backends(table),
+        *_not_ready(table),
+        *_quotas(table),
+    ]
 
 
 def _rows(table: pl.DataFrame, what: str) -> pl.DataFrame:
--- a/lab/soak/judge.py
+++ b/lab/soak/judge.py
@@ -49,15 +49,13 @@
 
 
 def held_up_process_runs(table: pl.DataFrame) -> set[ProcessRunId]:
-    """Process runs that waited too long for a processor; of those that were killed, after SIGTERM."""
+    """Process runs that were killed and had waited too long for a processor since SIGTERM."""
     waits = _rows(table, "scheduled").filter(pl.col("longest_wait") > MAX_PAUSE_SECONDS)
-    killed = _killed(table)
-    found = set()
-    for row in waits.iter_rows(named=True):
-        one = (row["member"], row["life"])
-        if one not in killed or row["until"] > _terminated_at(table, one):
-            found.add(one)
-    return found
+    return {
+        one
+        for one in _killed(table)
+        if _of(waits, one).filter(pl.col("until") > _terminated_at(table, one)).height
+    }
 
 
 def shutdown_evidence(table: pl.DataFrame, one: ProcessRunId) -> list[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -269,6 +269,8 @@
     twice = [came("a", 1.01, safe=False), came("a", 1.05, safe=False, backend=1)]
     rows = [SIGTERM, KILLED, long_wait, connection(), unsafe, *twice]
     assert judge(RUN, table(rows)).outcome is Outcome.FAILED
+    crashed = [SIGTERM, process_run_row(end="-11"), long_wait]
+    assert judge(RUN, table(crashed)).outcome is Outcome.FAILED
     other = replace(KILLED, member=1)
     assert judge(RUN, table([SIGTERM, KILLED, other, long_wait])).outcome is Outcome.FAILED
 
