lab/soak, loop: a killed process leaves its stack, its state and the gaps of its record

The last line written is not the last thing done, and the evidence did not say how long a sample was. Change: a process that is alive at the kill gets SIGABRT, on which faulthandler writes its stacks, and SIGKILL within 0.05 s; the handler runs none of the program's code, so nothing can be answered after it. The ingress logs `loop: an iteration took` where one takes over 0.1 s. No check is changed. Tests: four new ones.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -33,7 +33,8 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", module],
             cwd=ROOT,
-            env={**os.environ, **given, **(environment or {})},
+            # A process that is killed by SIGABRT then writes its stack to the log.
+            env={**os.environ, "PYTHONFAULTHANDLER": "1", **given, **(environment or {})},
             stderr=subprocess.PIPE,
             pass_fds=passed,
         )
--- a/lab/shutdown.py
+++ b/lab/shutdown.py
@@ -18,6 +18,7 @@
 import time
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from lab.callers import command
 from lab.scheduling import SchedulingMonitor, SchedulingSample, samples
@@ -26,6 +27,7 @@
 KILL_DELAY_SECONDS = 0.7  # from SIGTERM, on top of the capped deadline
 IN_FLIGHT_SECONDS = 0.02  # sent this long before a close, a request may cross the close on the wire
 READ_AFTER_KILL_SECONDS = 0.3  # drains what the process wrote before SIGKILL
+STACK_SECONDS = 0.05  # for the traceback that Python writes on SIGABRT, where faulthandler is enabled
 
 
 def kill_time(longest_deadline: float) -> float:
@@ -84,7 +86,8 @@
     reset: int  # connections reset before SIGKILL
     ended_at: float | None  # when the process exited by itself, seconds from SIGTERM; None: it was killed
     terminated: float = 0.0  # when SIGTERM was sent, monotonic clock
-    killed_at: float = 0.0  # when SIGKILL was sent, seconds from SIGTERM
+    killed_at: float = 0.0  # when the process was killed, or would have been, seconds from SIGTERM
+    state_at_kill: str = ""  # of a process that was killed, see `process_state`
     scheduling: list[SchedulingSample] = field(default_factory=list)  # of the process, seconds from SIGTERM
 
 
@@ -130,10 +133,10 @@
         loop.step(0.002)
         if ended_at is None and now > 0 and process.poll() is not None:
             ended_at = loop.now()
-    process.kill()
-    killed_at = loop.now()
+    killed_at, state = loop.now(), ""
     if ended_at is None:
-        os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
+        state = process_state(process.pid)
+        _kill_with_traceback(process)
         monitor.read(loop.now())
     process.wait()
     while loop.now() < killed_at + READ_AFTER_KILL_SECONDS:
@@ -142,7 +145,39 @@
     everything = [sent for client in clients for sent in client.sent]
     lost = [sent for client in clients for sent in client.sent if _lost(client, sent, arrived)]
     reset = sum(client.ended_by == "reset" and (client.ended_at or 0) < kill_at for client in clients)
-    return Shutdown(everything, lost, reset, ended_at, terminated, killed_at, samples(monitor.readings))
+    scheduling = samples(monitor.readings)
+    return Shutdown(everything, lost, reset, ended_at, terminated, killed_at, state, scheduling)
+
+
+def process_state(pid: int) -> str:
+    """State and processor time of a process, such as `R user 1.20 s system 0.31 s`; empty if it is gone.
+
+    The state is that of proc(5): R runs or waits for a processor, S sleeps, D waits for a disk, T is stopped.
+    """
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return ""
+    user, system = (int(ticks) / os.sysconf("SC_CLK_TCK") for ticks in fields[11:13])
+    return f"{fields[0]} user {user:.2f} s system {system:.2f} s"
+
+
+def _kill_with_traceback(process: subprocess.Popen[bytes]) -> None:
+    """Ends a process at once; where faulthandler is enabled, it writes its stack first.
+
+    The handler of SIGABRT runs none of the program's code, so no answer can follow the signal.
+    """
+    os.kill(process.pid, signal.SIGABRT)  # Popen's own methods would reap it before its last reading
+    end = time.monotonic() + STACK_SECONDS
+    while time.monotonic() < end and not _has_exited(process.pid):
+        time.sleep(0.001)
+    os.kill(process.pid, signal.SIGKILL)
+    os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
+
+
+def _has_exited(pid: int) -> bool:
+    """True once a child has exited; it can still be waited for."""
+    return os.waitid(os.P_PID, pid, os.WEXITED | os.WNOWAIT | os.WNOHANG) is not None
 
 
 def _lost(client: Client, sent: Sent, arrived: Collection[str]) -> bool:
--- a/lab/soak/play.py
+++ b/lab/soak/play.py
@@ -43,7 +43,11 @@
 IDS_PER_PROCESS_RUN = 100_000
 SIGNAL_NUMBERS = {Signal.RELOAD: signal.SIGHUP, Signal.TERMINATE: signal.SIGTERM, Signal.HOLD: signal.SIGSTOP}
 SOCKETS = 1024
-SHUTDOWN_STEP = re.compile(r"([\d.]+) ((?:stopping|stopped|shutdown: ).*)")  # a log line, with its time
+# A log line, with its time.
+SHUTDOWN_STEP = re.compile(r"([\d.]+) ((?:stopping|stopped|shutdown: |loop: ).*)")
+# Lines of the tracebacks that a killed process writes: the first of a thread, and file, line and function.
+STACK_BEGIN = re.compile(r"(Current t|T)hread 0x")
+STACK_FRAME = re.compile(r'  File ".*?([^/"]+)", line (\d+) in (\S+)')
 
 
 @dataclass(slots=True)
@@ -121,6 +125,7 @@
             self._record_process_run(member, number, started, ready, ended, status)
             self._record_scheduling(member, number, ended)
             self._record_steps(member, number, list(ingress.log))
+            self._record_stack(member, number, list(ingress.log))
             self.logs += [f"n{member} life {number} {line}" for line in list(ingress.log)]
 
     def _start(self, site: Site, member: int, process_run: ProcessRun, first: bool) -> None:
@@ -267,6 +272,11 @@
                 detail=f"SIGKILL at {zero + ended.killed_at:.3f}",
             )
         )
+        if ended.state_at_kill:
+            detail = f"at SIGKILL: {ended.state_at_kill}"
+            self.rows.append(
+                Row(what="step", t=zero + ended.killed_at, member=member, life=number, detail=detail)
+            )
 
     def _record_scheduling(self, member: int, number: int, ended: Shutdown) -> None:
         zero = ended.terminated - self.begin
@@ -292,6 +302,18 @@
                 at = float(match[1]) - offset
                 self.rows.append(Row(what="step", t=at, member=member, life=number, detail=match[2]))
 
+    def _record_stack(self, member: int, number: int, log: list[str]) -> None:
+        """Records the stacks of a process that was killed, each with its innermost function first."""
+        stacks: list[list[str]] = [[]]
+        for line in log:
+            if STACK_BEGIN.match(line):
+                stacks.append([])
+            elif match := STACK_FRAME.match(line):
+                stacks[-1].append(f"{match[1]}:{match[2]} {match[3]}")
+        if found := [" < ".join(frames) for frames in stacks if frames]:
+            detail = "stacks at SIGKILL: " + " | ".join(found)
+            self.rows.append(Row(what="step", t=self.now(), member=member, life=number, detail=detail))
+
     def _record_clients(self, member: int, number: int, clients: list[Client], ended: Shutdown) -> None:
         zero = ended.terminated - self.begin
         for serial, client in enumerate(clients):
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -32,6 +32,7 @@
 NO_EVENT = 0
 SUSPENDED = select.EPOLLONESHOT  # reports only the first hang-up or error, then nothing
 SHORT_ITERATION = 0.001  # seconds
+LONG_ITERATION = 0.1  # seconds without a poll after which an iteration is logged
 NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
 RESTART_PAUSE = 0.05  # seconds before a supervised coroutine is restarted after a fault
 
@@ -266,7 +267,11 @@
         wait = 1.0 if not timers else min(1.0, max(0.0, timers[0][0] - before))
         # Events that occurred during the last iteration have been waiting since its poll. After a short
         # iteration the extra system call isn't worth it.
-        events = self.epoll.poll(0, 256) if before - self.last_poll > SHORT_ITERATION else []
+        events = []
+        if (taken := before - self.last_poll) > SHORT_ITERATION:
+            events = self.epoll.poll(0, 256)
+            if taken > LONG_ITERATION and self.iteration:  # the first one includes the start of the process
+                self.log(f"loop: an iteration took {taken:.3f}")
         if events:
             self.earliest_arrival = self.last_poll
             self.last_poll = time.monotonic()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -24,6 +24,7 @@
 from lab.shutdown import Client, Send, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
 from standflow.net.client_side import ClientSide
+from standflow.net.loop import LONG_ITERATION
 from standflow.platform_terms import MAX_PAUSE_SECONDS
 from standflow.shutdown import Shutdown as ShutdownSteps
 from standflow.shutdown import close_all
@@ -427,6 +428,36 @@
         assert re.search(r"tally .*abandoned.ending=1", running.log)
 
 
+def test_a_process_that_is_busy_until_sigkill_leaves_its_stack_and_state() -> None:
+    # Guards against a killed process whose log does not show what it was doing.
+    source = (
+        "import signal, sys, time; signal.signal(signal.SIGTERM, signal.SIG_IGN); print('up', flush=True)\n"
+        "def spins():\n    while True: pass\n"
+        "spins()"
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-X", "faulthandler", "-c", source], stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    )
+    assert process.stdout is not None
+    assert process.stdout.readline() == b"up\n"
+    ended = shut_down(process, ("127.0.0.1", 9), [], 0.1, 0.1, set(), extend_by_starvation=False)
+    assert ended.ended_at is None
+    assert ended.state_at_kill.startswith("R user 0.")
+    assert b" in spins\n" in process.communicate()[1]
+
+
+def test_a_long_iteration_of_the_loop_is_logged() -> None:
+    # Guards against a step that delays every timer and leaves no trace.
+    recorder = Recorder()
+    for pause in (0.0, LONG_ITERATION / 2, LONG_ITERATION + 0.01):
+        recorder.loop.call_later(0.0, time.sleep, pause)
+        recorder.loop.run_once()
+    recorder.loop.call_later(0.0, recorder.loop.stop)
+    recorder.loop.run()
+    assert [line[:26] for line in recorder.log] == ["loop: an iteration took 0."]
+    recorder.close()
+
+
 def test_a_component_that_fails_to_close_leaves_no_other_open() -> None:
     closed: list[str] = []
     log: list[str] = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 )
 from lab.soak.judge import Outcome, judge
 from lab.soak.plan import MAX_PAUSE_SECONDS, Run, Signal, draw
+from lab.soak.play import SoakRunner
 from lab.soak.record import Row, table
 from standflow.shutdown_schedule import schedule_for
 
@@ -262,6 +263,28 @@
     assert len(judgement.evidence) == 2
 
 
+def test_the_evidence_on_a_killed_process_shows_a_gap_in_its_record() -> None:
+    # Guards against a soak that stood still itself and whose record looks like a busy process.
+    gap = replace(scheduled(TERMINATED_AT + 0.5, 0.0), until=TERMINATED_AT + 1.17)
+    late = Row(what="starved", t=TERMINATED_AT + 0.52, until=TERMINATED_AT + 1.16)
+    (line,) = judge(RUN, table([SIGTERM, KILLED, gap, late])).evidence
+    assert "longest sample 0.670 s, the soak was late by up to 0.640 s" in line
+
+
+def test_the_stack_of_a_killed_process_is_part_of_the_evidence() -> None:
+    # Guards against a killed process whose log does not show what it was doing.
+    runner = SoakRunner(RUN)
+    other = ["Thread 0x2 (most recent call first):", '  File "/a/store.py", line 7 in _run']
+    stack = [
+        '  File "/a/standflow/net/loop.py", line 12 in run_once',
+        '  File "<string>", line 1 in <module>',
+    ]
+    first = "Current thread 0x1 (most recent call first):"
+    runner._record_stack(0, 0, ["1.0 stopping", *other, first, *stack])
+    (row,) = runner.rows
+    assert row.detail == "stacks at SIGKILL: store.py:7 _run | loop.py:12 run_once < <string>:1 <module>"
+
+
 def test_a_machine_that_holds_a_process_up_excuses_no_second_run_and_no_other_process() -> None:
     # Guards against rules that a busy machine can't break and that are no longer checked beside load.
     long_wait = scheduled(TERMINATED_AT + 0.4, 0.3)
