standflow: a wait to be accepted counts from when the kernel received the request

Callers: after a burst of new connections, backends were told more time than their clients had left, by as long as a client had waited to be accepted. Cause: 64 connections are accepted per iteration of the loop. What the later ones had sent was dated by the iteration that accepted them, however long they had waited behind the first. Change: the first bytes of an accepted connection are dated by tcp_info (net/arrival.py, from the laboratory's backend), never later than before. Where accepting was paused at the limit, the whole pause counts as it did. Test: test_wait_to_be_accepted_counts_against_the_time_left.

--- a/lab/box.py
+++ b/lab/box.py
@@ -14,7 +14,6 @@
 import signal
 import socket
 import ssl
-import struct
 import sys
 import threading
 import time
@@ -29,9 +28,9 @@
 
 from lab.accept import RESET, Acceptor, reset
 from lab.wire import CutError, Wire
+from standflow.net.arrival import seconds_since_received
 
 NOTHING = b"$-1\r\n"
-TCP_INFO = struct.Struct("=8x12I")  # up to tcpi_last_data_recv, in milliseconds
 
 
 @dataclass
@@ -280,15 +279,6 @@
         return b"*3\r\n$%d\r\n%b\r\n" % (len(value), value) + NOTHING + NOTHING
 
 
-def seconds_since_received(sock: socket.socket) -> float:
-    """Seconds since the kernel last received data on a connection, even if this process reads it late.
-
-    `tcpi_last_data_recv` of tcp_info (linux/tcp.h): the twelfth 32-bit field after eight bytes of flags.
-    """
-    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
-    return float(TCP_INFO.unpack(info)[-1]) / 1000
-
-
 def _time_left(options: bytes) -> float:
     """Seconds that the ingress will still wait, from the request's options; 0 if not stated."""
     fields = dict(option.partition(b"=")[::2] for option in options.split(b","))
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -10,6 +10,7 @@
 
 from standflow.exchange import Exchange
 from standflow.net import resp
+from standflow.net.arrival import seconds_since_received
 from standflow.net.client_connection import ClientConnection
 from standflow.net.closing import MAX_READS, close_gracefully
 from standflow.net.listening import BACKLOG, inherited_listener, tcp_listener
@@ -150,8 +151,8 @@
         sock.setblocking(False)
         disable_nagle(sock)
         connection = ClientConnection(self, sock)
-        if self.waiting_since is not None and self.has_pending_bytes(connection):
-            connection.paused_since = self.waiting_since  # its client may have waited since then
+        if self.has_pending_bytes(connection):
+            connection.paused_since = self._arrived_at(sock)
         self.connections.add(connection)
         self.idle[connection] = None
         try:
@@ -160,6 +161,18 @@
             connection.reason = error_reason(error)
             self.closed(connection)
 
+    def _arrived_at(self, sock: socket.socket) -> float:
+        """The earliest time at which what an accepted connection has sent can have arrived.
+
+        It may have waited behind others for several iterations of the loop.
+        """
+        if self.waiting_since is not None:
+            return self.waiting_since
+        earliest = self.loop.earliest_arrival
+        with contextlib.suppress(OSError):
+            earliest = min(earliest, self.loop.now() - seconds_since_received(sock))
+        return earliest
+
     def _pause(self, seconds: float) -> None:
         self.paused = True
         if self.waiting_since is None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -28,7 +28,7 @@
 )
 from standflow.net import resp
 from standflow.net.client_connection import MAX_PIPELINED
-from standflow.net.client_side import FIRST_COMMAND_TIMEOUT, MAX_READ_STALLS, ClientSide
+from standflow.net.client_side import ACCEPT_BATCH, FIRST_COMMAND_TIMEOUT, MAX_READ_STALLS, ClientSide
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
 from tests.wire import command, listener, read_until, run_until
@@ -583,6 +583,24 @@
     recorder.close()
 
 
+def test_wait_to_be_accepted_counts_against_the_time_left() -> None:
+    # Guards against a backend that is told more time than is left, after a burst of new connections.
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 200)
+    side.start_serving()
+    clients = [socket.create_connection(side.address) for _ in range(ACCEPT_BATCH + 20)]
+    for number, client in enumerate(clients):
+        client.sendall(command(f"{number:04x}"))
+    sent_at = recorder.loop.now()
+    recorder.loop.every(0.0, lambda: time.sleep(0.1))  # a slow iteration after each batch
+    run_until(recorder.loop, lambda: len(recorder.opened) == len(clients))
+    latest = max(transaction.deadline - transaction.request.timeout for transaction in recorder.opened)
+    assert latest - sent_at < 0.05
+    for client in clients:
+        client.close()
+    recorder.close()
+
+
 def test_command_whose_first_write_fails_is_sent_on_another_connection() -> None:
     """No byte of it was sent: it must neither be lost nor count as started."""
     recorder, hop = Recorder(), listener()
