standflow: the end of accepting takes one batch of clients per iteration of the loop

Callers: with hundreds of clients waiting to be accepted 0.5 s after SIGTERM, no open request, no timer and no log line was served until all of them were, and the last answers came late. Cause: the end of accepting took up to 1024 waiting clients in one step. At the limit of connections each accept looks for an idle connection to close and reads those with unread bytes, so their requests were served in that step too, about 0.4 ms each. Change: each iteration takes one batch, then timers and open connections have their turn. In the last answers open requests go before clients that wait, and a connection accepted then is read and refused at once, as the process may exit before the next poll. Tests: two new ones, both failed before (192 of 192 clients accepted in the step, 193 of 193 before the last answers).

Changed test: test_queued_connections_are_accepted_before_the_listener_closes asserted that all 150 connections are accepted within the one call, which is the fault. It now runs the loop until the listener is closed and asserts the same of that moment: all 150 accepted, none reset.

--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -13,8 +13,8 @@
 from standflow.net.arrival import seconds_since_received
 from standflow.net.client_connection import ClientConnection
 from standflow.net.closing import MAX_READS, close_gracefully
-from standflow.net.listening import BACKLOG, inherited_listener, tcp_listener
-from standflow.net.loop import IN, NO_EVENT, READABLE, Coroutine, Loop, Task, error_reason
+from standflow.net.listening import inherited_listener, tcp_listener
+from standflow.net.loop import IN, NO_EVENT, READABLE, Coroutine, Loop, Task, Timer, error_reason
 from standflow.net.memory_budget import MemoryBudget
 from standflow.net.transient_errors import (
     MAX_TRIES,
@@ -93,6 +93,7 @@
         self.address: tuple[str, int] = self.sock.getsockname()
         self.evicting = False
         loop.free_descriptor = self._evict_idle
+        self._end_listener_timer = Timer(0.0, self._end_listener, ())  # scheduled while clients still wait
         self.listener: Task | None = loop.spawn(self.sock.fileno(), self._listen())
         loop.every(SWEEP_INTERVAL, self._sweep)
 
@@ -160,6 +161,9 @@
         except OSError as error:
             connection.reason = error_reason(error)
             self.closed(connection)
+            return
+        if self.refuse_unopened:  # the process may exit before the next poll
+            self._serve_last_command(connection)
 
     def _arrived_at(self, sock: socket.socket) -> float:
         """The earliest time at which what an accepted connection has sent can have arrived.
@@ -311,15 +315,20 @@
         self._drain(serve_for)
 
     def _end_listener(self) -> None:
-        """Closes the listener after accepting the queued connections, which would be reset otherwise."""
+        """Closes the listener once no client waits to be accepted; those would be reset otherwise.
+
+        Accepts one batch per iteration of the loop, so that hundreds of waiting clients delay neither open
+        requests nor the steps of a shutdown.
+        """
+        self._end_listener_timer.cancel()
         if self.listener is None:
             return
         if not self.shared:
-            for _ in range(BACKLOG // ACCEPT_BATCH):
-                if not self._accept():
-                    break
+            if self._accept():
+                self._end_listener_timer = self.loop.call_later(0.0, self._end_listener)
+                return
             if self.waiting_since is not None and not self.refuse_unopened:  # at the limit: try again later
-                self.loop.call_later(RETRY_PAUSE, self._end_listener)
+                self._end_listener_timer = self.loop.call_later(RETRY_PAUSE, self._end_listener)
                 return
         self.loop.end(self.listener)
         self.listener = None
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -128,6 +128,7 @@
     side.start_serving()
     clients = [socket.create_connection(side.address) for _ in range(150)]
     side.stop()
+    run_until(recorder.loop, lambda: side.listener is None)
     assert len(side.connections) == len(clients)
     for client in clients:
         client.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -23,7 +23,7 @@
 from lab.box import Box, Mode
 from lab.shutdown import Client, Send, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
-from standflow.net.client_side import ClientSide
+from standflow.net.client_side import ACCEPT_BATCH, ClientSide
 from standflow.net.loop import LONG_ITERATION
 from standflow.platform_terms import MAX_PAUSE_SECONDS
 from standflow.shutdown import Shutdown as ShutdownSteps
@@ -397,6 +397,58 @@
     recorder.close()
 
 
+WAITING_CLIENTS = 4 * ACCEPT_BATCH
+
+
+def waiting_clients(side: ClientSide) -> list[socket.socket]:
+    """Clients that have sent a request and wait to be accepted."""
+    clients = [socket.create_connection(side.address, LIMIT) for _ in range(WAITING_CLIENTS)]
+    for number, client in enumerate(clients):
+        client.sendall(command(f"{number:04x}", d=60_000))
+    return clients
+
+
+def test_clients_that_wait_at_the_end_of_accepting_delay_no_timer() -> None:
+    # Guards against an end of accepting that serves hundreds of clients before anything else runs.
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 500)
+    side.start_serving()
+    clients = waiting_clients(side)
+    side.stop()
+    assert len(side.connections) == ACCEPT_BATCH
+    accepted: list[int] = []
+    recorder.loop.call_later(0.0, lambda: accepted.append(len(side.connections)))
+    run_until(recorder.loop, lambda: side.listener is None)
+    assert accepted[0] < WAITING_CLIENTS
+    run_until(recorder.loop, lambda: recorder.exchange.serial == WAITING_CLIENTS)
+    recorder.exchange.abandon_all()
+    for client in clients:
+        assert read_until(client, b"\r\n").startswith(b"-")
+        client.close()
+    recorder.close()
+
+
+def test_open_requests_are_answered_before_the_clients_that_wait_to_be_accepted() -> None:
+    # Guards against last answers that come late because of a burst of new connections.
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 500)
+    side.start_serving()
+    client = socket.create_connection(side.address, LIMIT)
+    client.sendall(command("aa01", d=60_000))
+    run_until(recorder.loop, lambda: len(recorder.opened) == 1)
+    clients = waiting_clients(side)
+    shutdown = ShutdownSteps(recorder.loop, recorder.log.append, side, recorder.exchange)
+    shutdown.answer_all()
+    assert len(side.connections) <= 2 * ACCEPT_BATCH + 1
+    assert read_until(client, b"\r\n").startswith(b"-")
+    run_until(recorder.loop, lambda: side.listener is None)
+    for one in clients:
+        assert read_until(one, b"\r\n") == b"-BUSY 250\r\n"
+    for one in (client, *clients):
+        one.close()
+    recorder.close()
+
+
 def test_all_requests_are_answered_before_the_module_is_notified_of_the_first(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
