standflow: a connection ends only where its last look at unread bytes and the end are one

Callers: a request sent while an ingress was held up for 0.15 s at a connection's end got no answer: it was read and dropped after sending had been shut down. Where bytes are unread they are read and answered first. Tests: two new ones; the one with a request that arrives before the shutdown failed before (closed after +PONG).

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -18,6 +18,7 @@
     Transaction,
 )
 from standflow.net import resp
+from standflow.net.closing import shut_down_unless_unread
 from standflow.net.flow import Flow
 from standflow.net.loop import (
     ERROR_EVENTS,
@@ -62,9 +63,6 @@
     def became_idle(self, connection: ClientConnection) -> None:
         """The connection has no open request any more."""
 
-    def has_pending_bytes(self, connection: ClientConnection) -> bool:
-        """True if the kernel holds unread bytes of the connection."""
-
     def closed(self, connection: ClientConnection) -> None:
         """The connection has ended."""
 
@@ -173,7 +171,7 @@
                 return error_reason(error)
             if self._cut_off():
                 return "cut_off"  # closing in the middle of a value tells the client that it is incomplete
-            if self._done():
+            if self._finish():
                 return self.reason
             if self.too_slow():
                 return "slow_reader"
@@ -182,21 +180,24 @@
         flow = self.slots[0].flow if self.slots and self.slots[0].started else None
         return flow is not None and flow.aborted
 
-    def _done(self) -> bool:
-        """True if the connection is ending and has no outstanding answers; unread commands need one, too."""
+    def _finish(self) -> bool:
+        """Shuts down sending if the connection is ending and every command has been read and answered."""
         if self.unsent or self.slots or not self.ending:
             return False
-        return self.framing_lost or not self.host.has_pending_bytes(self)
+        if self.framing_lost:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+            return True
+        return shut_down_unless_unread(self.sock)
 
     def _linger(self) -> Coroutine[None]:
-        """Shuts down sending, then reads and drops what still arrives.
+        """Reads and drops what still arrives after the end of sending.
 
         Closing with unread bytes would cause a reset, and the client could lose the last answer.
         """
         self.write_shut = True
         loop, end = self.host.loop, self.host.loop.now() + LINGER
         with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_WR)
             while (yield from loop.wait(IN, end - loop.now())) and self.sock.recv(READ_SIZE):
                 continue
 
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -10,6 +10,7 @@
 from standflow.net.backend_connection import Connection
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import FIRST_COMMAND_TIMEOUT, MAX_READ_STALLS, ClientSide
+from standflow.net.closing import shut_down_unless_unread
 from tests.test_connections import Recorder
 from tests.test_endings import Wired
 from tests.wire import LIMIT, command, listener, read_until, run_until
@@ -67,6 +68,43 @@
     one.close()
 
 
+class CrossedSocket:
+    """A server's socket to which a client sends a request just before sending is shut down."""
+
+    def __init__(self, sock: socket.socket, client: socket.socket, request: bytes) -> None:
+        self.sock, self.client, self.request = sock, client, request
+
+    def __getattr__(self, name: str) -> object:
+        if name == "shutdown" and self.request:  # the look-up comes before the call
+            self.client.sendall(self.request)
+            self.request = b""
+        return getattr(self.sock, name)
+
+
+def test_request_arriving_after_the_last_look_of_a_drain_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a pause between the last look for unread bytes and the end of sending.
+    one = IdleClient()
+    crossed = CrossedSocket(one.connection.sock, one.client, command("aa01"))
+    monkeypatch.setattr(one.connection, "sock", crossed)
+    one.side.evacuate(True, 1.0)
+    run_until(one.recorder.loop, lambda: one.connection.write_shut)
+    assert read_until(one.client, b"-BUSY 250\r\n") == b"+PONG\r\n-BUSY 250\r\n"
+    one.close()
+
+
+def test_sending_is_shut_down_only_after_everything_was_read() -> None:
+    # Guards against a connection that ends over a request that it has not read.
+    near, far = socket.socketpair()
+    with near, far:
+        far.sendall(b"x")
+        assert not shut_down_unless_unread(near)
+        near.sendall(b"y")
+        assert far.recv(10) == b"y"
+        assert near.recv(10) == b"x"
+        assert shut_down_unless_unread(near)
+        assert far.recv(10) == b""
+
+
 @pytest.mark.parametrize("ends", ["at the cap", "with the process"])
 def test_request_arriving_during_a_close_does_not_reset_the_previous_answer(
     ends: str, monkeypatch: pytest.MonkeyPatch
