standflow: an idle connection that makes room for another ends only with nothing unread

Callers: at the limit of connections a request that arrived as its idle connection was being closed got no answer, where the ingress was held up just then. Evidence: by the new test; no play on real processes was made for this place. Change: sending is shut down together with the last look; where bytes are unread they are read and the connection stays. Test: test_request_arriving_after_the_last_look_of_an_eviction_is_read, failed before (evicted). Changed test: test_request_arriving_during_a_close_does_not_reset_the_previous_answer[at the cap] let its bytes arrive after the look for unread bytes, which are now read. They now arrive after the shutdown; it asserts the same: closed, the answer whole, no reset, nothing opened.

--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -12,7 +12,7 @@
 from standflow.net import resp
 from standflow.net.arrival import seconds_since_received
 from standflow.net.client_connection import ClientConnection
-from standflow.net.closing import MAX_READS, close_gracefully
+from standflow.net.closing import MAX_READS, close_gracefully, shut_down_unless_unread
 from standflow.net.listening import inherited_listener, tcp_listener
 from standflow.net.loop import IN, NO_EVENT, READABLE, Coroutine, Loop, Task, Timer, error_reason
 from standflow.net.memory_budget import MemoryBudget
@@ -206,6 +206,9 @@
             if self._has_unread(connection):
                 self._read_now(connection, connection.task)
             return False
+        if not shut_down_unless_unread(connection.sock):
+            self._read_now(connection, connection.task)
+            return False
         connection.reason = reason
         self.loop.end(connection.task)
         return True
