standflow: what arrived in a pause is handled before the timers that became due in it

Callers: a request whose answer arrived while the ingress was held up could fail as overdue, as every timer that became due in the pause ran before anything was read. Cause: a poll that is interrupted by SIGSTOP and SIGCONT after its time is up returns no events, whatever is ready (Python's epoll takes EINTR for a time-out then). The loop promises events first. Evidence: found while the pause of test_a_process_paused_while_it_answers_all_is_in_time was traced. Change: a poll that returns nothing 5 ms or more after its time limit is repeated without waiting.

--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -33,6 +33,7 @@
 SUSPENDED = select.EPOLLONESHOT  # reports only the first hang-up or error, then nothing
 SHORT_ITERATION = 0.001  # seconds
 LONG_ITERATION = 0.1  # seconds without a poll after which an iteration is logged
+LATE_RETURN = 0.005  # seconds after its time limit at which a poll must have been interrupted
 NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
 RESTART_PAUSE = 0.05  # seconds before a supervised coroutine is restarted after a fault
 
@@ -278,6 +279,9 @@
         else:
             events = self.epoll.poll(wait, 256)
             self.earliest_arrival = self.last_poll = time.monotonic()
+            # On SIGCONT a poll returns no events if its time is up by then, whatever is ready.
+            if not events and self.last_poll - before > wait + LATE_RETURN:
+                events = self.epoll.poll(0, 256)
         if len(events) > 1:
             events.sort(key=self._event_priority)
         self.iteration += 1
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -5,7 +5,10 @@
 import errno
 import json
 import select
+import signal
 import socket
+import subprocess
+import sys
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -18,6 +21,7 @@
 from lab.box import Box
 from lab.callers import read, reply_outcome
 from lab.faulty_calls import SHORT, VARIABLE
+from lab.shutdown import process_state
 from standflow.counter.client import CallEffect, CallResult, CounterClient
 from standflow.exchange import Outcome, RouteSet
 from standflow.net import loop as loop_module
@@ -28,6 +32,7 @@
 from standflow.net.routes import RouteWatch
 from standflow.ops.calls import Answer
 from standflow.ops.server import Server
+from tests.test_adapter import ROOT
 from tests.test_connections import Recorder
 from tests.test_endings import Wired
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, run_until
@@ -381,3 +386,45 @@
     assert "fault of a coroutine, begun anew" in log[0]
     server.close()
     loop.epoll.close()
+
+
+ORDER_AFTER_PAUSE = """
+import socket, sys
+from standflow.net.loop import IN, Loop
+
+loop = Loop(print)
+reader = socket.socket(fileno=int(sys.argv[1]))
+
+def read():
+    yield IN
+    print(reader.recv(10).decode())
+    yield 0
+
+loop.spawn(reader.fileno(), read())
+loop.call_later(TIMER_SECONDS, print, "timer")
+loop.call_later(TIMER_SECONDS, loop.stop)
+print("up", flush=True)
+loop.run()
+"""
+
+
+def test_what_arrives_in_a_pause_is_handled_before_overdue_timers() -> None:
+    # Guards against a pause after which a request fails though its answer is there.
+    timer_seconds, near, far = 0.6, *socket.socketpair()
+    source = ORDER_AFTER_PAUSE.replace("TIMER_SECONDS", f"{timer_seconds}")
+    arguments = [sys.executable, "-c", source, f"{far.fileno()}"]
+    with (
+        near,
+        far,
+        subprocess.Popen(arguments, cwd=ROOT, pass_fds=[far.fileno()], stdout=subprocess.PIPE) as process,
+    ):
+        assert process.stdout is not None
+        assert process.stdout.readline() == b"up\n"
+        time.sleep(0.1)  # the loop waits for the timer
+        process.send_signal(signal.SIGSTOP)
+        while not process_state(process.pid).startswith("T"):
+            time.sleep(0.001)
+        near.sendall(b"answer")
+        time.sleep(timer_seconds)
+        process.send_signal(signal.SIGCONT)
+        assert process.stdout.read().split() == [b"answer", b"timer"]
