standflow: accepting connections has a module of its own

Behaviour is meant to be as before. Tests follow the names (`side.listening`, `side.acceptor`, `evict_idle`); no assertion differs in what it asks.

--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -3,25 +3,20 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
 
 from standflow.exchange import Exchange
 from standflow.net import resp
+from standflow.net.acceptor import Acceptor
 from standflow.net.arrival import seconds_since_received
 from standflow.net.client_connection import ClientConnection
 from standflow.net.closing import MAX_READS, close_gracefully, shut_down_unless_unread
-from standflow.net.listening import inherited_listener, tcp_listener
-from standflow.net.loop import IN, NO_EVENT, READABLE, Coroutine, Loop, Task, Timer, error_reason
+from standflow.net.loop import IN, NO_EVENT, READABLE, Loop, Task, error_reason
 from standflow.net.memory_budget import MemoryBudget
 from standflow.net.transient_errors import (
-    MAX_TRIES,
-    RETRY_PAUSE,
-    TRANSIENT_ERRORS,
     disable_nagle,
-    retry_at_startup,
 )
 
 MAX_BODIES = 16 * 1024 * 1024  # default limit for long bodies, in bytes
@@ -36,16 +31,6 @@
 PARTIAL_COMMAND_GRACE = 0.25  # the same for a new connection with a partial command
 FIRST_COMMAND_GRACE = 1.0  # seconds for which an expired drain spares a connection without a command
 DRAIN_PERIOD = 1.5  # seconds of an evacuation after which each connection gets at most one more command
-ACCEPT_BATCH = 64  # connections accepted per event
-# Errors of accept(2) that concern only the connection to be accepted; the next one may succeed.
-ABORTED_CONNECTION_ERRORS = frozenset(
-    (
-        *(errno.ECONNABORTED, errno.ECONNRESET, errno.EPIPE, errno.EPERM, errno.EPROTO, errno.ENOPROTOOPT),
-        *(errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENETDOWN, errno.ENETUNREACH, errno.ENONET),
-        *(errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.EINTR),
-    )
-)
-ACCEPT_PAUSE = 0.1  # seconds without accepting after descriptors have run out
 
 
 class ClientSide:
@@ -81,71 +66,34 @@
         self.connections: set[ClientConnection] = set()
         # Connections without an open request, the longest idle first.
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
-        self.waiting_since: float | None = None  # since when clients may be waiting to be accepted
         self.unread = 0  # bytes in the send buffers of all connections
-        self.shared = inherited_fd is not None
-        self.paused = self.shared
-        self.sock = (
-            retry_at_startup(lambda: tcp_listener(address))
-            if inherited_fd is None
-            else inherited_listener(inherited_fd)
-        )
-        self.address: tuple[str, int] = self.sock.getsockname()
+        self.acceptor = Acceptor(loop, log, self, address, inherited_fd)
+        self.address = self.acceptor.address
         self.evicting = False
-        loop.free_descriptor = self._evict_idle
-        self._end_listener_timer = Timer(0.0, self._end_listener, ())  # scheduled while clients still wait
-        self.listener: Task | None = loop.spawn(self.sock.fileno(), self._listen())
+        loop.free_descriptor = self.evict_idle
         loop.every(SWEEP_INTERVAL, self._sweep)
 
-    def _listen(self) -> Coroutine[None]:
-        try:
-            yield from self.loop.supervised(self._accept_loop)
-        finally:
-            self.sock.close()
-
-    def _accept_loop(self) -> Coroutine[None]:
-        while True:
-            yield 0 if self.paused else IN
-            self._accept()
-
-    def _accept(self) -> bool:
-        """Accepts a bounded number of waiting connections. Returns true if more may be waiting."""
-        shortages = 0
-        for number in range(ACCEPT_BATCH):
-            if len(self.connections) >= self.max_clients and not any(map(self._evictable, self.idle)):
-                if not number:  # at least one client is waiting; further ones are reported by the poll
-                    self._pause(ACCEPT_PAUSE)
-                return False
-            try:
-                sock, _ = self.sock.accept()
-            except BlockingIOError:
-                self.waiting_since = None
-                return False
-            except OSError as error:
-                if not self._may_accept_again(error, shortages):
-                    return False
-                shortages += error.errno in TRANSIENT_ERRORS
-                continue
-            if len(self.connections) >= self.max_clients:
-                self._evict_idle()  # only now that a client was actually accepted
-            self._start_connection(sock)
-        return True
+    @property
+    def listening(self) -> bool:
+        """False once no further connections are accepted."""
+        return self.acceptor.listener is not None
 
-    def _may_accept_again(self, error: OSError, shortages: int) -> bool:
-        """True if accepting may go on after this error. `shortages` counts the transient ones so far."""
-        if error.errno in ABORTED_CONNECTION_ERRORS:
-            return True
-        self.log(f"caller: accept: {error}")
-        # The listener stays readable after any other error: without a pause the loop would spin.
-        if error.errno in TRANSIENT_ERRORS:
-            if shortages < MAX_TRIES:
-                return True
-            self._pause(RETRY_PAUSE)
-            return False
-        if error.errno == errno.EMFILE and self._evict_idle():
-            return True
-        self._pause(ACCEPT_PAUSE)
-        return False
+    @property
+    def shared(self) -> bool:
+        """True if other processes accept from the same listening socket."""
+        return self.acceptor.shared
+
+    # Called by the acceptor.
+
+    def has_room(self) -> bool:
+        """True if another connection may be accepted, possibly in place of an idle one."""
+        return len(self.connections) < self.max_clients or any(map(self._evictable, self.idle))
+
+    def connection_accepted(self, sock: socket.socket) -> None:
+        """Serves an accepted connection, at the limit in place of an idle one."""
+        if len(self.connections) >= self.max_clients:
+            self.evict_idle()
+        self._start_connection(sock)
 
     def _start_connection(self, sock: socket.socket) -> None:
         """Starts serving an accepted connection. It may carry a request already, so no failure may escape."""
@@ -170,25 +118,14 @@
 
         It may have waited behind others for several iterations of the loop.
         """
-        if self.waiting_since is not None:
-            return self.waiting_since
+        if self.acceptor.waiting_since is not None:
+            return self.acceptor.waiting_since
         earliest = self.loop.earliest_arrival
         with contextlib.suppress(OSError):
             earliest = min(earliest, self.loop.now() - seconds_since_received(sock))
         return earliest
 
-    def _pause(self, seconds: float) -> None:
-        self.paused = True
-        if self.waiting_since is None:
-            self.waiting_since = self.loop.earliest_arrival
-        self.loop.call_later(seconds, self._unpause)
-
-    def _unpause(self) -> None:
-        self.paused = False
-        if self.listener is not None:
-            self.loop.watch(self.listener, IN)
-
-    def _evict_idle(self) -> bool:
+    def evict_idle(self) -> bool:
         """Closes the longest idle connection at the limit; one with an open request is never closed."""
         if self.evicting:  # reading from a candidate may open a request that needs a descriptor, too
             return False
@@ -306,36 +243,16 @@
     def start_serving(self) -> None:
         """Starts serving clients. Before, nothing is read, as the route set may be stale."""
         self.ready = True
-        if self.shared:
-            self._unpause()
+        self.acceptor.begin()
         for connection in self.connections:
             if connection.task is not None:
                 self.loop.watch(connection.task, connection.mask())
 
     def stop(self, serve_for: float = DRAIN_PERIOD) -> None:
         """Stops accepting and drains the connections; the drain expires after `serve_for` seconds."""
-        self._end_listener()
+        self.acceptor.end()
         self._drain(serve_for)
 
-    def _end_listener(self) -> None:
-        """Closes the listener once no client waits to be accepted; those would be reset otherwise.
-
-        Accepts one batch per iteration of the loop, so that hundreds of waiting clients delay neither open
-        requests nor the steps of a shutdown.
-        """
-        self._end_listener_timer.cancel()
-        if self.listener is None:
-            return
-        if not self.shared:
-            if self._accept():
-                self._end_listener_timer = self.loop.call_later(0.0, self._end_listener)
-                return
-            if self.waiting_since is not None and not self.refuse_unopened:  # at the limit: try again later
-                self._end_listener_timer = self.loop.call_later(RETRY_PAUSE, self._end_listener)
-                return
-        self.loop.end(self.listener)
-        self.listener = None
-
     def evacuate(self, wanted: bool, at: float) -> None:
         """Starts or ends an evacuation: health checks fail, and all connections, even new ones, are drained.
 
@@ -347,7 +264,7 @@
             self._drain(DRAIN_PERIOD)
         elif not wanted and self.evacuated:
             self.evacuated = False
-            if self.listener is not None:
+            if self.listening:
                 self.draining = self.drain_expired = False
                 self.drain_count += 1
 
@@ -389,7 +306,7 @@
     def refuse_new(self) -> None:
         """Opens no further requests, as the process is about to end."""
         self.draining = self.drain_expired = self.refuse_unopened = True
-        self._end_listener()
+        self.acceptor.end()
         for connection in list(self.connections):
             connection.fail_late_values()
             self._serve_last_command(connection)
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -129,7 +129,7 @@
         return min(MAX_STORE_SECONDS, max(MIN_STORE_SECONDS, left))
 
     def _stop_when_done(self) -> None:
-        if self.clients.listener is None and not self.clients.connections:
+        if not self.clients.listening and not self.clients.connections:
             self.loop.stop()
         else:
             self.loop.call_later(POLL_SECONDS, self._stop_when_done)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -220,7 +220,7 @@
     client.close()
     side.draining = side.drain_expired = looks != "the cap"
     if looks == "the cap":
-        side._evict_idle()
+        side.evict_idle()
     elif looks == "a drain":
         side._expire_drain(side.drain_count)
     else:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -27,8 +27,9 @@
     Transaction,
 )
 from standflow.net import resp
+from standflow.net.acceptor import ACCEPT_BATCH
 from standflow.net.client_connection import MAX_PIPELINED
-from standflow.net.client_side import ACCEPT_BATCH, FIRST_COMMAND_TIMEOUT, MAX_READ_STALLS, ClientSide
+from standflow.net.client_side import FIRST_COMMAND_TIMEOUT, MAX_READ_STALLS, ClientSide
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
 from tests.wire import command, listener, read_until, run_until
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -141,14 +141,14 @@
     recorder = Recorder()
     side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
     side.start_serving()
-    accept, faults = side._accept, [ZeroDivisionError(), OSError(errno.EINVAL, "invalid")]
+    accept, faults = side.acceptor._accept, [ZeroDivisionError(), OSError(errno.EINVAL, "invalid")]
 
     def failing() -> bool:
         if faults:
             raise faults.pop()
         return accept()
 
-    monkeypatch.setattr(side, "_accept", failing)
+    monkeypatch.setattr(side.acceptor, "_accept", failing)
     with socket.create_connection(side.address) as client:
         client.sendall(PING)
         run_until(recorder.loop, lambda: select.select([client], [], [], 0)[0])
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -98,7 +98,7 @@
     one = IdleClient()
     crossed = CrossedSocket(one.connection.sock, one.client, command("aa01"))
     monkeypatch.setattr(one.connection, "sock", crossed)
-    assert not one.side._evict_idle()
+    assert not one.side.evict_idle()
     assert len(one.recorder.opened) == 1
     one.close()
 
@@ -129,7 +129,7 @@
             return shut_down
 
         monkeypatch.setattr(client_side, "shut_down_unless_unread", crossed)
-        one.side._evict_idle()
+        one.side.evict_idle()
     else:
         one.client.sendall(command("aa01"))
         one.side.close()
@@ -183,7 +183,7 @@
     side.start_serving()
     clients = [socket.create_connection(side.address) for _ in range(150)]
     side.stop()
-    run_until(recorder.loop, lambda: side.listener is None)
+    run_until(recorder.loop, lambda: not side.listening)
     assert len(side.connections) == len(clients)
     for client in clients:
         client.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -23,7 +23,8 @@
 from lab.box import Box, Mode
 from lab.shutdown import Client, Send, Shutdown, kill_time, shut_down
 from standflow.exchange import Refused, Request
-from standflow.net.client_side import ACCEPT_BATCH, ClientSide
+from standflow.net.acceptor import ACCEPT_BATCH
+from standflow.net.client_side import ClientSide
 from standflow.net.loop import LONG_ITERATION
 from standflow.platform_terms import MAX_PAUSE_SECONDS
 from standflow.shutdown import Shutdown as ShutdownSteps
@@ -383,15 +384,15 @@
     for number, client in enumerate(clients):
         client.settimeout(LIMIT)
         client.sendall(command(f"aa{number:02}", d=60_000))
-    run_until(recorder.loop, lambda: len(recorder.opened) == 2 and side.waiting_since is not None)
+    run_until(recorder.loop, lambda: len(recorder.opened) == 2 and side.acceptor.waiting_since is not None)
     side.stop()
-    assert side.listener is not None
+    assert side.listening
     recorder.exchange.refuse(recorder.opened[0].name, None)
     run_until(recorder.loop, lambda: len(recorder.opened) == 3)
     recorder.exchange.refuse(recorder.opened[2].name, None)
     run_until(recorder.loop, lambda: len(side.connections) == 1)
     assert read_until(clients[2], b"\r\n") == b"-BUSY\r\n"
-    run_until(recorder.loop, lambda: side.listener is None)
+    run_until(recorder.loop, lambda: not side.listening)
     for client in clients:
         client.close()
     recorder.close()
@@ -418,7 +419,7 @@
     assert len(side.connections) == ACCEPT_BATCH
     accepted: list[int] = []
     recorder.loop.call_later(0.0, lambda: accepted.append(len(side.connections)))
-    run_until(recorder.loop, lambda: side.listener is None)
+    run_until(recorder.loop, lambda: not side.listening)
     assert accepted[0] < WAITING_CLIENTS
     run_until(recorder.loop, lambda: recorder.exchange.serial == WAITING_CLIENTS)
     recorder.exchange.abandon_all()
@@ -441,7 +442,7 @@
     shutdown.answer_all()
     assert len(side.connections) <= 2 * ACCEPT_BATCH + 1
     assert read_until(client, b"\r\n").startswith(b"-")
-    run_until(recorder.loop, lambda: side.listener is None)
+    run_until(recorder.loop, lambda: not side.listening)
     for one in clients:
         assert read_until(one, b"\r\n") == b"-BUSY 250\r\n"
     for one in (client, *clients):
