lab/soak: what the machine's host takes of its processors is part of the evidence

Change: the record has the steal time of all processors in steps of 0.05 s (/proc/stat); the verdict on a killed process prints the highest of them. No check is changed, and nothing is excused by it. Test: test_the_evidence_on_a_killed_process_shows_a_gap_in_its_record, extended.

--- a/lab/scheduling.py
+++ b/lab/scheduling.py
@@ -1,7 +1,8 @@
-"""How long a process waits for a processor, from /proc/PID/schedstat."""
+"""How long a process waits for a processor, from /proc/PID/schedstat, and what the machine's host takes."""
 
 from __future__ import annotations
 
+import os
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import pairwise
@@ -40,6 +41,15 @@
         return None
 
 
+def read_steal() -> float:
+    """Processor seconds that the host has taken from all processors of this machine; 0 if it is not told."""
+    try:
+        fields = Path("/proc/stat").read_text().split(maxsplit=9)
+        return int(fields[8]) / os.sysconf("SC_CLK_TCK")  # cpu user nice system idle iowait irq softirq steal
+    except (OSError, IndexError, ValueError):
+        return 0.0
+
+
 @dataclass(slots=True)
 class SchedulingMonitor:
     """Reads the times of one process."""
--- a/lab/soak/judge.py
+++ b/lab/soak/judge.py
@@ -69,13 +69,17 @@
         f"{row['t'] - zero:.2f}:{1000 * row['wait']:.0f}/{1000 * row['processor']:.0f}" for row in samples
     ]
     name = f"n{one[0]} life {one[1]} from SIGTERM on"
-    unread = max((row["until"] - row["t"] for row in samples), default=0.0)
+    longest_sample = max((row["until"] - row["t"] for row in samples), default=0.0)
     starved = _rows(table, "starved").filter(pl.col("until") > zero).to_dicts()
     late = max((row["until"] - row["t"] for row in starved), default=0.0)
+    stolen = _rows(table, "stolen").filter(pl.col("until") > zero).to_dicts()
+    steal = max((row["wait"] for row in stolen), default=0.0)
     return [
         *lines,
-        f"{name}, longest wait {longest:.3f} s, longest sample {unread:.3f} s, the soak was late by up to"
-        f" {late:.3f} s; ms of wait/processor: {' '.join(parts)}",
+        f"{name}, longest wait {longest:.3f} s, longest sample {longest_sample:.3f} s,"
+        f" the soak was late by up to {late:.3f} s,"
+        f" the host took up to {steal:.3f} s of the processors in a sample;"
+        f" ms of wait/processor: {' '.join(parts)}",
     ]
 
 
--- a/lab/soak/play.py
+++ b/lab/soak/play.py
@@ -15,6 +15,7 @@
 from lab.fleet.schedule import Step
 from lab.fleet.site import Deployment, Site
 from lab.processes import Ingress
+from lab.scheduling import SAMPLE_SECONDS, read_steal
 from lab.shutdown import Client, Send, Shutdown, shut_down
 from lab.soak.plan import (
     BACKENDS,
@@ -366,14 +367,21 @@
                 )
 
     def _watch_for_starvation(self) -> None:
-        """Records when the soak itself was not scheduled; its clients and backends are then late."""
-        last = self.now()
+        """Records when the soak itself was not scheduled, and what the machine's host took meanwhile.
+
+        Its clients and backends are late then.
+        """
+        last, steal_read_at, steal = self.now(), self.now(), read_steal()
         while not self.over.wait(STARVATION_POLL_SECONDS):
             now = self.now()
             late = now - last - STARVATION_POLL_SECONDS
             if late > MIN_STARVATION_SECONDS:
                 self.rows.append(Row(what="starved", t=last, until=now, detail=f"late by {late:.3f}"))
             last = now
+            if now - steal_read_at >= SAMPLE_SECONDS:
+                before, steal = steal, read_steal()
+                self.rows.append(Row(what="stolen", t=steal_read_at, until=now, wait=steal - before))
+                steal_read_at = now
 
 
 def _outcome_of(answer: bytes, answered_at: float | None) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -267,8 +267,9 @@
     # Guards against a soak that stood still itself and whose record looks like a busy process.
     gap = replace(scheduled(TERMINATED_AT + 0.5, 0.0), until=TERMINATED_AT + 1.17)
     late = Row(what="starved", t=TERMINATED_AT + 0.52, until=TERMINATED_AT + 1.16)
-    (line,) = judge(RUN, table([SIGTERM, KILLED, gap, late])).evidence
-    assert "longest sample 0.670 s, the soak was late by up to 0.640 s" in line
+    stolen = Row(what="stolen", t=TERMINATED_AT + 0.5, until=TERMINATED_AT + 0.56, wait=0.31)
+    (line,) = judge(RUN, table([SIGTERM, KILLED, gap, late, stolen])).evidence
+    assert "longest sample 0.670 s, the soak was late by up to 0.640 s, the host took up to 0.310 s" in line
 
 
 def test_the_stack_of_a_killed_process_is_part_of_the_evidence() -> None:
