Review: case folders alone beside the files, and case 3 judges a cut without SIGTERM too

Cause: stand-ins and caches lay in folders that are no cases, and case 3 with TROUBLE=0 would have passed over a value that is cut off.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from standins import Platform, command, connect, play, read_reply, send_all, show
 
 SLOW_CLIENTS = 6
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from standins import CannotRunError, Platform, Run, command, connect, play, read_reply, served, show
 
 REQUESTS = 5
@@ -51,8 +51,8 @@
         answer = await asyncio.wait_for(read_reply(reader), 20)
         platform.record(f"{name}: answered with {show(answer)} after {time.monotonic() - start:.2f} s")
         return "served" if served(answer) else "other"
-    except asyncio.IncompleteReadError as error:
-        got = len(error.partial)
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        got = len(error.partial) if isinstance(error, asyncio.IncompleteReadError) else "some"
         platform.record(
             f"{name}: LOST: the ingress ended the connection after {time.monotonic() - start:.2f} s, "
             f"{got} bytes into the value of {VALUE} and its line end"
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from standins import CannotRunError, Platform, Run, command, connect, play, read_reply, show
 
 VALUE = 4 * 1024 * 1024  # bytes, the longest value that the pages allow
@@ -55,15 +55,16 @@
         platform.record(f"{name}: answered with {show(answer)} after {time.monotonic() - begun:.2f} s")
         if not isinstance(answer, bytes):
             raise CannotRunError(f"the value never began: {answer!r}")
-    except asyncio.IncompleteReadError as error:
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        got = len(error.partial) if isinstance(error, asyncio.IncompleteReadError) else "some"
         after = time.monotonic() - begun - TERM_AFTER
         await asyncio.sleep(0.2)
         status = ingress.process.poll()
         platform.record(
-            f"{name}: {len(error.partial)} bytes of the value of {VALUE}, then the end of the connection, "
+            f"{name}: {got} bytes of the value of {VALUE}, then the end of the connection, "
             f"{after:.2f} s after SIGTERM; the ingress has ended with status {status}"
         )
-        lost = not restarting.done() and status != -signal.SIGKILL
+        lost = status != -signal.SIGKILL
         platform.record(f"{name}: {'LOST' if lost else 'ended by SIGKILL'}")
     finally:
         writer.close()
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,4 +1,11 @@
 #!/bin/sh
-# Builds the stand-ins of the cases: they are Python and need nothing but the interpreter of the deploy file's build.
+# The stand-ins of the cases are Python and need no build beyond that of the deploy file: this checks that its
+# interpreter reads them, and writes nothing.
 cd "$(dirname "$0")/.." || exit 1
-exec .venv/bin/python -m compileall -q review
+exec .venv/bin/python -B - <<'END'
+import ast
+import pathlib
+
+for path in sorted(pathlib.Path("review").rglob("*.py")):
+    ast.parse(path.read_text(), str(path))
+END
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -24,7 +24,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 LOOPBACK = "127.0.0.1"
 
 
