Client side: waits of long bodies for memory are counted and logged

Change: tally body.waits; a log line for each wait above 0.1 s, with what is reserved and who still waits.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -63,6 +63,9 @@
     def became_idle(self, connection: ClientConnection) -> None:
         """The connection has no open request any more."""
 
+    def body_wait_ended(self, seconds: float) -> None:
+        """A long body no longer waits for memory."""
+
     def closed(self, connection: ClientConnection) -> None:
         """The connection has ended."""
 
@@ -282,9 +285,11 @@
 
     def _reserve(self, size: int) -> None:
         """Reserves memory for a long body; reading pauses until it is granted."""
+        begin = self.host.loop.now()
 
         def granted() -> None:
             self.reserved, self.awaiting_memory, self.last_received_at = size, False, self.host.loop.now()
+            self.host.body_wait_ended(self.last_received_at - begin)
             if self.task is not None and not self.task.running:
                 self.host.loop.watch(self.task, self.mask())
 
@@ -292,6 +297,7 @@
             self.reserved = size
         else:
             self.awaiting_memory = True
+            self.host.exchange.tally("body.waits")
 
     def _open(self, slot: Slot, ask: resp.Ask, reserved: int) -> None:
         exchange = self.host.exchange
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -25,6 +25,7 @@
 SWEEP_INTERVAL = 0.25  # seconds
 MAX_WRITE_STALLS = 80  # consecutive sweeps without a byte sent after which a slow reader is disconnected
 BODY_STALL_TIMEOUT = 1.5  # seconds without a byte after which a body counts as stuck
+LOGGED_BODY_WAIT = 0.1  # seconds of waiting for memory above which a long body is named in the log
 MAX_READ_STALLS = 10  # sweeps without a byte received after which a partial command counts as stuck
 FIRST_COMMAND_TIMEOUT = 2.3  # seconds for a new connection's first command; it ends at the next sweep
 NEW_CONNECTION_GRACE = 0.05  # seconds for which a new connection is not evicted: its command is under way
@@ -219,6 +220,15 @@
         """Answer to the health check of a load balancer."""
         return resp.error("evacuated") if self.evacuated else resp.PONG
 
+    def body_wait_ended(self, seconds: float) -> None:
+        """Logs a long wait for memory, and who shares it."""
+        if seconds > LOGGED_BODY_WAIT:
+            budget = self.body_budget
+            self.log(
+                f"caller: a long body waited {seconds:.2f} s for memory, waiting={len(budget.waiting)}"
+                f" reserved={budget.used} of={budget.budget}"
+            )
+
     def closed(self, connection: ClientConnection) -> None:
         """Cleans up after a connection has ended and writes its log line."""
         self.connections.discard(connection)
