Client side: slow writers keep no memory for bodies from others, and waits are limited

Cause: a long body reserved its declared length and kept it for as long as its client wrote; the next body waited unread, though its last byte may have come, and nothing bounded that wait. Price: beyond the memory slow writers are refused where they were served in turn.

--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -343,6 +343,13 @@
         """Stops accepting the classes from before the last `reconfigure`."""
         self.retiring = {}
 
+    def refuse_unopened(self, class_name: str) -> Refused:
+        """Refuses a request for which there is no memory, before it is opened."""
+        self.tally("refused.memory")
+        if (counts := self.counts.get(class_name)) is not None:
+            counts.taken, counts.declined = counts.taken + 1, counts.declined + 1
+        return Refused(self.default_retry_after)
+
     def client_gone(self, transaction: Transaction) -> None:
         """The client disconnected: no answer is owed any more. A branch whose command is written continues if
         the module wants it to; one that still waits for its connection is withdrawn.
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -20,6 +20,7 @@
 from standflow.net import resp
 from standflow.net.closing import shut_down_unless_unread
 from standflow.net.flow import Flow
+from standflow.net.long_body import READ_SIZE, BodyBudget, LongBody
 from standflow.net.loop import (
     ERROR_EVENTS,
     IN,
@@ -35,7 +36,6 @@
 )
 from standflow.net.memory_budget import MemoryBudget
 
-READ_SIZE = 65536
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
 MAX_UNSENT = 1024 * 1024  # unsent bytes at which a connection is ended as a slow reader
@@ -48,7 +48,7 @@
 
     loop: Loop
     exchange: Exchange
-    body_budget: MemoryBudget  # for long bodies that are being read
+    body_budget: BodyBudget  # for long bodies that are being read
     value_budget: MemoryBudget  # for long values that are buffered as a whole
     ready: bool  # clients are served
     drain_expired: bool  # each connection gets at most one more command served
@@ -63,9 +63,6 @@
     def became_idle(self, connection: ClientConnection) -> None:
         """The connection has no open request any more."""
 
-    def body_wait_ended(self, seconds: float) -> None:
-        """A long body no longer waits for memory."""
-
     def closed(self, connection: ClientConnection) -> None:
         """The connection has ended."""
 
@@ -110,8 +107,7 @@
         self.received_at = self.created_at  # the earliest time at which the bytes read last can have arrived
         self.paused_since: float | None = None  # since when reading is paused
         self.last_received_at = self.created_at  # when bytes were last read
-        self.reserved = 0  # bytes reserved for the body that is being read
-        self.awaiting_memory = False  # reading waits for such a reservation
+        self.long_body: LongBody | None = None  # the body that is being read, with its memory
         self.client_closed = False  # the client has closed: nobody waits for answers to what is read now
         self.task: Task | None = None
 
@@ -120,10 +116,15 @@
         """True if the connection ends by itself after its outstanding answers."""
         return self.framing_lost or self.draining
 
+    @property
+    def awaiting_memory(self) -> bool:
+        """True while nothing is read, as there is no memory for a long body."""
+        return self.long_body is not None and self.long_body.waiting
+
     @property
     def accepts_commands(self) -> bool:
         """True if more commands may be read, to serve or to refuse them."""
-        return not (self.framing_lost or self.write_shut or self.full())
+        return not (self.framing_lost or self.write_shut or self.awaiting_memory or self.full())
 
     def start_drain(self) -> None:
         """Ends the connection once all commands are answered. Commands that arrive later are refused."""
@@ -137,6 +138,8 @@
                 yield from self._linger()
         finally:
             self.host.closed(self)
+            if self.long_body is not None:
+                self.long_body.abandon()
             for slot in self.slots:
                 self._release_memory(slot)
                 if slot.transaction is not None:
@@ -256,10 +259,10 @@
                 self.framing_lost, self.reason = True, "bad_framing"
                 return
             if parts is None:
-                if self.buffer.body > resp.MAX_VALUE and not self.reserved and not self.framing_lost:
-                    self._reserve(self.buffer.body)
+                if self.buffer.body > resp.MAX_VALUE:
+                    self._read_long_body()
                 return
-            reserved, self.reserved = self.reserved, 0
+            reserved, dropped = self._end_long_body()
             self.host.idle.pop(self, None)
             if self.host.drain_expired:
                 self.start_drain()
@@ -272,6 +275,8 @@
                 elif self.host.refuse_unopened or self.refusing:
                     self.host.exchange.tally("refused.leaving")
                     slot.answer = encode_final(Refused(self.host.exchange.default_retry_after))
+                elif dropped:
+                    slot.answer = encode_final(self.host.exchange.refuse_unopened(command.class_name))
                 elif self.client_closed:
                     # The client has closed: no request is opened, the connection ends next.
                     self.host.exchange.tally("left.unread")
@@ -283,21 +288,37 @@
             if reserved:
                 self.host.body_budget.release(reserved)
 
-    def _reserve(self, size: int) -> None:
-        """Reserves memory for a long body; reading pauses until it is granted."""
-        begin = self.host.loop.now()
+    def _read_long_body(self) -> None:
+        """Reserves memory for a long body that has begun to arrive; reading pauses while there is none.
 
-        def granted() -> None:
-            self.reserved, self.awaiting_memory, self.last_received_at = size, False, self.host.loop.now()
-            self.host.body_wait_ended(self.last_received_at - begin)
-            if self.task is not None and not self.task.running:
-                self.host.loop.watch(self.task, self.mask())
+        The body of a command that is refused in any case needs no memory.
+        """
+        if self.long_body is None:
+            time_limit = resp.time_limit(self.buffer.parts_before_body)
+            self.long_body = LongBody(
+                self.host.body_budget, self.buffer.body, time_limit, self._memory_changed
+            )
+        if self.host.refuse_unopened or self.refusing or self.client_closed:
+            self.long_body.drop()
+        self.long_body.bytes_received(len(self.buffer.data))
+
+    def _memory_changed(self) -> None:
+        """Continues reading a long body for which memory was granted, or which was dropped."""
+        if self.long_body is not None and self.long_body.dropped:
+            self.buffer.drop_body()
+        self.last_received_at = self.host.loop.now()
+        if self.task is not None and not self.task.running:
+            self.host.loop.watch(self.task, self.mask())
 
-        if self.host.body_budget.reserve(self, size, granted):
-            self.reserved = size
-        else:
-            self.awaiting_memory = True
-            self.host.exchange.tally("body.waits")
+    def _end_long_body(self) -> tuple[int, bool]:
+        """A command is complete: returns the bytes reserved for its body, and whether that was dropped."""
+        body, self.long_body = self.long_body, None
+        return (0, False) if body is None else (body.whole(), body.dropped)
+
+    def drop_long_body(self) -> None:
+        """Refuses the command whose long body is being read, as no further requests are opened."""
+        if self.long_body is not None:
+            self.long_body.drop()
 
     def _open(self, slot: Slot, ask: resp.Ask, reserved: int) -> None:
         exchange = self.host.exchange
@@ -385,7 +406,7 @@
         if flow.aborted:
             self._fail_value(slot)
             return True
-        if flow.complete or (len(self.slots) == 1 and not self.buffer.data):
+        if flow.complete or (len(self.slots) == 1 and not self.buffer.holds_part):
             slot.started = True
             return True
         if not slot.buffering:
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -13,6 +13,7 @@
 from standflow.net.arrival import seconds_since_received
 from standflow.net.client_connection import ClientConnection
 from standflow.net.closing import MAX_READS, close_gracefully, shut_down_unless_unread
+from standflow.net.long_body import BodyBudget
 from standflow.net.loop import IN, NO_EVENT, READABLE, Loop, Task, error_reason
 from standflow.net.memory_budget import MemoryBudget
 from standflow.net.transient_errors import (
@@ -25,7 +26,6 @@
 SWEEP_INTERVAL = 0.25  # seconds
 MAX_WRITE_STALLS = 80  # consecutive sweeps without a byte sent after which a slow reader is disconnected
 BODY_STALL_TIMEOUT = 1.5  # seconds without a byte after which a body counts as stuck
-LOGGED_BODY_WAIT = 0.1  # seconds of waiting for memory above which a long body is named in the log
 MAX_READ_STALLS = 10  # sweeps without a byte received after which a partial command counts as stuck
 FIRST_COMMAND_TIMEOUT = 2.3  # seconds for a new connection's first command; it ends at the next sweep
 NEW_CONNECTION_GRACE = 0.05  # seconds for which a new connection is not evicted: its command is under way
@@ -55,7 +55,7 @@
         """
         self.loop, self.log, self.exchange, self.max_clients = loop, log, exchange, max_clients
         self.max_unread = max_unread
-        self.body_budget = MemoryBudget(max_bodies)
+        self.body_budget = BodyBudget(max_bodies, loop, log, exchange.tally)
         self.value_budget = MemoryBudget(max_values)  # for long values that are buffered as a whole
         self.ready = False
         self.draining = False  # each connection ends when it has no open request
@@ -161,12 +161,14 @@
         fresh = not connection.answered and age <= NEW_CONNECTION_GRACE
         abandoned = not connection.answered and age > PARTIAL_COMMAND_GRACE
         return (
-            not fresh and not self.has_pending_bytes(connection) and (abandoned or not connection.buffer.data)
+            not fresh
+            and not self.has_pending_bytes(connection)
+            and (abandoned or not connection.buffer.holds_part)
         )
 
     def _has_unread(self, connection: ClientConnection) -> bool:
         """True if there are unread bytes; closing now would reset the connection and lose its last answer."""
-        return bool(connection.buffer.data) or self.has_pending_bytes(connection)
+        return connection.buffer.holds_part or self.has_pending_bytes(connection)
 
     def has_pending_bytes(self, connection: ClientConnection) -> bool:
         """True if the kernel holds unread bytes; they are read before the connection is ended."""
@@ -220,22 +222,10 @@
         """Answer to the health check of a load balancer."""
         return resp.error("evacuated") if self.evacuated else resp.PONG
 
-    def body_wait_ended(self, seconds: float) -> None:
-        """Logs a long wait for memory, and who shares it."""
-        if seconds > LOGGED_BODY_WAIT:
-            budget = self.body_budget
-            self.log(
-                f"caller: a long body waited {seconds:.2f} s for memory, waiting={len(budget.waiting)}"
-                f" reserved={budget.used} of={budget.budget}"
-            )
-
     def closed(self, connection: ClientConnection) -> None:
         """Cleans up after a connection has ended and writes its log line."""
         self.connections.discard(connection)
         self.idle.pop(connection, None)
-        self.body_budget.cancel(connection)
-        if connection.reserved:
-            self.body_budget.release(connection.reserved)
         self.unread -= len(connection.unsent)
         close_gracefully(connection.sock)
         age = self.loop.now() - connection.created_at
@@ -319,6 +309,7 @@
         self.acceptor.end()
         for connection in list(self.connections):
             connection.fail_late_values()
+            connection.drop_long_body()
             self._serve_last_command(connection)
 
 
@@ -332,4 +323,4 @@
         return "slow_writer" if stalled and (late or connection.answered) else ""
     if late and not connection.answered:
         return "silent"
-    return "slow_writer" if connection.buffer.data and connection.stalls > MAX_READ_STALLS else ""
+    return "slow_writer" if connection.buffer.holds_part and connection.stalls > MAX_READ_STALLS else ""
--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -15,6 +15,7 @@
 BODY_INDEX = 4  # index of the body among a command's parts
 MAX_TIME_LEFT = 600_000  # milliseconds; a longer time limit would keep resources in use for as long
 MAX_TENANT = 1 << 33
+LINE_END = b"\r\n"
 
 
 class FramingError(ValueError):
@@ -94,19 +95,32 @@
 class Buffer:
     """Received bytes that are not parsed yet; messages are taken out one at a time."""
 
-    __slots__ = ("body", "data")
+    __slots__ = ("body", "body_start", "data", "dropping", "parts_before_body")
 
     def __init__(self) -> None:
         self.data = bytearray()
         self.body = 0  # size of an incomplete body, once the command's other parts have arrived
+        self.body_start = 0  # its offset
+        self.parts_before_body: list[bytes] = []
+        self.dropping: int | None = None  # bytes of a dropped body that have not arrived yet
+
+    @property
+    def holds_part(self) -> bool:
+        """True if a part of a message has arrived."""
+        return bool(self.data) or self.dropping is not None
 
     def feed(self, data: bytes) -> None:
         """Appends received bytes."""
         self.data += data
 
     def command(self) -> list[bytes] | None:
-        """Takes out the next complete command, or returns None; raises FramingError on invalid bytes."""
+        """Takes out the next complete command, or returns None; raises FramingError on invalid bytes.
+
+        In place of a dropped body there is an empty one.
+        """
         data = self.data
+        if self.dropping is not None:
+            return self._command_with_dropped_body(self.dropping)
         if not data:
             return None
         if data[0] != 0x2A:
@@ -116,7 +130,7 @@
             return None
         if not 1 <= count <= MAX_PARTS:
             raise FramingError(f"a command has 1 to {MAX_PARTS} parts")
-        parts = []
+        parts: list[bytes] = []
         self.body = 0
         for index in range(count):
             if at >= len(data):
@@ -131,7 +145,8 @@
                 raise FramingError("a value is too long")
             at = start + size + 2
             if at > len(data):
-                self.body = size if index == BODY_INDEX == count - 1 else 0
+                if index == BODY_INDEX == count - 1:
+                    self.body, self.body_start, self.parts_before_body = size, start, parts
                 return None
             if data[at - 2 : at] != b"\r\n":
                 raise FramingError("a value has another length than it says")
@@ -140,6 +155,30 @@
         self.body = 0
         return parts
 
+    def drop_body(self) -> None:
+        """Drops the incomplete body: what has arrived of it, and what is still to come."""
+        if self.body and self.dropping is None:
+            del self.data[: self.body_start]
+            self.dropping = self.body
+            self._drop_received(self.body)
+
+    def _drop_received(self, missing: int) -> int:
+        """Drops received bytes of the body, of which `missing` were to come; returns how many still are."""
+        missing -= (dropped := min(missing, len(self.data)))
+        del self.data[:dropped]
+        self.dropping = missing
+        return missing
+
+    def _command_with_dropped_body(self, missing: int) -> list[bytes] | None:
+        if self._drop_received(missing) or len(self.data) < len(LINE_END):
+            return None
+        if not self.data.startswith(LINE_END):
+            raise FramingError("a value has another length than it says")
+        del self.data[: len(LINE_END)]
+        parts, self.parts_before_body = [*self.parts_before_body, b""], []
+        self.body, self.dropping = 0, None
+        return parts
+
     def long_reply(self) -> tuple[int, int] | None:
         """Returns the number of parts and the value's length if a reply begins with a long value.
 
@@ -276,6 +315,15 @@
     return _ask(name, parts, options)
 
 
+def time_limit(parts: list[bytes]) -> float:
+    """Seconds that the client of a command without its body waits; 0 if the command is invalid."""
+    try:
+        command = decode_command(parts)
+    except CommandError:
+        return 0.0
+    return command.time_left if isinstance(command, Ask) else 0.0
+
+
 def _ask(name: bytes, parts: list[bytes], options: bytes) -> Ask:
     named: dict[bytes, bytes] = {}
     pieces = options.split(b",")
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -35,6 +35,37 @@
     assert not buffer.data
 
 
+@settings(derandomize=True, deadline=None)
+@given(st.integers(1, 9), st.integers(0, 400), st.integers(0, 40), st.integers(1, 100))
+def test_dropped_body_leaves_its_command_and_those_behind_it(
+    more: int, dropped_at: int, cut: int, second_cut: int
+) -> None:
+    """Guards against a client that gets the answers of other commands behind a body that was dropped."""
+    size = resp.MAX_VALUE + more
+    parts = [b"Q.DO", b"%016x" % 7, b"aa01", b"c=look,t=plain,d=600", b"x" * size]
+    head = b"*5\r\n" + b"".join(map(resp.bulk, parts[:-1])) + resp.bulk_head(size)
+    behind = [b"Q.ASK", b"%016x" % 7, b"aa02", b"c=look,t=plain,d=600"]
+    data = head + parts[-1] + b"\r\n" + b"*4\r\n" + b"".join(map(resp.bulk, behind))
+    end = len(head) + size + 2
+    buffer = resp.Buffer()
+    got: list[list[bytes]] = []
+    begin = len(head) + dropped_at
+    buffer.feed(data[:begin])
+    assert buffer.command() is None
+    assert (buffer.body, resp.time_limit(buffer.parts_before_body)) == (size, 0.6)
+    buffer.drop_body()
+    buffer.drop_body()
+    assert not buffer.data
+    pieces = sorted({begin, end - cut, min(end - cut + second_cut, len(data)), len(data)})
+    for start, stop in zip(pieces, pieces[1:], strict=False):
+        assert buffer.holds_part or got
+        buffer.feed(data[start:stop])
+        while (command := buffer.command()) is not None:
+            got.append(command)
+    assert got == [[*parts[:-1], b""], behind]
+    assert not buffer.holds_part
+
+
 @settings(derandomize=True, deadline=None)
 @given(REPLIES, st.integers(1, 50))
 def test_replies_are_parsed_independently_of_segmentation(reply: resp.Reply, cut: int) -> None:
