Client side: a connection that waits for memory reads nothing, whoever resumes it

What callers saw: nothing; with hundreds of connections at the cap the ingress could pass its memory limit. Cause: eviction and drains resume an idle connection with unread bytes to read them, also one whose body waits for memory. Why this works: the check stands where the bytes are read.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -156,7 +156,7 @@
                     self._write()
                 if ready & IN and self.slots and self.slots[0].streaming:
                     self._buffer_rest(self.slots[0])
-                elif ready & IN and not self.framing_lost:
+                elif ready & IN and not self.framing_lost and not self.awaiting_memory:
                     self.client_closed = bool(ready & READ_HANGUP)
                     data = self.sock.recv(READ_SIZE)
                     if not data:
--- a/tests/test_long_body.py
+++ b/tests/test_long_body.py
@@ -158,6 +158,18 @@
     assert writers.opened("bb01") is None
 
 
+def test_connection_that_waits_for_memory_reads_nothing_when_others_need_its_place(writers: Writers) -> None:
+    """Guards against reading beyond the memory budget as idle connections are looked through at the cap."""
+    writers.begin("aa00", BUDGET, wait_ms=60_000)
+    writers.begin("bb01", 500_000, wait_ms=60_000)
+    waiting = next(one for one in writers.side.connections if one.awaiting_memory)
+    read = len(waiting.buffer.data)
+    for _ in range(5):
+        writers.side.evict_idle()
+    assert len(waiting.buffer.data) == read <= READ_SIZE
+    assert waiting in writers.side.connections
+
+
 def test_body_of_a_malformed_command_does_not_wait_for_memory(writers: Writers) -> None:
     """Guards against a wait by a request that is answered with an error in any case."""
     writers.begin("aa00", BUDGET, wait_ms=60_000)
