Client side: a drain or an exit refuses a request that is being written

What callers saw: a request whose last byte came while its connection drained, or about the exit, got the end of the connection and no answer. Cause: a draining connection ended as soon as nothing was open or unread; a request of which a part had been read counted as neither. Evidence: a trial with a request written over 1.6 s across SIGTERM (longest deadline 2 s): written whole at 1.61 s, then the end of the connection, in four forms of four. Why this works: the end waits for the rest of a request, 1.5 s at most, and refuses it; one that is cut short by that limit or by the exit gets its refusal before the end, so whoever writes its last byte has an answer. Tests: test_request_whose_last_bytes_come_late_in_a_shutdown_is_refused, 8 of 8 failed before.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -98,6 +98,7 @@
         self.unsent = bytearray()
         self.reason = "shutdown"
         self.draining = False  # the connection ends once nothing is open or unread
+        self.draining_since = 0.0
         self.refusing = False  # commands read after the drain began arrived too late and are refused
         self.framing_lost = False  # bytes behind a framing error can't be parsed
         self.write_shut = False  # sending is shut down; bytes that still arrive are dropped
@@ -121,6 +122,11 @@
         """True while nothing is read, as there is no memory for a long body."""
         return self.long_body is not None and self.long_body.waiting
 
+    @property
+    def mid_command(self) -> bool:
+        """True if a part of a command has been read; its client may be writing the rest."""
+        return self.buffer.holds_part and not self.framing_lost
+
     @property
     def accepts_commands(self) -> bool:
         """True if more commands may be read, to serve or to refuse them."""
@@ -128,7 +134,8 @@
 
     def start_drain(self) -> None:
         """Ends the connection once all commands are answered. Commands that arrive later are refused."""
-        self.draining, self.reason = True, "drained"
+        if not self.draining:
+            self.draining, self.draining_since, self.reason = True, self.host.loop.now(), "drained"
 
     def run(self) -> Coroutine[None]:
         """Serves commands until the connection ends, and cleans up."""
@@ -187,8 +194,11 @@
         return flow is not None and flow.aborted
 
     def _finish(self) -> bool:
-        """Shuts down sending if the connection is ending and every command has been read and answered."""
-        if self.unsent or self.slots or not self.ending:
+        """Shuts down sending if the connection is ending and every command has been read and answered.
+
+        A command of which a part has arrived is waited for: it may be whole any moment, and is answered then.
+        """
+        if self.unsent or self.slots or self.mid_command or not self.ending:
             return False
         if self.framing_lost:
             with contextlib.suppress(OSError):
@@ -315,6 +325,18 @@
         body, self.long_body = self.long_body, None
         return (0, False) if body is None else (body.whole(), body.dropped)
 
+    def refuse_partial_command(self) -> None:
+        """Answers a command that has not arrived whole, as the connection is about to be closed.
+
+        What still arrives of it can't be told from another command, and is dropped.
+        """
+        if not self.mid_command or self.slots or self.unsent:
+            return
+        refusal = encode_final(Refused(self.host.exchange.default_retry_after))
+        with contextlib.suppress(OSError):  # the connection is closed in any case
+            self.sock.send(refusal)
+        self.framing_lost = True
+
     def drop_long_body(self) -> None:
         """Refuses the command whose long body is being read, as no further requests are opened."""
         if self.long_body is not None:
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -31,6 +31,7 @@
 NEW_CONNECTION_GRACE = 0.05  # seconds for which a new connection is not evicted: its command is under way
 PARTIAL_COMMAND_GRACE = 0.25  # the same for a new connection with a partial command
 FIRST_COMMAND_GRACE = 1.0  # seconds for which an expired drain spares a connection without a command
+PARTIAL_COMMAND_DRAIN = 1.5  # seconds for which a draining connection waits for the rest of a command
 DRAIN_PERIOD = 1.5  # seconds of an evacuation after which each connection gets at most one more command
 
 
@@ -183,6 +184,7 @@
         if self.drain_expired:
             for connection in [one for one in self.idle if now - one.created_at > SWEEP_INTERVAL]:
                 self._serve_last_command(connection)
+        self._end_overdue_drains(now)
         for connection in [
             one for one in self.connections if (one.unsent or not one.slots) and not one.awaiting_memory
         ]:
@@ -197,6 +199,16 @@
                     connection.sock.send(resp.error("no whole command in time"))
             self.loop.end(connection.task)
 
+    def _end_overdue_drains(self, now: float) -> None:
+        """Ends draining connections whose clients have begun a command and take long to write it."""
+        for connection in [one for one in self.connections if one.draining and one.mid_command]:
+            if connection.task is None or now - connection.draining_since < PARTIAL_COMMAND_DRAIN:
+                continue
+            if self.has_pending_bytes(connection):
+                self._read_now(connection, connection.task)
+            connection.refuse_partial_command()
+            self.loop.resume(connection.task, NO_EVENT)
+
     def became_idle(self, connection: ClientConnection) -> None:
         """A connection has no open request any more."""
         if connection in self.connections:
@@ -238,6 +250,7 @@
         """Ends the remaining connections at once."""
         for connection in list(self.connections):
             if connection.task is not None:
+                connection.refuse_partial_command()
                 self.loop.end(connection.task)
 
     def start_serving(self) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -10,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -364,6 +366,38 @@
             running.logged("stopped")
 
 
+@pytest.mark.parametrize("seconds", [1.6, 2.8])  # 1.45: no more is served; 2.45: the process exits
+@pytest.mark.parametrize("size", [50_000, 200_000])
+@pytest.mark.parametrize("new", [True, False])
+def test_request_whose_last_bytes_come_late_in_a_shutdown_is_refused(
+    new: bool, size: int, seconds: float, tmp_path: Path
+) -> None:
+    """Guards against a drain or an exit that ends a connection with no answer while a request is written."""
+    with program(tmp_path, with_deadline(config(), 2.0)) as running:
+        client = running.call()
+        if not new:
+            client.sendall(command("aa00"))
+            read_until(client, b"\r\n")
+        running.terminate()
+        text = command("aa01", body=b"x" * size, d=2000)
+        writer = threading.Thread(target=write_slowly, args=(client, text, seconds))
+        writer.start()
+        assert read_until(client, b"\r\n").startswith(b"-BUSY")
+        with contextlib.suppress(ConnectionError):  # what is still written after the exit resets it
+            assert client.recv(10) == b""
+        writer.join(LIMIT)
+        assert running.process.wait(LIMIT) == 0
+
+
+def write_slowly(sock: socket.socket, data: bytes, seconds: float, pieces: int = 40) -> None:
+    """Writes data in equal pieces at equal intervals, until the peer resets the connection."""
+    size = len(data) // pieces + 1
+    with contextlib.suppress(OSError):
+        for begin in range(0, len(data), size):
+            time.sleep(seconds / pieces)
+            sock.sendall(data[begin : begin + size])
+
+
 def connected(address: tuple[str, int]) -> socket.socket:
     """Connects as soon as the address accepts connections."""
     end = time.monotonic() + LIMIT
