Backend connections: the log names the part of an answer that never came

Cause: 'end nexthop ID stalled' is one reason for four waits with two limits, so that a backend's silence and an impatient ingress look alike. Change: a line before it names the part: the rest of an answer, of a long value, its line end, or the figures behind it.

--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -10,6 +10,7 @@
 import math
 import socket
 from collections.abc import Callable
+from enum import Enum
 from typing import Protocol
 
 from standflow.exchange import Outcome, Result, Route
@@ -29,6 +30,16 @@
 )
 
 
+class ReplyPart(Enum):
+    """What a connection waits for, as the log names it."""
+
+    BEGINNING = "the beginning of an answer"
+    REST = "the rest of an answer"
+    VALUE = "the rest of a long value"
+    LINE_END = "the line end of a long value"
+    FIGURES = "the figures behind a long value"
+
+
 class PendingCommand:
     """A command to be sent to a next hop once. `on_result` is called once, unless the command is given up."""
 
@@ -83,6 +94,7 @@
     """What a connection needs from the pool that it belongs to."""
 
     loop: Loop
+    log: Callable[[str], None]
     flows: FlowBudget
     dial_timeout: float
     admission: Admission | None
@@ -187,11 +199,24 @@
             if self.flow is not None and not self.flow.complete:
                 ready = yield from self._wait_for_value()
                 if ready == NO_EVENT:
-                    return "stalled"
+                    return self._stalled()
             elif self.flow is None and not self.buffer.data:
                 ready = yield self.mask
             elif (ready := (yield from self.owner.loop.wait(self.mask, REPLY_STALL_TIMEOUT))) == NO_EVENT:
-                return "stalled"  # the announced length was wrong: the rest never comes
+                return self._stalled()  # the announced length was wrong: the rest never comes
+
+    @property
+    def _awaited(self) -> ReplyPart:
+        """The part of a reply that comes next."""
+        if self.flow is None:
+            return ReplyPart.REST if self.buffer.data else ReplyPart.BEGINNING
+        if self.flow.remaining:
+            return ReplyPart.VALUE
+        return ReplyPart.FIGURES if self.flow.complete else ReplyPart.LINE_END
+
+    def _stalled(self) -> str:
+        self.owner.log(f"nexthop: {self.hop.route.hop} stalled, waiting for {self._awaited.value}")
+        return "stalled"
 
     def _wait_for_value(self) -> Coroutine[int]:
         """Waits for more of a long value. While its client takes nothing, reading and the timeout pause."""
