Backend connections: a long value is not cut off as its line end comes late

Cause: once the last byte of a value had come, the limit of 0.1 s for the rest of a short answer held in place of the 15 s for more of a value. Why this works: the limit goes by what is missing, in one table; up to its line end a value has 15 s without a byte, and the figures behind it 2 s (they ended the connection too, with the value whole).

--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -21,8 +21,11 @@
 from standflow.net.transient_errors import TRANSIENT_ERRORS
 
 REPLY_STALL_TIMEOUT = 0.1  # seconds within which the rest of a reply must follow its beginning
+FIGURES_STALL_TIMEOUT = 2.0  # the same for the figures behind a long value, of which nothing more is needed
 UNREADABLE_REPLY = frozenset(("bad_framing", "stalled"))  # the backend has answered, but not readably
-VALUE_STALL_TIMEOUT = 15.0  # seconds without another byte after which a long value counts as stalled
+VALUE_STALL_TIMEOUT = (
+    15.0  # seconds without another byte, up to its line end, after which a long value stalls
+)
 # Connect failures caused by a shortage on this machine.
 LOCAL_CONNECT_ERRORS = frozenset(
     f"connect_failed:{errno.errorcode[code]}"
@@ -40,6 +43,14 @@
     FIGURES = "the figures behind a long value"
 
 
+STALL_TIMEOUTS = {  # seconds without another byte after which a reply counts as stalled
+    ReplyPart.REST: REPLY_STALL_TIMEOUT,  # its length was wrong
+    ReplyPart.VALUE: VALUE_STALL_TIMEOUT,
+    ReplyPart.LINE_END: VALUE_STALL_TIMEOUT,
+    ReplyPart.FIGURES: FIGURES_STALL_TIMEOUT,
+}
+
+
 class PendingCommand:
     """A command to be sent to a next hop once. `on_result` is called once, unless the command is given up."""
 
@@ -196,14 +207,11 @@
                 return error_reason(error)
             if reason:
                 return reason
-            if self.flow is not None and not self.flow.complete:
-                ready = yield from self._wait_for_value()
-                if ready == NO_EVENT:
-                    return self._stalled()
-            elif self.flow is None and not self.buffer.data:
+            if self._awaited is ReplyPart.BEGINNING:
                 ready = yield self.mask
-            elif (ready := (yield from self.owner.loop.wait(self.mask, REPLY_STALL_TIMEOUT))) == NO_EVENT:
-                return self._stalled()  # the announced length was wrong: the rest never comes
+            elif (ready := (yield from self._wait_for_rest())) == NO_EVENT:
+                self.owner.log(f"nexthop: {self.hop.route.hop} stalled, waiting for {self._awaited.value}")
+                return "stalled"
 
     @property
     def _awaited(self) -> ReplyPart:
@@ -214,20 +222,13 @@
             return ReplyPart.VALUE
         return ReplyPart.FIGURES if self.flow.complete else ReplyPart.LINE_END
 
-    def _stalled(self) -> str:
-        self.owner.log(f"nexthop: {self.hop.route.hop} stalled, waiting for {self._awaited.value}")
-        return "stalled"
-
-    def _wait_for_value(self) -> Coroutine[int]:
-        """Waits for more of a long value. While its client takes nothing, reading and the timeout pause."""
-        assert self.flow is not None
-        while not self.flow.capacity:
+    def _wait_for_rest(self) -> Coroutine[int]:
+        """Waits for more of a reply. While a long value's client takes nothing, reading and time pause."""
+        while self.flow is not None and not self.flow.complete and not self.flow.capacity:
             ready = yield self.mask & ~IN
             if ready & ERROR_EVENTS or self.flow is None or self.flow.capacity:
                 return ready
-        if self.flow.remaining:
-            return (yield from self.owner.loop.wait(self.mask, VALUE_STALL_TIMEOUT))
-        return (yield from self.owner.loop.wait(self.mask, REPLY_STALL_TIMEOUT))
+        return (yield from self.owner.loop.wait(self.mask, STALL_TIMEOUTS[self._awaited]))
 
     def _resume_reading(self) -> None:
         """Continues reading after the client took some bytes; the stream itself may hold buffered data."""
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from standflow.exchange import Outcome, Phase, Route, RouteSet
+from standflow.net.backend_connection import REPLY_STALL_TIMEOUT
 from standflow.net.client_side import ClientSide
 from standflow.net.flow import MAX_WINDOW, Flow, FlowBudget
 from standflow.net.memory_budget import MemoryBudget
@@ -185,6 +186,28 @@
     rig.close()
 
 
+VALUE_END = len(REPLY) - len(b"\r\n$-1\r\n$2\r\na=\r\n")
+PAUSE = 3 * REPLY_STALL_TIMEOUT  # seconds
+
+
+@pytest.mark.parametrize("behind", [0, 1, 2, 4, len(REPLY) - VALUE_END - 1])
+def test_backend_that_pauses_behind_the_last_byte_of_a_long_value_cuts_nothing_off(behind: int) -> None:
+    """Guards against a long value that is cut off as its line end comes late (review case 2)."""
+    rig = Rig()
+    hop = rig.ask()
+    hop.sendall(REPLY[: VALUE_END + behind])
+    end = rig.recorder.loop.now() + PAUSE
+    rig.until(lambda: rig.recorder.loop.now() > end)
+    assert not rig.closed
+    hop.sendall(REPLY[VALUE_END + behind :])
+    rig.until(lambda: rig.recorder.ended)
+    rig.until(lambda: len(rig.got) == len(LONG) + 11)
+    assert bytes(rig.got) == b"$%d\r\n%b\r\n" % (len(LONG), LONG)
+    assert rig.recorder.ended[0][1] is Outcome.OK
+    assert not [line for line in rig.recorder.log if line.startswith("end nexthop")]  # it is used again
+    rig.close()
+
+
 class PipelinedRig(Rig):
     """A client that pipelines a request for a long value and others behind it; all are at backends."""
 
