RESP codec: a long value is recognized when its length line comes alone

Cause: Buffer.long_reply wants a byte of the value; without one Buffer.reply read the answer as a short one and found its value too long. Why this works: an announced value is incomplete, not malformed. The request stays open until a byte of the value comes, so its time still holds; the connection waits 2 s for that byte. Tests: test_long_value_whose_length_line_comes_alone_is_passed_on, 2 of 4 failed before (those with the line alone); test_long_value_is_recognized_however_its_beginning_is_cut, failed before.

--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -21,7 +21,7 @@
 from standflow.net.transient_errors import TRANSIENT_ERRORS
 
 REPLY_STALL_TIMEOUT = 0.1  # seconds within which the rest of a reply must follow its beginning
-FIGURES_STALL_TIMEOUT = 2.0  # the same for the figures behind a long value, of which nothing more is needed
+PAUSE_STALL_TIMEOUT = 2.0  # the same for what a sound backend may write after a pause
 UNREADABLE_REPLY = frozenset(("bad_framing", "stalled"))  # the backend has answered, but not readably
 VALUE_STALL_TIMEOUT = (
     15.0  # seconds without another byte, up to its line end, after which a long value stalls
@@ -38,6 +38,7 @@
 
     BEGINNING = "the beginning of an answer"
     REST = "the rest of an answer"
+    VALUE_BEGINNING = "the beginning of a long value"
     VALUE = "the rest of a long value"
     LINE_END = "the line end of a long value"
     FIGURES = "the figures behind a long value"
@@ -45,9 +46,10 @@
 
 STALL_TIMEOUTS = {  # seconds without another byte after which a reply counts as stalled
     ReplyPart.REST: REPLY_STALL_TIMEOUT,  # its length was wrong
+    ReplyPart.VALUE_BEGINNING: PAUSE_STALL_TIMEOUT,
     ReplyPart.VALUE: VALUE_STALL_TIMEOUT,
     ReplyPart.LINE_END: VALUE_STALL_TIMEOUT,
-    ReplyPart.FIGURES: FIGURES_STALL_TIMEOUT,
+    ReplyPart.FIGURES: PAUSE_STALL_TIMEOUT,
 }
 
 
@@ -216,8 +218,10 @@
     @property
     def _awaited(self) -> ReplyPart:
         """The part of a reply that comes next."""
+        if self.flow is None and not self.buffer.data:
+            return ReplyPart.BEGINNING
         if self.flow is None:
-            return ReplyPart.REST if self.buffer.data else ReplyPart.BEGINNING
+            return ReplyPart.VALUE_BEGINNING if self.buffer.awaits_value else ReplyPart.REST
         if self.flow.remaining:
             return ReplyPart.VALUE
         return ReplyPart.FIGURES if self.flow.complete else ReplyPart.LINE_END
--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -95,13 +95,14 @@
 class Buffer:
     """Received bytes that are not parsed yet; messages are taken out one at a time."""
 
-    __slots__ = ("body", "body_start", "data", "dropping", "parts_before_body")
+    __slots__ = ("awaits_value", "body", "body_start", "data", "dropping", "parts_before_body")
 
     def __init__(self) -> None:
         self.data = bytearray()
         self.body = 0  # size of an incomplete body, once the command's other parts have arrived
         self.body_start = 0  # its offset
         self.parts_before_body: list[bytes] = []
+        self.awaits_value = False  # the length line of a long value has arrived, and nothing behind it
         self.dropping: int | None = None  # bytes of a dropped body that have not arrived yet
 
     @property
@@ -182,20 +183,25 @@
     def long_reply(self) -> tuple[int, int] | None:
         """Returns the number of parts and the value's length if a reply begins with a long value.
 
-        At least one byte of the value must have arrived. Everything before it is taken out.
+        At least one byte of the value must have arrived; until then `awaits_value` is set. Everything before
+        the value is taken out.
         """
         data = self.data
+        self.awaits_value = False
         if data[:1] != b"*" or len(data) < 6:
             return None
         end = data.find(b"\r\n$", 1, MAX_DIGITS + 3)
         second = data.find(b"\r\n", end + 3, end + 3 + MAX_DIGITS)
-        if end < 0 or second < 0 or len(data) <= second + 2:
+        if end < 0 or second < 0:
             return None
         count, size = data[1:end], data[end + 3 : second]
         if not (count.isdigit() and size.isdigit() and 1 <= int(count) <= MAX_PARTS):
             return None
         if not MAX_VALUE < int(size) <= MAX_LONG:
             return None
+        if len(data) == second + 2:
+            self.awaits_value = True
+            return None
         del data[: second + 2]
         return int(count), int(size)
 
@@ -213,7 +219,7 @@
 
     def reply(self) -> tuple[Reply] | None:
         """Takes out the next complete reply in a 1-tuple, or returns None; FramingError on invalid bytes."""
-        if not self.data:
+        if not self.data or self.awaits_value:
             return None
         if len(self.data) > MAX_REPLY:
             raise FramingError("a reply is too long")
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -19,6 +19,7 @@
 from standflow.net.flow import MAX_WINDOW, Flow, FlowBudget
 from standflow.net.memory_budget import MemoryBudget
 from standflow.net.nexthop import NextHops
+from standflow.net.resp import Buffer
 from tests.test_connections import Recorder
 from tests.test_ops import VALUE, telemetry, with_ops
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, run_until
@@ -208,6 +209,41 @@
     rig.close()
 
 
+HEAD_END = REPLY.index(LONG)
+
+
+@pytest.mark.parametrize("pause", [0.0, PAUSE])
+@pytest.mark.parametrize("cut", [HEAD_END, HEAD_END + 1])
+def test_long_value_whose_length_line_comes_alone_is_passed_on(cut: int, pause: float) -> None:
+    """Guards against a long value that is taken for malformed as its length line has a segment of its own."""
+    rig = Rig()
+    hop = rig.ask()
+    hop.sendall(REPLY[:cut])
+    end = rig.recorder.loop.now() + 0.02 + pause
+    rig.until(lambda: rig.recorder.loop.now() > end)
+    assert len(rig.recorder.began) == (cut > HEAD_END)  # a request stays open until a byte of its value comes
+    hop.sendall(REPLY[cut:])
+    rig.until(lambda: rig.recorder.ended)
+    rig.until(lambda: len(rig.got) == len(LONG) + 11)
+    assert bytes(rig.got) == b"$%d\r\n%b\r\n" % (len(LONG), LONG)
+    assert rig.recorder.ended[0][1] is Outcome.OK
+    rig.close()
+
+
+@settings(max_examples=30, deadline=None)
+@given(st.lists(st.integers(1, HEAD_END + 3), min_size=1, max_size=4, unique=True).map(sorted))
+def test_long_value_is_recognized_however_its_beginning_is_cut(cuts: list[int]) -> None:
+    """Guards against a long value whose beginning is read in another way when it comes in pieces."""
+    buffer, long = Buffer(), None
+    for begin, end in zip([0, *cuts], [*cuts, HEAD_END + 4], strict=True):
+        buffer.feed(REPLY[begin:end])
+        if long is None and (long := buffer.long_reply()) is None:
+            assert buffer.reply() is None
+            assert buffer.awaits_value == (end == HEAD_END)
+    assert long == (3, len(LONG))
+    assert bytes(buffer.data) == LONG[:4]
+
+
 class PipelinedRig(Rig):
     """A client that pipelines a request for a long value and others behind it; all are at backends."""
 
