Backend connections: an answer in pieces is waited for where no attempt may follow

What callers saw: a change that had run was answered with an error where its backend paused for more than 0.1 s within a short answer. Cause: the limit of 0.1 s, which lets a wrong length be followed by another attempt, held where there can't be another. Why this works: the limit goes with the attempt: 2 s without a byte where none may follow, within the attempt's own time. Test: test_answer_in_pieces_is_waited_for_where_no_other_attempt_may_follow, 6 of 9 failed before; the other three hold the quick retry.

--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -171,6 +171,11 @@
         """False only if the outcome proves that the command did not run."""
         return self.outcome not in NEVER_RAN
 
+    @property
+    def may_be_followed(self) -> bool:
+        """True if another attempt may take the place of this one, whatever becomes of it."""
+        return self.transaction.safe and self.number + 1 < self.transaction.max_branches
+
 
 class Transaction:
     """One request and the single final answer that it is owed."""
--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -44,8 +44,7 @@
     FIGURES = "the figures behind a long value"
 
 
-STALL_TIMEOUTS = {  # seconds without another byte after which a reply counts as stalled
-    ReplyPart.REST: REPLY_STALL_TIMEOUT,  # its length was wrong
+STALL_TIMEOUTS = {  # seconds without another byte after which a long value counts as stalled
     ReplyPart.VALUE_BEGINNING: PAUSE_STALL_TIMEOUT,
     ReplyPart.VALUE: VALUE_STALL_TIMEOUT,
     ReplyPart.LINE_END: VALUE_STALL_TIMEOUT,
@@ -66,6 +65,7 @@
         "on_result",
         "deadline",
         "fully_written",
+        "rest_timeout",
     )
 
     def __init__(
@@ -79,6 +79,9 @@
         self.is_branch = False  # as opposed to a probe
         # Called when a long value begins; returns false if nobody wants it any more.
         self.on_value: Callable[[Flow], bool] | None = None
+        # Seconds without another byte after which an incomplete short reply counts as stalled. Short, so that
+        # another attempt can be made in time, unless there can't be one.
+        self.rest_timeout = REPLY_STALL_TIMEOUT
         self.deadline = math.inf  # writing must not start from this time on
         self.write_started = False  # the first byte may have been written
         self.fully_written = False  # the last byte has been written
@@ -232,7 +235,13 @@
             ready = yield self.mask & ~IN
             if ready & ERROR_EVENTS or self.flow is None or self.flow.capacity:
                 return ready
-        return (yield from self.owner.loop.wait(self.mask, STALL_TIMEOUTS[self._awaited]))
+        return (yield from self.owner.loop.wait(self.mask, self._stall_timeout()))
+
+    def _stall_timeout(self) -> float:
+        """Seconds without another byte after which the reply counts as stalled."""
+        if self._awaited is not ReplyPart.REST:
+            return STALL_TIMEOUTS[self._awaited]
+        return REPLY_STALL_TIMEOUT if self.pending is None else self.pending.rest_timeout
 
     def _resume_reading(self) -> None:
         """Continues reading after the client took some bytes; the stream itself may hold buffered data."""
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -10,7 +10,13 @@
 
 from standflow.exchange import Branch, Exchange, Outcome, Phase, Result, Route, RouteSet
 from standflow.net import resp
-from standflow.net.backend_connection import Admission, Connection, Hop, PendingCommand
+from standflow.net.backend_connection import (
+    PAUSE_STALL_TIMEOUT,
+    Admission,
+    Connection,
+    Hop,
+    PendingCommand,
+)
 from standflow.net.closing import close_gracefully
 from standflow.net.flow import FlowBudget
 from standflow.net.loop import Loop, error_reason
@@ -123,6 +129,8 @@
         branch.context = PendingCommand(encode, read_answer, ended)
         branch.context.is_branch = True
         branch.context.deadline = branch.deadline
+        if not branch.may_be_followed:
+            branch.context.rest_timeout = PAUSE_STALL_TIMEOUT
         branch.context.on_value = lambda flow: self.exchange.stream_started(branch, flow)
         self._dispatch(branch.hop, branch.context)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import Any
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -28,6 +29,7 @@
 )
 from standflow.net import resp
 from standflow.net.acceptor import ACCEPT_BATCH
+from standflow.net.backend_connection import REPLY_STALL_TIMEOUT
 from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.client_side import FIRST_COMMAND_TIMEOUT, MAX_READ_STALLS, ClientSide
 from standflow.net.loop import Loop
@@ -410,6 +412,36 @@
     recorder.close()
 
 
+@pytest.mark.parametrize("kind", ["unsafe", "last attempt", "another may follow"])
+@pytest.mark.parametrize("cut", [1, 8, 20])
+def test_answer_in_pieces_is_waited_for_where_no_other_attempt_may_follow(cut: int, kind: str) -> None:
+    """Guards against a short answer that is given up in a pause though nothing else can serve its request."""
+    recorder, hop = Recorder(), listener()
+    side = NextHops(recorder.loop, recorder.log.append, recorder.exchange, 60.0, 600.0, 60.0, 10)
+    recorder.exchange.next_hops = side
+    recorder.exchange.max_branches = 1 if kind == "last attempt" else 2
+    route = Route("s-1", hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
+    side.update_routes(RouteSet(1, True, (route,)))
+    request = Request("change" if kind == "unsafe" else "look", "plain", "7", 600.0, 1.0, 1, 0, ASK)
+    transaction = recorder.exchange.open(request, recorder.loop.now(), lambda final: None)
+    branch = recorder.exchange.send(transaction.name, "s-1", None)
+    answer = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+    with hop.accept()[0] as sock:
+        assert branch is not None
+        run_until(recorder.loop, lambda: branch.context.fully_written)
+        sock.sendall(answer[:cut])
+        end = recorder.loop.now() + 3 * REPLY_STALL_TIMEOUT
+        run_until(recorder.loop, lambda: recorder.loop.now() > end)
+        followed = kind == "another may follow"
+        assert recorder.ended == ([(branch, Outcome.ERROR)] if followed else [])
+        if not followed:
+            sock.sendall(answer[cut:])
+            run_until(recorder.loop, lambda: recorder.ended)
+            assert recorder.ended == [(branch, Outcome.OK)]
+    hop.close()
+    recorder.close()
+
+
 def test_unsafe_request_that_may_have_run_is_neither_retried_nor_refused() -> None:
     recorder = Recorder()
     finals: list[object] = []
