Shutdown: the exit cuts off no value that is on its way

Cause: the exit had one moment for everything. A value that is being passed on is answered as far as the exchange goes, so the last answers pass it over, and its connection was closed like an idle one; the same for what a slow client had not taken. Why this works: at that moment all other connections are closed and what must not be lost is written, then the process stays for the answers on their way. The soak's check no longer exempts a value that the exit cut off.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -65,8 +65,8 @@
 
     A request counts as read if it reached a backend, if its connection did not close in order, or if it was
     sent too early to cross an orderly close. Exempt are a value that was cut off while it was forwarded, with
-    the unread requests behind it, and, in a run with a crowd, requests on a new connection
-    that was closed unread.
+    the unread requests behind it, unless the ingress cut it off by its exit, and, in a run with a crowd,
+    requests on a new connection that was closed unread.
     """
     found = []
     requests = _requests(table).filter((pl.col("end") == "open") & (pl.col("closing") != "left"))
@@ -75,7 +75,8 @@
         connection = (row["member"], row["life"], row["connection"])
         is_first, came = connection not in first, row["came"] is not None
         first.add(connection)
-        if row["begun"] == "begun" and row["closing"] in ("closed", "reset") and (is_first or not came):
+        cut = row["begun"] == "begun" and row["closing"] in ("closed", "reset")
+        if cut and (is_first or not came) and not _ended_by_exit(table, row):
             continue
         in_order = row["closing"] == "closed" and row["closed"] is not None
         if in_order and not came and row["t"] >= row["closed"] - IN_FLIGHT_SECONDS:
@@ -94,6 +95,20 @@
     return found
 
 
+def _ended_by_exit(table: pl.DataFrame, request: dict[str, Any]) -> bool:
+    """True if the exit of the process ended the connection of a request, rather than a backend or a client.
+
+    A process that stays for answers on their way ends their connections only where it says so.
+    """
+    steps = _rows(table, "step").filter(
+        (pl.col("member") == request["member"]) & (pl.col("life") == request["life"])
+    )
+    stays = steps.filter(pl.col("detail").str.starts_with("shutdown: stays for")).height > 0
+    last_step = "shutdown: cuts off" if stays else "shutdown: ends"
+    at = steps.filter(pl.col("detail").str.starts_with(last_step))["t"].min()
+    return isinstance(at, float) and request["closed"] is not None and request["closed"] >= at
+
+
 def _late(table: pl.DataFrame) -> list[str]:
     """Answers after their deadline, except for time spent behind earlier answers on the connection."""
     found = []
--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -140,7 +140,7 @@
                 config.max_body_bytes,
                 config.max_value_bytes,
             )
-        self.shutdown = Shutdown(loop, log, self.clients, self.exchange)
+        self.shutdown = Shutdown(loop, log, self.clients, self.exchange, self._save)
         self.reloading = self._make_reloading()
         self.routes_received = False  # from discovery, since the start
         self.ops = self._make_ops()
@@ -518,6 +518,13 @@
         last_counts = [] if self.tls is None else [self.tls.log_counts]
         close_all([self.tally.flush, *closes, *last_counts, self._close_store], self.log)
 
+    def _save(self) -> None:
+        """Saves what must not be lost by SIGKILL, which may come to a process that stays for a long value."""
+        self.tally.flush()
+        if self.handover is not None:
+            self.handover.write()
+        self._close_store()
+
     def _close_store(self) -> None:
         """Last, as it may wait for the disk."""
         if self.store is not None:
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -70,7 +70,9 @@
 class Slot:
     """One command's answer, in the order of the connection's commands."""
 
-    __slots__ = ("answer", "buffering", "started", "flow", "reserved", "timer", "transaction")
+    __slots__ = (
+        "answer", "buffering", "flow", "reserved", "started", "timer", "transaction",
+    )  # fmt: skip
 
     def __init__(self, answer: bytes | None = None) -> None:
         self.answer = answer
@@ -127,6 +129,11 @@
         """True if a part of a command has been read; its client may be writing the rest."""
         return self.buffer.holds_part and not self.framing_lost
 
+    @property
+    def delivering(self) -> bool:
+        """True while an answer is on its way: its client has not been sent all of what has begun."""
+        return bool(self.unsent) or bool(self.slots and self.slots[0].started)
+
     @property
     def accepts_commands(self) -> bool:
         """True if more commands may be read, to serve or to refuse them."""
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -249,9 +249,22 @@
     def close(self) -> None:
         """Ends the remaining connections at once."""
         for connection in list(self.connections):
-            if connection.task is not None:
-                connection.refuse_partial_command()
-                self.loop.end(connection.task)
+            self._close(connection)
+
+    def close_unless_delivering(self) -> int:
+        """Ends the connections on which no answer is on its way; returns how many others there are."""
+        for connection in list(self.connections):
+            if not connection.delivering:
+                self._close(connection)
+        return len(self.connections)
+
+    def _close(self, connection: ClientConnection) -> None:
+        if connection.task is None:
+            return
+        if connection.delivering:
+            connection.reason = "cut_off"
+        connection.refuse_partial_command()
+        self.loop.end(connection.task)
 
     def start_serving(self) -> None:
         """Starts serving clients. Before, nothing is read, as the route set may be stale."""
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -15,18 +15,26 @@
 MIN_STORE_SECONDS = 0.05  # for the last write of the store, however late the exit is
 MAX_STORE_SECONDS = 1.0
 MAX_DESCRIBED = 50  # requests answered at the end that are described in the log
+MAX_DELIVERY_SECONDS = 60.0  # after the exit is due, for answers that are still on their way
 SLOW_CLOSE_SECONDS = 0.01  # a component that takes longer to close is named in the log
 
 
 class Shutdown:
     """Keeps accepting for a short time, closes connections as they become idle, and answers what is left
-    before SIGKILL.
+    before SIGKILL may come. Only answers that are on their way by then keep the process alive.
     """
 
     def __init__(
-        self, loop: Loop, log: Callable[[str], None], clients: ClientSide, exchange: Exchange
+        self,
+        loop: Loop,
+        log: Callable[[str], None],
+        clients: ClientSide,
+        exchange: Exchange,
+        save: Callable[[], None] = lambda: None,
     ) -> None:
+        """`save` writes what must not be lost, before SIGKILL may come to a process that stays."""
         self.loop, self.log, self.clients, self.exchange = loop, log, clients, exchange
+        self.save = save
         self.begun_at: float | None = None  # on the loop's clock
         self.schedule: ShutdownSchedule | None = None
         self.timers: list[Timer] = []
@@ -110,7 +118,18 @@
             self.exit_timer = self.loop.call_at(earliest, self._exit)
 
     def _exit(self) -> None:
+        """Ends the process, unless an answer is on its way: ending then would cut it off."""
         self._log_state("ends")
+        delivering = self.clients.close_unless_delivering()
+        if not delivering:
+            self.loop.stop()
+            return
+        self.log(f"shutdown: stays for {delivering} answers that are on their way")
+        self.save()
+        self.exit_timer = self.loop.call_later(MAX_DELIVERY_SECONDS, self._abort_deliveries)
+
+    def _abort_deliveries(self) -> None:
+        self._log_state("cuts off what is still on its way")
         self.loop.stop()
 
     def _log_state(self, state: str) -> None:
--- /dev/null
+++ b/tests/test_delivery_at_exit.py
@@ -0,0 +1,141 @@
+"""Answers that are on their way when a process has to exit: they are passed on whole, or not begun."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from standflow.net.client_side import ClientSide
+from standflow.shutdown import Shutdown
+from standflow.shutdown_schedule import schedule_for
+from tests.test_connections import Recorder
+from tests.test_long import REPLY, Rig
+from tests.wire import (
+    LIMIT,
+    Program,
+    command,
+    config,
+    listener,
+    member,
+    program,
+    read_until,
+    run_until,
+    with_deadline,
+    write_slowly,
+)
+
+VALUE = bytes(range(256)) * 1200  # over 64 KiB
+ANSWER = b"$%d\r\n%b\r\n" % (len(VALUE), VALUE)
+
+
+@contextmanager
+def slow_value(folder: Path, longest_deadline: float, seconds: float) -> Iterator[Program]:
+    """The program before a backend whose first answer is a long value that takes `seconds` to write."""
+    with listener() as backend:
+        known = {"revision": 1, "complete": True, "members": [member(backend.getsockname())]}
+
+        def answer() -> None:
+            with contextlib.suppress(OSError), backend.accept()[0] as connection:
+                connection.settimeout(LIMIT)
+                read_until(connection, b"first=0\r\n")
+                write_slowly(connection, b"*3\r\n" + ANSWER + b"$-1\r\n$-1\r\n", seconds)
+                connection.recv(1)  # until the ingress ends the connection
+
+        threading.Thread(target=answer, daemon=True).start()
+        with program(folder, with_deadline(config(known=known), longest_deadline)) as running:
+            yield running
+
+
+def read_to_end(client: socket.socket) -> bytes:
+    """What a client gets until its connection ends."""
+    data = b""
+    while more := client.recv(65536):
+        data += more
+    return data
+
+
+def test_long_value_on_its_way_at_the_exit_is_passed_on_whole(tmp_path: Path) -> None:
+    """Guards against an exit that cuts off a value which its backend still gives (review case 3)."""
+    with slow_value(tmp_path, longest_deadline=0.6, seconds=2.5) as running:
+        client, idle = running.call(), running.call()
+        client.sendall(command("aa01", d=300))
+        assert client.recv(1) == b"$"
+        running.terminate()
+        assert idle.recv(1) == b""
+        running.logged("shutdown: stays for 1 answers")
+        assert running.process.poll() is None
+        client.sendall(command("aa02"))  # it comes late, and is answered in its order
+        assert b"$" + read_to_end(client) == ANSWER + b"-BUSY 100\r\n"
+        assert running.process.wait(LIMIT) == 0
+        assert "fault" not in running.log
+
+
+def test_long_value_that_its_client_has_not_read_at_the_exit_is_passed_on_whole(tmp_path: Path) -> None:
+    """Guards against an exit that cuts off what a slow client has not taken yet."""
+    size = 4 * 1024 * 1024
+    reply = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (size, bytes(size))
+    with listener() as backend:
+        known = {"revision": 1, "complete": True, "members": [member(backend.getsockname())]}
+        with program(tmp_path, with_deadline(config(known=known), 0.6)) as running:
+            port = int(running.logged(r"ready n0 on 127.0.0.1:(\d+)")[1])
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            client.settimeout(LIMIT)
+            client.connect(("127.0.0.1", port))
+            client.sendall(command("aa01", d=300))
+            connection = backend.accept()[0]
+            read_until(connection, b"first=0\r\n")
+            threading.Thread(target=lambda: write_slowly(connection, reply, 0.0), daemon=True).start()
+            assert client.recv(1) == b"$"
+            running.terminate()
+            running.logged("shutdown: stays for 1 answers")
+            assert len(read_to_end(client)) == len(b"%d\r\n" % size) + size + 2
+            assert running.process.wait(LIMIT) == 0
+
+
+def test_what_must_not_be_lost_is_saved_before_a_process_stays_for_an_answer() -> None:
+    """Guards against state that SIGKILL takes along because the process is still passing on a value."""
+    rig = Rig()
+    loop = rig.recorder.loop
+    saved: list[float] = []
+    shutdown = Shutdown(
+        loop, rig.recorder.log.append, rig.side, rig.recorder.exchange, lambda: saved.append(loop.now())
+    )
+    backend = rig.ask(command("aa01", d=300))
+    backend.sendall(REPLY[:1000])
+    rig.until(lambda: rig.recorder.began)
+    begin = loop.now()
+    shutdown.begin(0.3, begin)
+    rig.until(lambda: saved)
+    assert saved[0] - begin < schedule_for(0.3).kill
+    assert not loop.stopped
+    backend.sendall(REPLY[1000:])
+    rig.until(lambda: loop.stopped)
+    assert len(saved) == 1
+    rig.close()
+
+
+def test_exit_with_nothing_on_its_way_is_at_its_time() -> None:
+    """Guards against a process that stays for connections on which no answer is on its way."""
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
+    side.start_serving()
+    clients = [socket.create_connection(side.address) for _ in range(3)]
+    clients[0].sendall(command("aa01", d=60_000))
+    clients[1].sendall(command("aa02", body=b"x" * 100_000)[:80_000])  # never written whole
+    run_until(recorder.loop, lambda: len(side.connections) == 3 and recorder.opened)
+    shutdown = Shutdown(recorder.loop, recorder.log.append, side, recorder.exchange)
+    begin = recorder.loop.now()
+    shutdown.begin(0.3, begin)
+    run_until(recorder.loop, lambda: recorder.loop.stopped)
+    assert recorder.loop.now() - begin < schedule_for(0.3).kill
+    side.close()
+    for client, answered in zip(clients, (True, True, False), strict=True):
+        client.settimeout(LIMIT)
+        assert read_to_end(client).startswith(b"-") == answered
+        client.close()
+    recorder.close()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -44,6 +44,7 @@
     read_until,
     run_until,
     with_deadline,
+    write_slowly,
 )
 
 DEADLINES = (0.3, 0.8, 1.6, 3.0, 5.0)  # seconds: the longest of a deployment
@@ -389,15 +390,6 @@
         assert running.process.wait(LIMIT) == 0
 
 
-def write_slowly(sock: socket.socket, data: bytes, seconds: float, pieces: int = 40) -> None:
-    """Writes data in equal pieces at equal intervals, until the peer resets the connection."""
-    size = len(data) // pieces + 1
-    with contextlib.suppress(OSError):
-        for begin in range(0, len(data), size):
-            time.sleep(seconds / pieces)
-            sock.sendall(data[begin : begin + size])
-
-
 def connected(address: tuple[str, int]) -> socket.socket:
     """Connects as soon as the address accepts connections."""
     end = time.monotonic() + LIMIT
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -142,6 +142,22 @@
     assert len(faults(*rows, came("b", 1.11))) == 1
 
 
+def test_a_value_that_the_exit_cut_off_is_lost() -> None:
+    """Guards against an exemption of values that the ingress itself cuts off (review case 3)."""
+    rows = [process_run_row(until=3.1), connection(end="closed", until=3.0, begun="begun")]
+    rows += [asked("a", 1.0, None), came("a", 1.01)]
+
+    def step(t: float, detail: str) -> Row:
+        return Row(what="step", t=t, member=0, life=0, detail=detail)
+
+    ends, stays = step(2.99, "shutdown: ends, connections=1"), step(2.99, "shutdown: stays for 1 answers")
+    cuts_off = step(2.995, "shutdown: cuts off what is still on its way, connections=1")
+    assert faults(*rows, step(3.05, "shutdown: ends, connections=0")) == []  # a backend had cut it off before
+    assert faults(*rows, ends, stays) == []  # a backend cut it off as the process stayed
+    for steps in ([ends], [ends, stays, cuts_off]):
+        assert [line.partition(":")[0] for line in faults(*rows, *steps)] == ["lost"]
+
+
 def test_during_a_crowd_only_a_new_unread_connection_may_be_closed() -> None:
     shut = [process_run_row(), connection(end="reset", until=3.0), asked("a", 1.0, None)]
     assert len(faults(*shut)) == 1
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -84,6 +85,15 @@
     return data
 
 
+def write_slowly(sock: socket.socket, data: bytes, seconds: float, pieces: int = 40) -> None:
+    """Writes data in equal pieces at equal intervals, until the peer resets the connection."""
+    size = len(data) // pieces + 1
+    with contextlib.suppress(OSError):
+        for begin in range(0, len(data), size):
+            time.sleep(seconds / pieces)
+            sock.sendall(data[begin : begin + size])
+
+
 class Program:
     """A running program and its log so far."""
 
