Shutdown: a value that SIGKILL must not find begun is buffered whole first

What callers saw: a request that came more than 0.7 s after SIGTERM on an open connection got the beginning of a long value and the end of its connection. Cause: the first bytes of a long value are passed on at once, however little time is left to the process. Why this works: such a value is buffered like one with other requests behind it, so its request ends with a whole value or an error in time. The threshold is 0.7 s less the pause by which the receipt of SIGTERM may be late. Tests: test_late_request_is_answered_whole_before_sigkill, its slow case failed before; test_value_that_begins_early_in_a_shutdown_is_passed_on_as_it_comes, which held before, keeps the others unbuffered.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -53,6 +53,7 @@
     ready: bool  # clients are served
     drain_expired: bool  # each connection gets at most one more command served
     refuse_unopened: bool  # commands that have not become a request yet are refused
+    buffer_values_from: float  # long values of requests received later are buffered as a whole
     unread: int  # bytes in the send buffers of all connections
     max_unread: int
     idle: OrderedDict[ClientConnection, None]
@@ -71,10 +72,11 @@
     """One command's answer, in the order of the connection's commands."""
 
     __slots__ = (
-        "answer", "buffering", "flow", "reserved", "started", "timer", "transaction",
+        "answer", "buffering", "flow", "received_at", "reserved", "started", "timer", "transaction",
     )  # fmt: skip
 
-    def __init__(self, answer: bytes | None = None) -> None:
+    def __init__(self, answer: bytes | None = None, received_at: float = 0.0) -> None:
+        self.received_at = received_at  # of the command, on the loop's clock
         self.answer = answer
         self.flow: Flow | None = None  # a long value, which follows the answer's first bytes
         self.transaction: Transaction | None = None
@@ -283,7 +285,7 @@
             self.host.idle.pop(self, None)
             if self.host.drain_expired:
                 self.start_drain()
-            slot = Slot()
+            slot = Slot(received_at=self.received_at)
             self.slots.append(slot)
             try:
                 command = resp.decode_command(parts)
@@ -430,12 +432,14 @@
 
         Once they are sent, no later command on this connection can be answered if the value is cut off. So
         the value is forwarded as it arrives only while no other command has been read. Otherwise it is
-        buffered first; if it is cut off or late meanwhile, only its own request fails.
+        buffered first; if it is cut off or late meanwhile, only its own request fails. The same holds for a
+        request that came so late in a shutdown that its answer must be whole before the process is killed.
         """
         if flow.aborted:
             self._fail_value(slot)
             return True
-        if flow.complete or (len(self.slots) == 1 and not self.buffer.holds_part):
+        alone = len(self.slots) == 1 and not self.buffer.holds_part
+        if flow.complete or (alone and slot.received_at < self.host.buffer_values_from):
             slot.started = True
             return True
         if not slot.buffering:
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
@@ -62,6 +63,7 @@
         self.draining = False  # each connection ends when it has no open request
         self.drain_expired = False  # each connection gets at most one more command served
         self.refuse_unopened = False  # commands that have not become a request yet are refused
+        self.buffer_values_from = math.inf  # long values of requests received later are buffered as a whole
         self.evacuated = False  # by an operator: load balancers should send no clients
         self.evacuated_at = 0.0
         self.drain_count = 0
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -9,6 +9,7 @@
 from standflow.exchange import Exchange
 from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop, Timer
+from standflow.platform_terms import LATE_REQUEST_SECONDS, MAX_PAUSE_SECONDS
 from standflow.shutdown_schedule import FLUSH_SECONDS, ShutdownSchedule, schedule_for
 
 POLL_SECONDS = 0.01  # between checks whether all connections have ended
@@ -57,6 +58,8 @@
         schedule = schedule_for(longest_deadline)
         late = self.loop.now() - self.begun_at
         self.log(f"stopping answer_all={schedule.answer_all:.2f} exit={schedule.exit:.2f} at={late:.3f}")
+        # SIGKILL may come over a value of a late request; the time of receipt can be late by a pause.
+        self.clients.buffer_values_from = self.begun_at + LATE_REQUEST_SECONDS - MAX_PAUSE_SECONDS
         self._follow(schedule, self.begun_at)
         self._stop_when_done()
         return True
--- a/tests/test_delivery_at_exit.py
+++ b/tests/test_delivery_at_exit.py
@@ -5,15 +5,19 @@
 import contextlib
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
+import pytest
+
 from standflow.net.client_side import ClientSide
+from standflow.platform_terms import LATE_REQUEST_SECONDS
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
-from tests.test_long import REPLY, Rig
+from tests.test_long import LONG, REPLY, Rig
 from tests.wire import (
     LIMIT,
     Program,
@@ -97,6 +101,36 @@
             assert running.process.wait(LIMIT) == 0
 
 
+@pytest.mark.parametrize("seconds", [0.3, 6.0])
+def test_late_request_is_answered_whole_before_sigkill(seconds: float, tmp_path: Path) -> None:
+    """Guards against a value that is begun for a request which came so late that SIGKILL must not find it."""
+    longest = 2.0
+    with slow_value(tmp_path, longest, seconds) as running:
+        client = running.call()
+        running.terminate()
+        begin = time.monotonic()
+        running.logged("accepts no more")
+        time.sleep(max(0.0, begin + LATE_REQUEST_SECONDS + 0.05 - time.monotonic()))
+        client.sendall(command("aa01", d=1900))
+        answer = read_to_end(client)
+        assert answer == (ANSWER if seconds < 1.0 else b"-ERR the value was cut off\r\n")
+        assert time.monotonic() - begin < schedule_for(longest).kill
+        assert running.process.wait(LIMIT) == 0
+
+
+def test_value_that_begins_early_in_a_shutdown_is_passed_on_as_it_comes() -> None:
+    """Guards against values that are buffered where SIGKILL may find them: their first bytes are timed."""
+    rig = Rig()
+    shutdown = Shutdown(rig.recorder.loop, rig.recorder.log.append, rig.side, rig.recorder.exchange)
+    shutdown.begin(3.0)
+    backend = rig.ask(command("aa01"))
+    backend.sendall(REPLY[:1000])
+    rig.until(lambda: len(rig.got) > 900)
+    backend.sendall(REPLY[1000:])
+    rig.until(lambda: rig.got.endswith(LONG[-10:] + b"\r\n"))
+    rig.close()
+
+
 def test_what_must_not_be_lost_is_saved_before_a_process_stays_for_an_answer() -> None:
     """Guards against state that SIGKILL takes along because the process is still passing on a value."""
     rig = Rig()
