Client side: a connection that ends over a long value is not resumed

What callers saw: nothing; operators saw a false 'fault of a coroutine' for each connection that was ended over a long value. Cause: the end of the value that it gives up resumed the connection's own coroutine in its last lines. Why this works: a connection that ends has no task, and whoever would resume it looks there first. Test: test_connection_that_is_ended_over_a_long_value_logs_no_fault, failed before with that line.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -153,6 +153,7 @@
             if self.reason in ("bad_framing", "drained"):
                 yield from self._linger()
         finally:
+            self.task = None  # nothing may resume it any more, not even the end of a value that it gives up
             self.host.closed(self)
             if self.long_body is not None:
                 self.long_body.abandon()
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -416,6 +416,20 @@
     rig.close()
 
 
+def test_connection_that_is_ended_over_a_long_value_logs_no_fault() -> None:
+    """Guards against a coroutine that is resumed while it ends, by the end of the value that it gives up."""
+    rig = Rig()
+    hop = rig.ask()
+    hop.sendall(REPLY[:1000])
+    rig.until(lambda: rig.recorder.began)
+    rig.side.close()
+    rig.until(lambda: rig.closed)
+    assert not [line for line in rig.recorder.log if "fault" in line]
+    assert (rig.recorder.exchange.open_count, rig.hops.flows.open) == (0, 0)
+    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.CANCELLED]
+    rig.close()
+
+
 def _send(sock: socket.socket, data: bytes) -> None:
     try:
         sock.sendall(data)
