Client side: a pause in which nothing waited is not charged to a later command

What callers saw: after 64 commands at once the next one, sent 2 s later with 1.5 s to go, was refused at once. Cause: paused_since is kept from the beginning of a pause to the next read, also where nothing lay unread. Why this works: as the pause ends one look at the kernel's buffer tells whether anything waited; it costs a system call a pause, none a request. Test: test_pause_in_which_nothing_waited_does_not_count_against_the_time_left, failed before.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -242,10 +242,19 @@
         paused = self.full() or self.framing_lost or self.awaiting_memory or not_served_yet
         if paused and not self.framing_lost and self.slots and self.slots[0].streaming:
             paused = self.slots[0].buffering  # an unread command makes the rest be buffered
+        if not paused and self.paused_since is not None and not self.has_unread_bytes():
+            self.paused_since = None  # nothing waited meanwhile
         if paused and self.paused_since is None:
             self.paused_since = self.host.loop.now()
         return (READ_HANGUP if paused else IN) | (OUT if self.unsent else 0)
 
+    def has_unread_bytes(self) -> bool:
+        """True if the kernel holds unread bytes."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def full(self) -> bool:
         """True if no further command may be taken.
 
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -175,10 +175,7 @@
 
     def has_pending_bytes(self, connection: ClientConnection) -> bool:
         """True if the kernel holds unread bytes; they are read before the connection is ended."""
-        try:
-            return bool(connection.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return connection.has_unread_bytes()
 
     def _sweep(self) -> None:
         """Ends connections without a command in time, or stuck in a command or an answer."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -595,6 +595,27 @@
     recorder.close()
 
 
+def test_pause_in_which_nothing_waited_does_not_count_against_the_time_left() -> None:
+    """Guards against a pause of reading that is charged to a command which came long after it."""
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
+    side.start_serving()
+    with socket.create_connection(side.address) as client:
+        client.sendall(b"".join(command(f"{n:04x}") for n in range(MAX_PIPELINED)))
+        run_until(recorder.loop, lambda: len(recorder.opened) == MAX_PIPELINED)
+        assert next(iter(side.connections)).paused_since is not None
+        for transaction in recorder.opened:
+            recorder.exchange.fail(transaction.name)
+        end = recorder.loop.now() + 0.3
+        run_until(recorder.loop, lambda: recorder.loop.now() > end)
+        sent_at = recorder.loop.now()
+        client.sendall(command("ffff"))
+        run_until(recorder.loop, lambda: len(recorder.opened) > MAX_PIPELINED)
+        late = recorder.opened[-1]
+        assert late.deadline - late.request.timeout > sent_at - 0.1
+    recorder.close()
+
+
 def test_wait_behind_other_commands_counts_against_the_time_left() -> None:
     recorder = Recorder()
     side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
