Client side: the answer to a command has a module of its own

Cause: client_connection.py had grown to 546 lines with the body's and the answer's memory in it. No behaviour changes.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -9,15 +9,13 @@
 
 from standflow.exchange import (
     Exchange,
-    Failed,
     FinalAnswer,
     InvalidRequestError,
     Refused,
     Request,
-    Served,
-    Transaction,
 )
 from standflow.net import resp
+from standflow.net.answer_slot import AnswerSlot, encode_final
 from standflow.net.closing import shut_down_unless_unread
 from standflow.net.flow import Flow
 from standflow.net.long_body import READ_SIZE, BodyBudget, LongBody
@@ -31,7 +29,6 @@
     Coroutine,
     Loop,
     Task,
-    Timer,
     error_reason,
 )
 from standflow.net.memory_budget import MemoryBudget
@@ -68,37 +65,13 @@
         """The connection has ended."""
 
 
-class Slot:
-    """One command's answer, in the order of the connection's commands."""
-
-    __slots__ = (
-        "answer", "buffering", "flow", "received_at", "reserved", "started", "timer", "transaction",
-    )  # fmt: skip
-
-    def __init__(self, answer: bytes | None = None, received_at: float = 0.0) -> None:
-        self.received_at = received_at  # of the command, on the loop's clock
-        self.answer = answer
-        self.flow: Flow | None = None  # a long value, which follows the answer's first bytes
-        self.transaction: Transaction | None = None
-        # For a long value:
-        self.started = False  # its first bytes are on their way to the client
-        self.buffering = False  # the rest of it is to be buffered as a whole
-        self.reserved = 0  # bytes reserved for buffering
-        self.timer: Timer | None = None  # fires when the value is due
-
-    @property
-    def streaming(self) -> bool:
-        """True while a long value is being forwarded. If it is cut off, nothing behind it can be answered."""
-        return self.started and self.flow is not None and not self.flow.complete
-
-
 class ClientConnection:
     """One connection of a client."""
 
     def __init__(self, host: Host, sock: socket.socket) -> None:
         self.host, self.sock = host, sock
         self.buffer = resp.Buffer()
-        self.slots: deque[Slot] = deque()
+        self.slots: deque[AnswerSlot] = deque()
         self.unsent = bytearray()
         self.reason = "shutdown"
         self.draining = False  # the connection ends once nothing is open or unread
@@ -158,7 +131,7 @@
             if self.long_body is not None:
                 self.long_body.abandon()
             for slot in self.slots:
-                self._release_memory(slot)
+                slot.release_memory()
                 if slot.transaction is not None:
                     self.host.exchange.client_gone(slot.transaction)
 
@@ -172,7 +145,7 @@
                 if ready & OUT:
                     self._write()
                 if ready & IN and self.slots and self.slots[0].streaming:
-                    self._buffer_rest(self.slots[0])
+                    self.slots[0].buffer_rest()
                 elif ready & IN and not self.framing_lost and not self.awaiting_memory:
                     self.client_closed = bool(ready & READ_HANGUP)
                     data = self.sock.recv(READ_SIZE)
@@ -200,8 +173,7 @@
                 return "slow_reader"
 
     def _cut_off(self) -> bool:
-        flow = self.slots[0].flow if self.slots and self.slots[0].started else None
-        return flow is not None and flow.aborted
+        return bool(self.slots) and self.slots[0].cut_off
 
     def _finish(self) -> bool:
         """Shuts down sending if the connection is ending and every command has been read and answered.
@@ -284,7 +256,7 @@
             try:
                 parts = self.buffer.command()
             except resp.FramingError as error:
-                self.slots.append(Slot(resp.error(str(error))))
+                self._new_slot().answer = resp.error(str(error))
                 self.framing_lost, self.reason = True, "bad_framing"
                 return
             if parts is None:
@@ -295,8 +267,7 @@
             self.host.idle.pop(self, None)
             if self.host.drain_expired:
                 self.start_drain()
-            slot = Slot(received_at=self.received_at)
-            self.slots.append(slot)
+            slot = self._new_slot()
             try:
                 command = resp.decode_command(parts)
                 if isinstance(command, resp.Ping):
@@ -317,6 +288,12 @@
             if reserved:
                 self.host.body_budget.release(reserved)
 
+    def _new_slot(self) -> AnswerSlot:
+        """The place of the next command's answer."""
+        slot = AnswerSlot(self.host.value_budget, self.received_at)
+        self.slots.append(slot)
+        return slot
+
     def _read_long_body(self) -> None:
         """Reserves memory for a long body that has begun to arrive; reading pauses while there is none.
 
@@ -361,7 +338,7 @@
         if self.long_body is not None:
             self.long_body.drop()
 
-    def _open(self, slot: Slot, ask: resp.Ask, reserved: int) -> None:
+    def _open(self, slot: AnswerSlot, ask: resp.Ask, reserved: int) -> None:
         exchange = self.host.exchange
         if (effects := exchange.safe_flags(ask.class_name)) and ask.safe not in effects:
             raise resp.CommandError("the class goes with the other command")
@@ -379,11 +356,7 @@
         )
 
         def reply(final: FinalAnswer) -> None:
-            if isinstance(final, Served) and isinstance(final.value, Flow):
-                slot.answer, slot.flow = resp.bulk_head(final.value.size), final.value
-                final.value.on_change = lambda: self._value_changed(slot)
-            else:
-                slot.answer, slot.transaction = encode_final(final), None  # breaks a reference cycle
+            slot.set_answer(final, lambda: self._value_changed(slot))
             if self.task is not None and not self.task.running and self.slots[0] is slot:
                 self._answered()
 
@@ -391,11 +364,10 @@
         if slot.answer is None:
             slot.transaction = transaction
 
-    def _value_changed(self, slot: Slot) -> None:
+    def _value_changed(self, slot: AnswerSlot) -> None:
         """Handles more bytes of a long value, or its end."""
-        flow = slot.flow
-        if flow is not None and flow.closed:
-            slot.transaction, flow.on_change = None, _ignore
+        if slot.flow is not None and slot.flow.closed:
+            slot.value_ended()
         if self.task is not None and not self.task.running and self.slots and self.slots[0] is slot:
             self._answered()
 
@@ -425,7 +397,7 @@
                 if not slot.flow.drained:
                     break
                 ready += b"\r\n"
-            self._release_memory(slots.popleft())
+            slots.popleft().release_memory()
             self.answered += 1
         if ready:
             self.host.unread += len(ready)
@@ -437,7 +409,7 @@
         if not slots and not self.unsent and not self.ending:
             self.host.became_idle(self)
 
-    def _may_start(self, slot: Slot, flow: Flow) -> bool:
+    def _may_start(self, slot: AnswerSlot, flow: Flow) -> bool:
         """True if the first bytes of the long value that is next in order may be sent.
 
         Once they are sent, no later command on this connection can be answered if the value is cut off. So
@@ -446,72 +418,32 @@
         request that came so late in a shutdown that its answer must be whole before the process is killed.
         """
         if flow.aborted:
-            self._fail_value(slot)
+            slot.fail_value()
             return True
         alone = len(self.slots) == 1 and not self.buffer.holds_part
         if flow.complete or (alone and slot.received_at < self.host.buffer_values_from):
             slot.started = True
             return True
         if not slot.buffering:
-            self._buffer_value(slot, flow)
+            if slot.transaction is not None:
+                slot.timer = self.host.loop.call_at(slot.transaction.deadline, self._value_late, slot)
+            slot.buffer_value()
         return False
 
-    def _buffer_value(self, slot: Slot, flow: Flow) -> None:
-        """Buffers a whole value, once memory for it is granted and until its deadline."""
-
-        def granted() -> None:
-            slot.reserved = flow.size
-            if slot.flow is flow:
-                flow.buffer_all()
-            else:
-                self._release_memory(slot)
-
-        slot.buffering = True
-        if slot.transaction is not None:
-            slot.timer = self.host.loop.call_at(slot.transaction.deadline, self._value_late, slot)
-        if self.host.value_budget.reserve(slot, flow.size, granted):
-            granted()
-
-    def _buffer_rest(self, slot: Slot) -> None:
-        """Buffers the rest of a value that is being forwarded, because another command has arrived behind it.
-
-        The backend then delivers the rest at its own pace, however slowly the client reads, and the command
-        is read once the value is complete.
-        """
-        slot.buffering = True
-        if slot.flow is not None and self.host.value_budget.try_reserve(slot.flow.remaining):
-            slot.reserved = slot.flow.remaining
-            slot.flow.buffer_all()
-
-    def _value_late(self, slot: Slot) -> None:
+    def _value_late(self, slot: AnswerSlot) -> None:
         """Fails a buffered value that is incomplete at its deadline, so that later answers can be sent."""
         transaction = slot.transaction
         if slot.flow is None or slot.started or transaction is None:
             return
-        self._fail_value(slot)
+        slot.fail_value()
         self.host.exchange.value_timed_out(transaction)
         self._answered()
 
-    def _fail_value(self, slot: Slot) -> None:
-        if slot.flow is not None:
-            slot.flow.on_change = _ignore
-        slot.answer, slot.flow, slot.transaction = resp.error("the value was cut off"), None, None
-        self._release_memory(slot)
-
     def fail_late_values(self) -> None:
         """Fails values that have not started, to let later answers through before the process ends."""
         for slot in self.slots:
             self._value_late(slot)
 
-    def _release_memory(self, slot: Slot) -> None:
-        if slot.timer is not None:
-            slot.timer.cancel()
-        if slot.buffering:
-            self.host.value_budget.cancel(slot)
-        if slot.reserved:
-            self.host.value_budget.release(slot.reserved)
-            slot.reserved = 0
-
     def _write(self) -> None:
         """Writes at once; the rest waits until the socket is writable."""
         if self.unsent:
@@ -529,18 +461,3 @@
                 and len(self.unsent) <= VALUE_CHUNK // 2
             ):
                 self._flush()
-
-
-def _ignore() -> None:
-    """Change handler of a value that has ended."""
-
-
-def encode_final(final: FinalAnswer) -> bytes:
-    """Encodes a final answer for the wire."""
-    if isinstance(final, Served):
-        return resp.bulk(final.value)
-    if isinstance(final, Refused):
-        return resp.busy(final.retry_after)
-    if isinstance(final, Failed):
-        return resp.error(final.reason)
-    raise TypeError(final)
