Client side: a request that waits for memory is refused as its connection drains

Cause: what is read on a draining connection is refused in any case, but a body that waited went on waiting. Why this works: the drain drops the body, so that the rest is read and the refusal follows its last byte. Test: test_request_that_waits_for_memory_is_refused_at_once_as_its_connection_drains, failed before.

--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -23,9 +23,7 @@
 REPLY_STALL_TIMEOUT = 0.1  # seconds within which the rest of a reply must follow its beginning
 PAUSE_STALL_TIMEOUT = 2.0  # the same for what a sound backend may write after a pause
 UNREADABLE_REPLY = frozenset(("bad_framing", "stalled"))  # the backend has answered, but not readably
-VALUE_STALL_TIMEOUT = (
-    15.0  # seconds without another byte, up to its line end, after which a long value stalls
-)
+VALUE_STALL_TIMEOUT = 15.0  # the same for more of a long value, up to its line end
 # Connect failures caused by a shortage on this machine.
 LOCAL_CONNECT_ERRORS = frozenset(
     f"connect_failed:{errno.errorcode[code]}"
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -118,6 +118,7 @@
         """Ends the connection once all commands are answered. Commands that arrive later are refused."""
         if not self.draining:
             self.draining, self.draining_since, self.reason = True, self.host.loop.now(), "drained"
+            self.drop_long_body()
 
     def run(self) -> Coroutine[None]:
         """Serves commands until the connection ends, and cleans up."""
@@ -275,11 +276,11 @@
                 elif self.host.refuse_unopened or self.refusing:
                     self.host.exchange.tally("refused.leaving")
                     slot.answer = encode_final(Refused(self.host.exchange.default_retry_after))
-                elif dropped:
-                    slot.answer = encode_final(self.host.exchange.refuse_unopened(command.class_name))
                 elif self.client_closed:
                     # The client has closed: no request is opened, the connection ends next.
                     self.host.exchange.tally("left.unread")
+                elif dropped:
+                    slot.answer = encode_final(self.host.exchange.refuse_unopened(command.class_name))
                 else:
                     self._open(slot, command, reserved)
                     reserved = 0  # the exchange releases it
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -206,7 +206,8 @@
             if self.has_pending_bytes(connection):
                 self._read_now(connection, connection.task)
             connection.refuse_partial_command()
-            self.loop.resume(connection.task, NO_EVENT)
+            if connection.task is not None:  # it may have ended by what was read
+                self.loop.resume(connection.task, NO_EVENT)
 
     def became_idle(self, connection: ClientConnection) -> None:
         """A connection has no open request any more."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -31,10 +31,15 @@
 from standflow.net.acceptor import ACCEPT_BATCH
 from standflow.net.backend_connection import REPLY_STALL_TIMEOUT
 from standflow.net.client_connection import MAX_PIPELINED
-from standflow.net.client_side import FIRST_COMMAND_TIMEOUT, MAX_READ_STALLS, ClientSide
+from standflow.net.client_side import (
+    FIRST_COMMAND_TIMEOUT,
+    MAX_READ_STALLS,
+    PARTIAL_COMMAND_DRAIN,
+    ClientSide,
+)
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
-from tests.wire import command, listener, read_until, run_until
+from tests.wire import LIMIT, command, listener, read_until, run_until
 
 STEPS = settings(derandomize=True, max_examples=60, stateful_step_count=30, deadline=None)
 ASK = resp.decode_command([b"Q.ASK", b"%016x" % 7, b"aa", b"c=look,t=plain,d=600000,units=1"])
@@ -530,6 +535,35 @@
     recorder.close()
 
 
+@pytest.mark.parametrize("end", ["rest", "close", "nothing"])
+def test_draining_connection_whose_command_takes_long_is_ended(end: str) -> None:
+    """Guards against a sweep that fails, or leaves a draining connection, as its client does its worst."""
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
+    side.start_serving()
+    text = command("aa01", body=b"x" * 100_000)
+    with socket.create_connection(side.address) as client:
+        client.settimeout(LIMIT)
+        client.sendall(text[:80_000])
+        run_until(recorder.loop, lambda: any(one.long_body for one in side.connections))
+        connection = next(iter(side.connections))
+        side._drain_connection(connection)
+        connection.draining_since -= PARTIAL_COMMAND_DRAIN
+        if end == "rest":
+            client.sendall(text[80_000:])
+        elif end == "close":
+            client.close()
+        side._sweep()
+        if end != "close":
+            run_until(recorder.loop, lambda: select.select([client], [], [], 0)[0])
+            assert read_until(client, b"\r\n") == b"-BUSY 250\r\n"
+            client.close()
+        run_until(recorder.loop, lambda: not side.connections)
+    assert side.body_budget.used == 0
+    assert recorder.opened == []
+    recorder.close()
+
+
 def test_connections_without_a_command_are_closed_and_others_stay() -> None:
     """Silent connections used to occupy their slots for 20 s."""
     recorder, clock = Recorder(), [100.0]
--- a/tests/test_long_body.py
+++ b/tests/test_long_body.py
@@ -158,6 +158,17 @@
     assert writers.opened("bb01") is None
 
 
+def test_request_that_waits_for_memory_is_refused_at_once_as_its_connection_drains(writers: Writers) -> None:
+    """Guards against an evacuation that lasts as long as a request of minutes waits for memory."""
+    writers.begin("aa00", BUDGET, wait_ms=600_000)
+    waiting = writers.begin("bb01", 500_000, wait_ms=600_000)
+    writers.side.evacuate(True, 1.0)
+    writers.side._expire_drain(writers.side.drain_count)
+    begin = writers.loop.now()
+    assert writers.answer(waiting).startswith(b"-BUSY")
+    assert writers.loop.now() - begin < ANSWER_SECONDS
+
+
 def test_connection_that_waits_for_memory_reads_nothing_when_others_need_its_place(writers: Writers) -> None:
     """Guards against reading beyond the memory budget as idle connections are looked through at the cap."""
     writers.begin("aa00", BUDGET, wait_ms=60_000)
