--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the second review: clients, backends, discovery, operators, and the platform that starts ingresses.
+"""Stand-ins of the second review: clients, backends, discovery, operators, and the platform.
 
 Everything here listens on loopback addresses and free ports and uses the standard library only. The ingresses
 are separate processes, started with `run` of deploy/balancer.toml; the stand-ins share one event loop.
@@ -135,9 +135,15 @@
 
     def member(self) -> dict[str, Any]:
         return {
-            "id": self.name, "host_port": f"127.0.0.1:{self.port}", "locality": "room-a", "flavor": "small-2c",
-            "cell": 0, "phase": self.phase, "size": 1.0, "up_since_ms": self.up_since_ms,
-        }  # fmt: skip
+            "id": self.name,
+            "host_port": f"127.0.0.1:{self.port}",
+            "locality": "room-a",
+            "flavor": "small-2c",
+            "cell": 0,
+            "phase": self.phase,
+            "size": 1.0,
+            "up_since_ms": self.up_since_ms,
+        }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
@@ -237,35 +243,48 @@
 class Ingress:
     """One process of an ingress, started as the platform does."""
 
-    def __init__(self, case: Case, label: str, config: dict[str, Any], tmpdir: Path, listener: socket.socket | None = None, ops: str = "") -> None:  # fmt: skip # noqa: E501
+    def __init__(
+        self,
+        case: Case,
+        label: str,
+        config: dict[str, Any],
+        tmpdir: Path,
+        listener: socket.socket | None = None,
+        ops: str = "",
+    ) -> None:
         self.case, self.label, self.config = case, label, config
         self.path = case.folder / f"{label}.json"
         self.write_config(config)
         self.log_path = case.folder / f"{label}.log"
         tmpdir.mkdir(exist_ok=True)
         environment = os.environ | {
-            "EDGE_NAME": config["name"], "EDGE_LISTEN": config["listen"], "EDGE_DISCOVERY": config["discovery"],
-            "EDGE_CONFIG": str(self.path), "TMPDIR": str(tmpdir),
-        }  # fmt: skip
+            "EDGE_NAME": config["name"],
+            "EDGE_LISTEN": config["listen"],
+            "EDGE_DISCOVERY": config["discovery"],
+            "EDGE_CONFIG": str(self.path),
+            "TMPDIR": str(tmpdir),
+        }
         for name in ("STANDFLOW_CONF", "EDGE_OPS", "EDGE_PASSED_SOCKET"):
             environment.pop(name, None)
         if ops:
             environment["EDGE_OPS"] = ops
         self.ops = ops or config.get("ops", "")
         pass_fds: tuple[int, ...] = ()
-        shell = run_command()
         if listener is not None:  # inherited as descriptor 3
             environment["EDGE_PASSED_SOCKET"] = "3"
-            number = listener.fileno()
-            os.set_inheritable(number, True)
-            pass_fds = (number,)
-            if number != 3:
-                shell = f"exec 3<&{number} {number}<&-; {shell}"
+            pass_fds = (3,)
         with self.log_path.open("wb") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", shell], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log,
-                stderr=log, pass_fds=pass_fds, start_new_session=True,
-            )  # fmt: skip
+                ["/bin/sh", "-c", run_command()],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                pass_fds=pass_fds,
+                start_new_session=True,
+                preexec_fn=None if listener is None else lambda: os.dup2(listener.fileno(), 3),
+            )
         case.record(f"platform starts {label} pid={self.process.pid}")
 
     def write_config(self, config: dict[str, Any]) -> None:
@@ -363,7 +382,15 @@
         self.task = asyncio.create_task(self._read())
         return self
 
-    def make(self, class_name: str, customer: int, d: int, body: bytes | None = None, unsafe: bool = False, **more: object) -> tuple[Ask, bytes]:  # fmt: skip # noqa: E501
+    def make(
+        self,
+        class_name: str,
+        customer: int,
+        d: int,
+        body: bytes | None = None,
+        unsafe: bool = False,
+        **more: object,
+    ) -> tuple[Ask, bytes]:
         """A request that is not sent yet, and its bytes."""
         self.case.serial += 1
         ident = f"{self.case.serial:016x}"
@@ -393,7 +420,9 @@
                 if line[:1] == b"$" and line != b"$-1\r\n":
                     answer = b"$" + (await self.reader.readexactly(int(line[1:]) + 2))[:-2]
                 if not self.waiting:
-                    self.case.record(f"client {self.label} gets an answer that nobody waits for: {answer[:80]!r}")
+                    self.case.record(
+                        f"client {self.label} gets an answer that nobody waits for: {answer[:80]!r}"
+                    )
                     continue
                 ask = self.waiting.pop(0)
                 ask.answer, ask.answered_at = answer, time.monotonic()
@@ -438,10 +467,14 @@
 
     def config(self, discovery: Discovery, settings_: dict[str, Any], **more: Any) -> dict[str, Any]:
         return {
-            "name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": f"127.0.0.1:{discovery.port}",
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": discovery.known(), "settings": settings_,
-        } | more  # fmt: skip
+            "name": "n0",
+            "listen": f"127.0.0.1:{free_port()}",
+            "discovery": f"127.0.0.1:{discovery.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": discovery.known(),
+            "settings": settings_,
+        } | more
 
     def ingress(self, label: str, config: dict[str, Any], **more: Any) -> Ingress:
         tmpdir = more.pop("tmpdir", None) or self.folder / f"tmp-{label}"
@@ -467,8 +500,9 @@
     try:
         asyncio.run(asyncio.wait_for(play(case), TIME_LIMIT))
         status = BROKEN if case.faults else HELD
-    except (NotRunError, OSError, TimeoutError) as error:
+    except Exception as error:  # including the time limit
         case.record(f"could not run: {error!r}")
+        print(f"could not run: {error!r}")
     finally:
         case.close()
     case.record(f"status {status}")
