--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -489,7 +489,7 @@
                     os.killpg(one.process.pid, signal.SIGKILL)
                 one.process.wait()
             self.record(f"log of {one.label} (exit status {one.process.returncode}):")
-            for line in one.log_path.read_text(errors="replace").splitlines()[-200:]:
+            for line in one.log_path.read_text(errors="replace").splitlines()[-400:]:
                 self.record(f"  {one.label}| {line[:400]}")
         shutil.rmtree(self.folder, ignore_errors=True)
 
