--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -497,6 +497,11 @@
 def main(script: str, play: Callable[[Case], Awaitable[None]]) -> None:
     """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     case, status = Case(script), NOT_RUN
+
+    def ended(number: int, _frame: object) -> None:
+        raise NotRunError(f"ended by {signal.Signals(number).name}")
+
+    signal.signal(signal.SIGTERM, ended)
     try:
         asyncio.run(asyncio.wait_for(play(case), TIME_LIMIT))
         status = BROKEN if case.faults else HELD
