review: each run has a loopback address of its own

Cause: the kernel keeps what it has learnt of a pair of addresses, and takes more into the buffers of later connections on it; runs that share 127.0.0.1 with other tests may change what these see.

Change: standins_2.py listens on an address of 127.0.0.0/8 drawn for the run.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -11,6 +11,7 @@
 import copy
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -26,6 +27,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TIME_LIMIT = 110.0  # seconds for a whole case
+# A loopback address of each run's own: the kernel keeps what it has learnt of a pair of addresses (tcp_metrics), so
+# that on a shared one a run would change the buffers of later connections, of other tests as well.
+HOST = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.{random.randint(1, 254)}"
 
 
 class NotRunError(Exception):
@@ -46,7 +50,7 @@
 
 def free_port() -> int:
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((HOST, 0))
         return int(sock.getsockname()[1])
 
 
@@ -121,7 +125,7 @@
         self.phase = "SERVING"
 
     async def start(self) -> Backend:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=8 << 20)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port, limit=8 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -136,7 +140,7 @@
     def member(self) -> dict[str, Any]:
         return {
             "id": self.name,
-            "host_port": f"127.0.0.1:{self.port}",
+            "host_port": f"{HOST}:{self.port}",
             "locality": "room-a",
             "flavor": "small-2c",
             "cell": 0,
@@ -180,7 +184,7 @@
         self.port = 0
 
     async def start(self) -> Discovery:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -468,8 +472,8 @@
     def config(self, discovery: Discovery, settings_: dict[str, Any], **more: Any) -> dict[str, Any]:
         return {
             "name": "n0",
-            "listen": f"127.0.0.1:{free_port()}",
-            "discovery": f"127.0.0.1:{discovery.port}",
+            "listen": f"{HOST}:{free_port()}",
+            "discovery": f"{HOST}:{discovery.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": discovery.known(),
