--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -27,8 +27,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TIME_LIMIT = 110.0  # seconds for a whole case
-# A loopback address of each run's own: the kernel keeps what it has learnt of a pair of addresses (tcp_metrics), so
-# that on a shared one a run would change the buffers of later connections, of other tests as well.
+# A loopback address of each run's own: the kernel keeps what it has learnt of a pair of addresses (tcp_metrics),
+# so that on a shared one a run may change the buffers of later connections, also those of other tests.
 HOST = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.{random.randint(1, 254)}"
 
 
