Commands that waited unread keep their time, however many reads they take

Cause: `paused_since` dated only the first read of 64 KiB after a pause; what had waited beyond it was dated by the last poll. Bodies that waited for memory had the same fault in all reads but the first, and a command that came late in a pause was charged all of it.

No byte is dated later than it came, as it was not there at the count before. New log line for waits over 0.5 s.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from typing import Protocol
 
 from standflow.exchange import (
@@ -16,9 +17,10 @@
 )
 from standflow.net import resp
 from standflow.net.answer_slot import AnswerSlot, encode_final
+from standflow.net.arrival import READ_SIZE, UnreadBytes, count_unread_bytes
 from standflow.net.closing import shut_down_unless_unread
 from standflow.net.flow import Flow
-from standflow.net.long_body import READ_SIZE, BodyBudget, LongBody
+from standflow.net.long_body import BodyBudget, LongBody
 from standflow.net.loop import (
     ERROR_EVENTS,
     IN,
@@ -37,6 +39,7 @@
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
 MAX_UNSENT = 1024 * 1024  # unsent bytes at which a connection is ended as a slow reader
 VALUE_CHUNK = 64 * 1024  # bytes of a long value in a connection's send buffer, at most
+LOGGED_UNREAD_SECONDS = 0.5  # for which commands have waited unread
 LINGER = 1.0  # seconds for which a connection keeps reading after its last answer, to avoid a reset
 
 
@@ -44,6 +47,7 @@
     """What a connection needs from the side that accepted it."""
 
     loop: Loop
+    log: Callable[[str], None]
     exchange: Exchange
     body_budget: BodyBudget  # for long bodies that are being read
     value_budget: MemoryBudget  # for long values that are buffered as a whole
@@ -83,7 +87,8 @@
         self.stalls = 0
         self.created_at = host.loop.now()
         self.received_at = self.created_at  # the earliest time at which the bytes read last can have arrived
-        self.paused_since: float | None = None  # since when reading is paused
+        self.unread = UnreadBytes()
+        self.paused = False  # nothing is read
         self.last_received_at = self.created_at  # when bytes were last read
         self.long_body: LongBody | None = None  # the body that is being read, with its memory
         self.client_closed = False  # the client has closed: nobody waits for answers to what is read now
@@ -147,18 +152,10 @@
                     self._write()
                 if ready & IN and self.slots and self.slots[0].streaming:
                     self.slots[0].buffer_rest()
-                elif ready & IN and not self.framing_lost and not self.awaiting_memory:
+                elif ready & IN and not (self.framing_lost or self.awaiting_memory):
                     self.client_closed = bool(ready & READ_HANGUP)
-                    data = self.sock.recv(READ_SIZE)
-                    if not data:
+                    if not self._read():
                         return "peer_closed"
-                    self.buffer.feed(data)
-                    self.stalls = 0
-                    self.refusing = self.draining
-                    self.last_received_at = self.host.loop.now()
-                    # time in the kernel buffer while reading was paused counts against the client's limit
-                    self.received_at = self.paused_since or self.host.loop.earliest_arrival
-                    self.paused_since = None
                 elif ready & ERROR_EVENTS:
                     return "broken"
                 self._process()
@@ -173,6 +170,38 @@
             if self.too_slow():
                 return "slow_reader"
 
+    def _read(self) -> bool:
+        """Reads bytes which arrived at one time; returns false at the end of the stream."""
+        loop, size = self.host.loop, self.unread.next_read_size
+        data = self.sock.recv(size)
+        if not data:
+            return False
+        self.buffer.feed(data)
+        self.stalls = 0
+        self.refusing = self.draining
+        self.last_received_at = loop.now()
+        # Time in the kernel's buffer counts against the client's limit.
+        self.received_at = self.unread.bytes_read(len(data), loop.earliest_arrival)
+        if len(data) == size:
+            self._count_unread_bytes()
+        waited = self.last_received_at - self.received_at
+        if waited > LOGGED_UNREAD_SECONDS:
+            self.host.log(f"caller: {len(data)} bytes waited unread for up to {waited:.2f} s")
+        return True
+
+    def _count_unread_bytes(self) -> None:
+        """Notes what has arrived and is not read, so that it is known later how long it has waited."""
+        loop, unread = self.host.loop, count_unread_bytes(self.sock)
+        if unread or self.paused:
+            self.unread.count(unread, loop.now(), loop.earliest_arrival)
+        else:
+            self.unread.polls_tell()
+
+    def note_arrivals(self) -> None:
+        """To be called now and then: notes what has arrived while reading is paused."""
+        if self.paused:
+            self._count_unread_bytes()
+
     def _cut_off(self) -> bool:
         return bool(self.slots) and self.slots[0].cut_off
 
@@ -215,10 +244,9 @@
         paused = self.full() or self.framing_lost or self.awaiting_memory or not_served_yet
         if paused and not self.framing_lost and self.slots and self.slots[0].streaming:
             paused = self.slots[0].buffering  # an unread command makes the rest be buffered
-        if not paused and self.paused_since is not None and not self.has_unread_bytes():
-            self.paused_since = None  # nothing waited meanwhile
-        if paused and self.paused_since is None:
-            self.paused_since = self.host.loop.now()
+        if paused is not self.paused:
+            self.paused = paused
+            self._count_unread_bytes()
         return (READ_HANGUP if paused else IN) | (OUT if self.unsent else 0)
 
     def has_unread_bytes(self) -> bool:
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -105,7 +105,7 @@
         disable_nagle(sock)
         connection = ClientConnection(self, sock)
         if self.has_pending_bytes(connection):
-            connection.paused_since = self._arrived_at(sock)
+            connection.unread.waited_since(self._arrived_at(sock))
         self.connections.add(connection)
         self.idle[connection] = None
         try:
@@ -184,6 +184,8 @@
             for connection in [one for one in self.idle if now - one.created_at > SWEEP_INTERVAL]:
                 self._serve_last_command(connection)
         self._end_overdue_drains(now)
+        for connection in self.connections:
+            connection.note_arrivals()
         for connection in [
             one for one in self.connections if (one.unsent or not one.slots) and not one.awaiting_memory
         ]:
--- a/standflow/net/long_body.py
+++ b/standflow/net/long_body.py
@@ -12,10 +12,10 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from standflow.net.arrival import READ_SIZE
 from standflow.net.loop import Loop, Timer
 from standflow.net.memory_budget import MemoryBudget
 
-READ_SIZE = 64 * 1024  # bytes that one read may add to a body
 PROMPT_SECONDS = 0.25  # after its reservation; a body that has not arrived by then is slow
 # Parts of a request's time limit. A refusal within half of it leaves the client time to try again.
 WAIT_BEFORE_SHEDDING = 0.2  # after which slow bodies make room for the request
