A connection with enough open commands reads nothing, whoever resumes it

Cause: `_end_overdue_drains` resumes connections with a read event, and the connection did not ask its own limit.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -152,7 +152,7 @@
                     self._write()
                 if ready & IN and self.slots and self.slots[0].streaming:
                     self.slots[0].buffer_rest()
-                elif ready & IN and not (self.framing_lost or self.awaiting_memory):
+                elif ready & IN and not (self.framing_lost or self.awaiting_memory or self.full()):
                     self.client_closed = bool(ready & READ_HANGUP)
                     if not self._read():
                         return "peer_closed"
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -747,6 +747,26 @@
     recorder.close()
 
 
+def test_connection_with_enough_open_commands_is_not_read_as_its_drain_is_overdue() -> None:
+    """Guards against commands read beyond the limit, which would take the place and time of earlier ones."""
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
+    side.start_serving()
+    text = command("0000", body=b"x" * 2000)
+    many = MAX_PIPELINED + 4 * READ_SIZE // len(text)
+    with socket.create_connection(side.address) as client:
+        client.sendall(b"".join(command(f"{n:04x}", body=b"x" * 2000) for n in range(many)))
+        run_until(recorder.loop, lambda: len(recorder.opened) == MAX_PIPELINED)
+        connection = next(iter(side.connections))
+        side._drain_connection(connection)
+        connection.draining_since -= PARTIAL_COMMAND_DRAIN
+        held = len(connection.buffer.data)
+        for _ in range(3):
+            side._sweep()
+        assert len(connection.buffer.data) == held
+    recorder.close()
+
+
 class KernelModel:
     """The receive buffer of one connection: consecutive bytes and the times at which they arrived."""
 
