A long value is resumed whatever gives its reader room again

Cause: `Flow.take` resumed the backend's connection only where the capacity had been 0 before. The window grows as other values end, with no call, so a stopped reader was never resumed.

Evidence: a trace in the waiting coroutine showed `buffered=0 capacity=131072` for each of the 15 values that stood still.

Change: waiting for capacity is a state; take, buffer_all, the end of another value and a larger budget resume who waits. New log line for readers that wait for 5 s.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -300,7 +300,7 @@
         """Halves the limits on descriptors and memory while another process of this ingress uses them too."""
         config, processes = self.config, 2 if shared else 1
         self.next_hops.max_connections = config.max_connections // processes
-        self.next_hops.flows.budget = config.max_flow_bytes // processes
+        self.next_hops.flows.resize(config.max_flow_bytes // processes)
         self.clients.body_budget.budget = config.max_body_bytes // processes
         self.clients.value_budget.budget = config.max_value_bytes // processes
 
--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -24,6 +24,7 @@
 PAUSE_STALL_TIMEOUT = 2.0  # the same for what a sound backend may write after a pause
 UNREADABLE_REPLY = frozenset(("bad_framing", "stalled"))  # the backend has answered, but not readably
 VALUE_STALL_TIMEOUT = 15.0  # the same for more of a long value, up to its line end
+LOGGED_PAUSE_SECONDS = 5.0  # for which a client takes nothing of a long value
 # Connect failures caused by a shortage on this machine.
 LOCAL_CONNECT_ERRORS = frozenset(
     f"connect_failed:{errno.errorcode[code]}"
@@ -230,11 +231,21 @@
     def _wait_for_rest(self) -> Coroutine[int]:
         """Waits for more of a reply. While a long value's client takes nothing, reading and time pause."""
         while self.flow is not None and not self.flow.complete and not self.flow.capacity:
-            ready = yield self.mask & ~IN
+            self.flow.wait_for_capacity()
+            ready = yield from self.owner.loop.wait(self.mask & ~IN, LOGGED_PAUSE_SECONDS)
+            if ready == NO_EVENT:
+                self._log_pause(self.flow)
             if ready & ERROR_EVENTS or self.flow is None or self.flow.capacity:
                 return ready
         return (yield from self.owner.loop.wait(self.mask, self._stall_timeout()))
 
+    def _log_pause(self, flow: Flow) -> None:
+        self.owner.log(
+            f"nexthop: {self.hop.route.hop} paused for {LOGGED_PAUSE_SECONDS:.0f} s,"
+            " as a client takes nothing of its long value:"
+            f" buffered={flow.buffered} capacity={flow.capacity} values={flow.flows.open}"
+        )
+
     def _stall_timeout(self) -> float:
         """Seconds without another byte after which the reply counts as stalled."""
         if self._awaited is not ReplyPart.REST:
--- a/standflow/net/flow.py
+++ b/standflow/net/flow.py
@@ -1,7 +1,8 @@
 """Bounded pipe that carries a long value from a next hop's connection to a client connection. No I/O.
 
-The next hop's connection puts in what it reads and stops reading while the pipe is full. The client
-connection takes out what it can write and resumes the reader. All pipes share one memory budget evenly.
+The next hop's connection puts in what it reads, and waits while the pipe is full. It is resumed as soon as
+there is capacity again, whatever made it: the client connection took something out, memory for the whole
+value was reserved, or all pipes may hold more. All pipes share one memory budget evenly.
 """
 
 from __future__ import annotations
@@ -18,12 +19,32 @@
     def __init__(self, budget: int) -> None:
         self.budget = budget
         self.open = 0
+        self.waiting: dict[Flow, None] = {}  # pipes without capacity whose readers wait for it
 
     @property
     def window(self) -> int:
         """Bytes that one pipe may hold now."""
         return max(MIN_WINDOW, min(MAX_WINDOW, self.budget // max(1, self.open)))
 
+    def resize(self, budget: int) -> None:
+        """Changes the budget."""
+        self.budget = budget
+        self._resume_readers()
+
+    def flow_opened(self) -> None:
+        """Another pipe shares the budget."""
+        self.open += 1
+
+    def flow_ended(self, flow: Flow) -> None:
+        """A pipe has ended; the others may hold more."""
+        self.open -= 1
+        self.waiting.pop(flow, None)
+        self._resume_readers()
+
+    def _resume_readers(self) -> None:
+        for flow in list(self.waiting):
+            flow.resume_reader()
+
 
 class Flow:
     """Carries one value of a known size. It ends once, either complete (`finish`) or aborted (`abort`)."""
@@ -43,7 +64,7 @@
         self.buffers_all = False  # the whole value is buffered before anything is taken out
         # Called when bytes have been put in or the value has ended.
         self.on_change: Callable[[], None] = lambda: None
-        flows.open += 1
+        flows.flow_opened()
 
     @property
     def capacity(self) -> int:
@@ -60,8 +81,18 @@
 
     def buffer_all(self) -> None:
         """Lifts the window, because memory for the whole value has been reserved elsewhere."""
-        was, self.buffers_all = self.capacity, True
-        if not was and self.remaining:
+        self.buffers_all = True
+        self.resume_reader()
+
+    def wait_for_capacity(self) -> None:
+        """The next hop's connection reads nothing more until `resume` is called, which is done once."""
+        self.flows.waiting[self] = None
+        self.resume_reader()
+
+    def resume_reader(self) -> None:
+        """Resumes the next hop's connection if it waits and there is capacity."""
+        if self in self.flows.waiting and self.capacity:
+            del self.flows.waiting[self]
             self.resume()
 
     def put(self, data: bytes) -> None:
@@ -73,7 +104,7 @@
 
     def take(self, max_bytes: int) -> bytes:
         """Removes and returns up to `max_bytes` bytes."""
-        was, taken = self.capacity, bytearray()
+        taken = bytearray()
         while self.parts and len(taken) < max_bytes:
             part = self.parts.popleft()
             piece = part[: max_bytes - len(taken)]
@@ -81,8 +112,7 @@
             if len(piece) < len(part):
                 self.parts.appendleft(part[len(piece) :])
         self.buffered -= len(taken)
-        if taken and not was and self.capacity and not self.complete:
-            self.resume()
+        self.resume_reader()
         return bytes(taken)
 
     def finish(self) -> None:
@@ -99,5 +129,5 @@
     def _end(self) -> None:
         if not self.closed:
             self.closed = True
-            self.flows.open -= 1
+            self.flows.flow_ended(self)
             self.on_change()
