--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -301,8 +301,8 @@
         config, processes = self.config, 2 if shared else 1
         self.next_hops.max_connections = config.max_connections // processes
         self.next_hops.flows.resize(config.max_flow_bytes // processes)
-        self.clients.body_budget.budget = config.max_body_bytes // processes
-        self.clients.value_budget.budget = config.max_value_bytes // processes
+        self.clients.body_budget.resize(config.max_body_bytes // processes)
+        self.clients.value_budget.resize(config.max_value_bytes // processes)
 
     def _make_reloading(self) -> Reloading:
         routes, tls, calls = self.routes, self.tls, self.counter_reconciliation or self.counter_calls
--- a/standflow/net/memory_budget.py
+++ b/standflow/net/memory_budget.py
@@ -32,6 +32,11 @@
         self.used += size
         return True
 
+    def resize(self, budget: int) -> None:
+        """Changes the budget, and grants what fits into a larger one."""
+        self.budget = budget
+        self._grant()
+
     def cancel(self, owner: Hashable) -> None:
         """Withdraws a waiting request."""
         if self.waiting.pop(owner, None) is not None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -562,6 +562,24 @@
     loop.epoll.close()
 
 
+def test_memory_that_comes_back_after_an_upgrade_is_granted_at_once(tmp_path: Path) -> None:
+    """Guards against bodies and values that go on waiting beside free memory until another one ends."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config()))
+    loop = Loop(lambda line: None)
+    one = Ingress(load_config({"EDGE_CONFIG": f"{path}"}, print), loop, print)
+    granted: list[int] = []
+    one._share_limits(True)
+    budgets = (one.clients.body_budget, one.clients.value_budget)
+    for number, budget in enumerate(budgets):
+        assert budget.try_reserve(budget.budget)
+        assert not budget.reserve(number, budget.budget // 2, lambda number=number: granted.append(number))  # type: ignore[misc]
+    one._share_limits(False)
+    assert granted == [0, 1]
+    one.close()
+    loop.epoll.close()
+
+
 def test_a_new_process_that_dies_before_it_is_ready_changes_nothing(tmp_path: Path) -> None:
     with upgrading(tmp_path) as (start, listening, load, _):
         first = start()
