One account counts the answers that wait for clients, and the log tells it

Change: AnswerMemory counts answers behind an earlier one and unsent bytes, for each connection and in all. New log line every 5 s from a quarter of the limit on: `caller: answers that wait for clients: peak=...`.

--- a/standflow/net/answer_slot.py
+++ b/standflow/net/answer_slot.py
@@ -15,13 +15,15 @@
     """The place of one command's answer in the order of its connection's commands."""
 
     __slots__ = (
-        "answer", "buffering", "flow", "memory", "received_at", "reserved", "started", "timer", "transaction",
+        "answer", "buffering", "flow", "held", "memory", "received_at", "reserved", "started", "timer",
+        "transaction",
     )  # fmt: skip
 
     def __init__(self, memory: MemoryBudget, received_at: float) -> None:
         """`memory` is that of buffered values; `received_at`: of the command, on the loop's clock."""
         self.memory, self.received_at = memory, received_at
         self.answer: bytes | None = None
+        self.held = 0  # bytes of the answer that count as held, as it waits behind an earlier one
         self.flow: Flow | None = None  # a long value, which follows the answer's first bytes
         self.transaction: Transaction | None = None
         # For a long value:
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -16,6 +16,7 @@
     Request,
 )
 from standflow.net import resp
+from standflow.net.answer_memory import AnswerMemory, HeldAnswers
 from standflow.net.answer_slot import AnswerSlot, encode_final
 from standflow.net.arrival import READ_SIZE, UnreadBytes, count_unread_bytes
 from standflow.net.closing import shut_down_unless_unread
@@ -55,8 +56,7 @@
     drain_expired: bool  # each connection gets at most one more command served
     refuse_unopened: bool  # commands that have not become a request yet are refused
     buffer_values_from: float  # long values of requests received later are buffered as a whole
-    unread: int  # bytes in the send buffers of all connections
-    max_unread: int
+    answer_memory: AnswerMemory  # for answers that wait for clients
     idle: OrderedDict[ClientConnection, None]
 
     def pong(self) -> bytes:
@@ -77,6 +77,7 @@
         self.buffer = resp.Buffer()
         self.slots: deque[AnswerSlot] = deque()
         self.unsent = bytearray()
+        self.held = HeldAnswers(host.answer_memory)  # `unsent`, and answers behind an earlier one
         self.reason = "shutdown"
         self.draining = False  # the connection ends once nothing is open or unread
         self.draining_since = 0.0
@@ -136,6 +137,7 @@
             self.host.closed(self)
             if self.long_body is not None:
                 self.long_body.abandon()
+            self.held.release()
             for slot in self.slots:
                 slot.release_memory()
                 if slot.transaction is not None:
@@ -232,7 +234,8 @@
     def too_slow(self) -> bool:
         """True if the connection's unsent bytes exceed its own limit, or the limit of all connections."""
         size = len(self.unsent)
-        return size > MAX_UNSENT or (size > PAUSE_UNSENT and self.host.unread > self.host.max_unread)
+        memory = self.host.answer_memory
+        return size > MAX_UNSENT or (size > PAUSE_UNSENT and memory.used > memory.limit)
 
     def mask(self) -> int:
         """Events to wait for.
@@ -386,13 +389,20 @@
 
         def reply(final: FinalAnswer) -> None:
             slot.set_answer(final, lambda: self._value_changed(slot))
-            if self.task is not None and not self.task.running and self.slots[0] is slot:
+            if self.slots[0] is not slot:
+                self._hold(slot)
+            elif self.task is not None and not self.task.running:
                 self._answered()
 
         transaction = exchange.open(request, self.received_at, reply)
         if slot.answer is None:
             slot.transaction = transaction
 
+    def _hold(self, slot: AnswerSlot) -> None:
+        """Keeps an answer until those before it are sent."""
+        slot.held = len(slot.answer or b"")
+        self.held.add(slot.held)
+
     def _value_changed(self, slot: AnswerSlot) -> None:
         """Handles more bytes of a long value, or its end."""
         if slot.flow is not None and slot.flow.closed:
@@ -414,12 +424,14 @@
 
     def _flush(self) -> None:
         """Moves the answers that are next in order to the send buffer."""
-        slots, ready = self.slots, bytearray()
+        slots, ready, already_held = self.slots, bytearray(), 0
         while slots and slots[0].answer is not None:
             slot = slots[0]
             if slot.flow is not None and not slot.started and not self._may_start(slot, slot.flow):
                 break
             ready += slot.answer or b""
+            already_held += slot.held
+            slot.held = 0
             if slot.flow is not None:
                 slot.answer = b""
                 ready += slot.flow.take(max(0, VALUE_CHUNK - len(ready) - len(self.unsent)))
@@ -429,7 +441,7 @@
             slots.popleft().release_memory()
             self.answered += 1
         if ready:
-            self.host.unread += len(ready)
+            self.held.add(len(ready) - already_held)
             if self.unsent:
                 self.unsent += ready
             else:
@@ -482,7 +494,7 @@
                 return
             del self.unsent[:taken]
             self.stalls = 0
-            self.host.unread -= taken
+            self.held.remove(taken)
             if (
                 taken
                 and self.slots
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -11,6 +11,7 @@
 from standflow.exchange import Exchange
 from standflow.net import resp
 from standflow.net.acceptor import Acceptor
+from standflow.net.answer_memory import AnswerMemory
 from standflow.net.arrival import seconds_since_received
 from standflow.net.client_connection import ClientConnection
 from standflow.net.closing import MAX_READS, close_gracefully, shut_down_unless_unread
@@ -23,8 +24,9 @@
 
 MAX_BODIES = 16 * 1024 * 1024  # default limit for long bodies, in bytes
 MAX_VALUES = 8 * 1024 * 1024  # default limit for buffered long values, in bytes
-MAX_UNREAD = 32 * 1024 * 1024  # default limit for the send buffers of all clients, in bytes
+MAX_ANSWERS = 32 * 1024 * 1024  # default limit for answers that wait for clients, in bytes
 SWEEP_INTERVAL = 0.25  # seconds
+REPORT_INTERVAL = 5.0  # seconds
 MAX_WRITE_STALLS = 80  # consecutive sweeps without a byte sent after which a slow reader is disconnected
 BODY_STALL_TIMEOUT = 1.5  # seconds without a byte after which a body counts as stuck
 MAX_READ_STALLS = 10  # sweeps without a byte received after which a partial command counts as stuck
@@ -46,7 +48,7 @@
         exchange: Exchange,
         address: tuple[str, int],
         max_clients: int,
-        max_unread: int = MAX_UNREAD,
+        max_answers: int = MAX_ANSWERS,
         inherited_fd: int | None = None,
         max_bodies: int = MAX_BODIES,
         max_values: int = MAX_VALUES,
@@ -56,7 +58,7 @@
         Raises OSError if the address or the descriptor can't be used for listening.
         """
         self.loop, self.log, self.exchange, self.max_clients = loop, log, exchange, max_clients
-        self.max_unread = max_unread
+        self.answer_memory = AnswerMemory(max_answers, log)  # for answers that wait for clients
         self.body_budget = BodyBudget(max_bodies, loop, log, exchange.tally)
         self.value_budget = MemoryBudget(max_values)  # for long values that are buffered as a whole
         self.ready = False
@@ -70,12 +72,12 @@
         self.connections: set[ClientConnection] = set()
         # Connections without an open request, the longest idle first.
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
-        self.unread = 0  # bytes in the send buffers of all connections
         self.acceptor = Acceptor(loop, log, self, address, inherited_fd)
         self.address = self.acceptor.address
         self.evicting = False
         loop.free_descriptor = self.evict_idle
         loop.every(SWEEP_INTERVAL, self._sweep)
+        loop.every(REPORT_INTERVAL, self.answer_memory.report)
 
     @property
     def listening(self) -> bool:
@@ -240,7 +242,6 @@
         """Cleans up after a connection has ended and writes its log line."""
         self.connections.discard(connection)
         self.idle.pop(connection, None)
-        self.unread -= len(connection.unsent)
         close_gracefully(connection.sock)
         age = self.loop.now() - connection.created_at
         self.log(
