Answers that wait for clients have a limit, at which less is taken in

Cause: answers behind an earlier one were in no limit, up to 4 MiB a connection. A value of 64 to 128 KiB that is complete in its window was in none either.

Change: AnswerMemory is a limit now, a quarter of the memory, 32 MiB at most, halved in an upgrade. From half of it on a connection has one request at a time, and a value that would wait on a connection with more than its share gives way to -BUSY, or to -ERR for what must not be repeated; at the limit nothing is opened. A value that would not fit stays at its backend. An answer is admitted before it is kept, so what waits behind another one never goes over the limit, whatever is open. Requests wait unread instead of being run in vain, and are refused at once when their turn comes late.

--- a/standflow/config/directives.py
+++ b/standflow/config/directives.py
@@ -50,7 +50,7 @@
     Directive(
         "unread",
         (size(1 << 20, 1 << 36),),
-        "Bytes of replies that slow clients together may leave unread.",
+        "Bytes of answers that may wait for clients, at most a quarter of the memory.",
         "32m",
     ),
     Directive("units", (number(0.001, 1e6),), "Maximum units of one request.", "4"),
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -120,10 +120,14 @@
     fleet: FleetOptions | None = None
     store: StoreOptions | None = None
     platform_keys: Any = None  # the keys of the platform's JSON, from reload.key_shape
-    max_unread_bytes: int = 32 * 1024 * 1024  # of replies that slow clients together may leave unread
-
+    max_unread_bytes: int = 32 * 1024 * 1024  # of answers that may wait for clients
     memory: int = 192 * 1024 * 1024  # bytes that this ingress may use
 
+    @property
+    def max_answer_bytes(self) -> int:
+        """Limit of answers that wait for clients."""
+        return min(self.max_unread_bytes, self.memory // 4)
+
     @property
     def max_flow_bytes(self) -> int:
         """Limit of long values being streamed to clients."""
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -355,6 +355,21 @@
             counts.taken, counts.declined = counts.taken + 1, counts.declined + 1
         return Refused(self.default_retry_after)
 
+    def drop_answer(self, transaction: Transaction) -> FinalAnswer:
+        """There is no memory to keep a value until its client can be sent it: returns what takes its place.
+
+        The request was served, so that a retry does no harm only if the request is safe to repeat.
+        """
+        counts = self.counts[transaction.request.class_name]
+        counts.succeeded -= 1
+        if transaction.safe:
+            self.tally("refused.memory")
+            counts.declined += 1
+            return Refused(self.default_retry_after)
+        self.tally("failed.memory")
+        counts.aborted += 1
+        return Failed("no memory for the value")
+
     def client_gone(self, transaction: Transaction) -> None:
         """The client disconnected: no answer is owed any more. A branch whose command is written continues if
         the module wants it to; one that still waits for its connection is withdrawn.
--- a/standflow/net/answer_memory.py
+++ b/standflow/net/answer_memory.py
@@ -1,9 +1,16 @@
-"""Account of the answers that wait for clients: behind an earlier one, or in a send buffer. No I/O."""
+"""Account of the answers that wait for clients: behind an earlier one, or in a send buffer. No I/O.
+
+A client that does not read, or that waits for a lost answer, keeps the later answers of its connection here.
+As the account fills, less is taken in: from half of the limit on each connection has one request at a time,
+and no further ones are opened at the limit. From that half on a connection that holds more than its share of
+it keeps no more answers, so that a few clients can't take the memory of all others.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+STRAINED_SHARE = 0.5  # of the limit, from which less is taken in
 LOGGED_SHARE = 0.25  # of the limit; a peak below it is not worth a log line
 
 
@@ -11,11 +18,27 @@
     """What all connections hold together, in bytes."""
 
     def __init__(self, limit: int, log: Callable[[str], None] = lambda text: None) -> None:
-        self.limit, self.log = limit, log
+        self.log = log
+        self.resize(limit)
         self.used = 0
         self.holders = 0  # connections that hold something
         self.peak = 0  # since the last report
 
+    def resize(self, limit: int) -> None:
+        """Changes the limit."""
+        self.limit = limit
+        self.strained_from = int(STRAINED_SHARE * limit)
+
+    @property
+    def strained(self) -> bool:
+        """True if each connection may have only one request at a time."""
+        return self.used >= self.strained_from
+
+    @property
+    def exhausted(self) -> bool:
+        """True if no further requests may be opened."""
+        return self.used >= self.limit
+
     def report(self) -> None:
         """Logs the most that was held since the last report. To be called now and then."""
         if self.peak >= LOGGED_SHARE * self.limit:
@@ -35,24 +58,23 @@
         self.memory = memory
         self.size = 0
 
-    def add(self, size: int) -> None:
-        """The connection holds more."""
+    def has_room(self, size: int) -> bool:
+        """True if an answer may wait here."""
         memory = self.memory
-        if not self.size and size:
-            memory.holders += 1
+        if memory.used + size <= memory.strained_from:
+            return True
+        share = memory.strained_from / (memory.holders + (not self.size))
+        return memory.used + size <= memory.limit and self.size + size <= share
+
+    def change(self, size: int) -> None:
+        """The connection holds more, or less if `size` is negative."""
+        memory, held_before = self.memory, self.size
         self.size += size
         memory.used += size
+        memory.holders += bool(self.size) - bool(held_before)
         if memory.used > memory.peak:
             memory.peak = memory.used
 
-    def remove(self, size: int) -> None:
-        """A client has been sent a part of what was held."""
-        if size:
-            self.size -= size
-            self.memory.used -= size
-            if not self.size:
-                self.memory.holders -= 1
-
     def release(self) -> None:
         """The connection has ended."""
-        self.remove(self.size)
+        self.change(-self.size)
--- a/standflow/net/answer_slot.py
+++ b/standflow/net/answer_slot.py
@@ -23,7 +23,7 @@
         """`memory` is that of buffered values; `received_at`: of the command, on the loop's clock."""
         self.memory, self.received_at = memory, received_at
         self.answer: bytes | None = None
-        self.held = 0  # bytes of the answer that count as held, as it waits behind an earlier one
+        self.held = 0  # bytes that count as held by the connection
         self.flow: Flow | None = None  # a long value, which follows the answer's first bytes
         self.transaction: Transaction | None = None
         # For a long value:
@@ -42,6 +42,20 @@
         """True if a long value that was being forwarded will never be complete."""
         return self.started and self.flow is not None and self.flow.aborted
 
+    @property
+    def kept(self) -> int:
+        """Bytes that are kept here until they can be sent, and for which no memory is reserved elsewhere.
+
+        A long value may arrive whole before its turn if it fits into the window of its flow. Others count
+        against the budget of the flows, or against that of buffered values, until they are complete.
+        """
+        kept, flow = len(self.answer or b""), self.flow
+        if flow is None or self.reserved:
+            return kept
+        if flow.complete:
+            return kept + flow.buffered
+        return kept + (flow.size if flow.fits_window and not self.started else 0)
+
     def set_answer(self, final: FinalAnswer, value_changed: Callable[[], None]) -> None:
         """Sets the final answer. `value_changed` is called for more bytes of a long value and for its end."""
         if isinstance(final, Served) and isinstance(final.value, Flow):
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -14,6 +14,7 @@
     InvalidRequestError,
     Refused,
     Request,
+    Served,
 )
 from standflow.net import resp
 from standflow.net.answer_memory import AnswerMemory, HeldAnswers
@@ -39,7 +40,8 @@
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
 MAX_UNSENT = 1024 * 1024  # unsent bytes at which a connection is ended as a slow reader
-VALUE_CHUNK = 64 * 1024  # bytes of a long value in a connection's send buffer, at most
+# Bytes of a long value in a connection's send buffer, at most.
+MIN_VALUE_CHUNK, MAX_VALUE_CHUNK = 8 * 1024, 64 * 1024
 LOGGED_UNREAD_SECONDS = 0.5  # for which commands have waited unread
 LINGER = 1.0  # seconds for which a connection keeps reading after its last answer, to avoid a reset
 
@@ -137,11 +139,11 @@
             self.host.closed(self)
             if self.long_body is not None:
                 self.long_body.abandon()
-            self.held.release()
             for slot in self.slots:
                 slot.release_memory()
                 if slot.transaction is not None:
                     self.host.exchange.client_gone(slot.transaction)
+            self.held.release()
 
     def _serve(self) -> Coroutine[str]:
         while True:
@@ -267,7 +269,9 @@
         """
         if self.slots and self.slots[0].streaming:
             return True
-        return len(self.slots) >= MAX_PIPELINED or len(self.unsent) > PAUSE_UNSENT
+        if len(self.slots) >= MAX_PIPELINED or len(self.unsent) > PAUSE_UNSENT:
+            return True
+        return self.host.answer_memory.strained and bool(self.slots or self.unsent)
 
     def _process(self) -> None:
         """Takes commands and writes answers alternately: immediate answers allow further commands."""
@@ -310,7 +314,7 @@
                 elif self.client_closed:
                     # The client has closed: no request is opened, the connection ends next.
                     self.host.exchange.tally("left.unread")
-                elif dropped:
+                elif dropped or self.host.answer_memory.exhausted:
                     slot.answer = encode_final(self.host.exchange.refuse_unopened(command.class_name))
                 else:
                     self._open(slot, command, reserved)
@@ -388,8 +392,11 @@
         )
 
         def reply(final: FinalAnswer) -> None:
+            first = self.slots[0] is slot
+            if not first or self.unsent:
+                final = self._fit(final, slot)
             slot.set_answer(final, lambda: self._value_changed(slot))
-            if self.slots[0] is not slot:
+            if not first:
                 self._hold(slot)
             elif self.task is not None and not self.task.running:
                 self._answered()
@@ -398,15 +405,31 @@
         if slot.answer is None:
             slot.transaction = transaction
 
+    def _fit(self, final: FinalAnswer, slot: AnswerSlot) -> FinalAnswer:
+        """Returns what may wait here until the answers before it are sent: the answer, if there is memory.
+
+        A long value has its own memory. It must not arrive whole before its turn unless there is memory here.
+        """
+        if not isinstance(final, Served):
+            return final
+        value = final.value
+        if isinstance(value, Flow):
+            if value.fits_window and not self.held.has_room(value.size):
+                value.narrow()
+        elif slot.transaction is not None and not self.held.has_room(len(value)):
+            return self.host.exchange.drop_answer(slot.transaction)
+        return final
+
     def _hold(self, slot: AnswerSlot) -> None:
-        """Keeps an answer until those before it are sent."""
-        slot.held = len(slot.answer or b"")
-        self.held.add(slot.held)
+        """Counts what a slot keeps until the answers before it are sent."""
+        before, slot.held = slot.held, slot.kept
+        self.held.change(slot.held - before)
 
     def _value_changed(self, slot: AnswerSlot) -> None:
         """Handles more bytes of a long value, or its end."""
         if slot.flow is not None and slot.flow.closed:
             slot.value_ended()
+            self._hold(slot)
         if self.task is not None and not self.task.running and self.slots and self.slots[0] is slot:
             self._answered()
 
@@ -434,14 +457,16 @@
             slot.held = 0
             if slot.flow is not None:
                 slot.answer = b""
-                ready += slot.flow.take(max(0, VALUE_CHUNK - len(ready) - len(self.unsent)))
+                ready += slot.flow.take(max(0, self._value_chunk - len(ready) - len(self.unsent)))
                 if not slot.flow.drained:
                     break
                 ready += b"\r\n"
             slots.popleft().release_memory()
             self.answered += 1
+        if slots and slots[0].started:
+            self._hold(slots[0])
+        self.held.change(len(ready) - already_held)
         if ready:
-            self.held.add(len(ready) - already_held)
             if self.unsent:
                 self.unsent += ready
             else:
@@ -450,6 +475,11 @@
         if not slots and not self.unsent and not self.ending:
             self.host.became_idle(self)
 
+    @property
+    def _value_chunk(self) -> int:
+        """Bytes of a long value that may be in the send buffer."""
+        return MIN_VALUE_CHUNK if self.host.answer_memory.strained else MAX_VALUE_CHUNK
+
     def _may_start(self, slot: AnswerSlot, flow: Flow) -> bool:
         """True if the first bytes of the long value that is next in order may be sent.
 
@@ -494,11 +524,11 @@
                 return
             del self.unsent[:taken]
             self.stalls = 0
-            self.held.remove(taken)
+            self.held.change(-taken)
             if (
                 taken
                 and self.slots
                 and self.slots[0].flow is not None
-                and len(self.unsent) <= VALUE_CHUNK // 2
+                and len(self.unsent) <= self._value_chunk // 2
             ):
                 self._flush()
--- a/standflow/net/flow.py
+++ b/standflow/net/flow.py
@@ -50,8 +50,8 @@
     """Carries one value of a known size. It ends once, either complete (`finish`) or aborted (`abort`)."""
 
     __slots__ = (
-        "aborted", "buffered", "buffers_all", "closed", "complete", "flows", "on_change", "parts",
-        "remaining", "resume", "size",
+        "aborted", "buffered", "buffers_all", "closed", "complete", "flows", "narrowed", "on_change",
+        "parts", "remaining", "resume", "size",
     )  # fmt: skip
 
     def __init__(self, flows: FlowBudget, size: int, resume: Callable[[], None]) -> None:
@@ -62,6 +62,7 @@
         self.buffered = 0
         self.complete = self.aborted = self.closed = False
         self.buffers_all = False  # the whole value is buffered before anything is taken out
+        self.narrowed = False  # the window is the smallest one
         # Called when bytes have been put in or the value has ended.
         self.on_change: Callable[[], None] = lambda: None
         flows.flow_opened()
@@ -72,13 +73,22 @@
         if self.buffers_all:
             # At least one window, as the reply's parts behind the value have to be read as well.
             return max(MIN_WINDOW, self.remaining)
-        return max(0, self.flows.window - self.buffered)
+        return max(0, (MIN_WINDOW if self.narrowed else self.flows.window) - self.buffered)
+
+    @property
+    def fits_window(self) -> bool:
+        """True if the whole value may be put in before any of it is taken out."""
+        return self.size <= MAX_WINDOW and not self.narrowed
 
     @property
     def drained(self) -> bool:
         """True if the value is complete and all of it was taken out."""
         return self.complete and not self.buffered
 
+    def narrow(self) -> None:
+        """Reduces the window to the smallest one, until memory for the whole value is reserved."""
+        self.narrowed = True
+
     def buffer_all(self) -> None:
         """Lifts the window, because memory for the whole value has been reserved elsewhere."""
         self.buffers_all = True
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+from collections.abc import Callable
 
 from standflow.exchange import Served, Transaction
 from standflow.net.answer_memory import AnswerMemory, HeldAnswers
@@ -27,6 +28,7 @@
         self.clients: list[socket.socket] = []
         self.connections: list[ClientConnection] = []
         self.got: list[bytearray] = []
+        self.asked: list[list[bytes]] = []
         self.serial = 0
         for _ in range(number):
             self.connect()
@@ -51,12 +53,14 @@
         self.clients.append(client)
         self.connections.append(connection)
         self.got.append(bytearray())
+        self.asked.append([])
 
     def ask(self, client: int, number: int) -> None:
         """Sends several requests at once."""
-        texts = [command(f"{self.serial + n:06x}", d=600_000) for n in range(number)]
+        idents = [f"{self.serial + n:06x}" for n in range(number)]
         self.serial += number
-        self.clients[client].sendall(b"".join(texts))
+        self.asked[client] += [ident.encode() for ident in idents]
+        self.clients[client].sendall(b"".join(command(ident, d=600_000) for ident in idents))
         self.turn()
 
     def answer(self, transaction: Transaction, size: int) -> None:
@@ -66,6 +70,15 @@
         self.recorder.exchange._answer(transaction, Served(value))
         self.turn()
 
+    def read_until(self, client: int, met: Callable[[], object]) -> None:
+        """Reads what comes to a client until a condition is met."""
+
+        def read() -> object:
+            self.read(client)
+            return met()
+
+        run_until(self.recorder.loop, read)
+
     def read(self, client: int) -> None:
         """Reads all that has come to a client."""
         try:
@@ -78,6 +91,38 @@
         self.recorder.loop.call_later(0, int)
         self.recorder.loop.run_once()
 
+    def answers(self, client: int) -> list[bytes]:
+        """The whole answers that a client has got; of a value the beginning."""
+        got, at, answers = self.got[client], 0, []
+        while (end := got.find(b"\r\n", at) + 2) >= 2:
+            if got[at : at + 1] != b"$":
+                answers.append(bytes(got[at:end]))
+                at = end
+                continue
+            at = end + int(got[at + 1 : end - 2]) + 2
+            if at > len(got):
+                break
+            answers.append(bytes(got[end : end + 6]))
+        return answers
+
+    def finish(self) -> int:
+        """Answers what is open until each client has all answers; returns how many requests were served."""
+
+        def settled() -> bool:
+            for transaction in self.open:
+                self.answer(transaction, 6)
+            for client in range(len(self.clients)):
+                self.read(client)
+            return all(len(self.answers(client)) == len(asked) for client, asked in enumerate(self.asked))
+
+        run_until(self.recorder.loop, settled)
+        served = 0
+        for client, asked in enumerate(self.asked):
+            for ident, answer in zip(asked, self.answers(client), strict=True):
+                assert answer.startswith((ident, b"-BUSY", b"-ERR no memory"))
+                served += answer.startswith(ident)
+        return served
+
     def check_account(self) -> None:
         """What the account says is what the connections hold."""
         sizes = []
@@ -117,11 +162,85 @@
     log: list[str] = []
     memory = AnswerMemory(1000, log.append)
     held = HeldAnswers(memory)
-    held.add(200)
+    held.change(200)
     memory.report()
-    held.add(300)
-    held.remove(450)
+    held.change(300)
+    held.change(-450)
     memory.report()
     held.release()
     memory.report()
     assert log == ["caller: answers that wait for clients: peak=500 now=50 limit=1000 connections=1"]
+
+
+def test_answers_behind_lost_ones_stay_within_the_limit_and_each_request_is_answered(seed: int) -> None:
+    """Guards against a process that outgrows its memory as answers wait behind lost ones."""
+    rng, limit = random.Random(seed), 20 * LARGEST
+    readers = Readers(10, limit)
+    for client in range(10):
+        readers.ask(client, 60)
+    first = {id(one) for one in readers.open[::60]}
+    for _ in range(700):
+        waiting = [one for one in readers.open if id(one) not in first]
+        if waiting:
+            readers.answer(rng.choice(waiting), LARGEST)
+        assert readers.memory.used <= limit
+    assert readers.memory.peak > limit // 2
+    served = readers.finish()
+    assert served >= 10
+    counts = readers.recorder.exchange.counts["look"]
+    assert (counts.open, counts.succeeded) == (0, served)
+    readers.close()
+
+
+def test_client_that_reads_is_served_while_others_fill_the_memory_of_answers() -> None:
+    """Guards against a few clients that do not read and keep the memory of answers from all others."""
+    limit = 20 * LARGEST
+    readers = Readers(4, limit)
+    for client in range(3):
+        readers.ask(client, 60)
+    for transaction in readers.open:
+        readers.answer(transaction, LARGEST)
+    assert limit // 2 <= readers.memory.used < limit
+    for _ in range(5):
+        readers.ask(3, 1)
+        transaction = readers.open[-1]
+        readers.answer(transaction, LARGEST)
+        readers.read_until(3, lambda: not readers.connections[3].held.size)
+    readers.read(3)
+    assert len(readers.got[3]) > 5 * LARGEST
+    readers.finish()
+    readers.close()
+
+
+def test_requests_are_refused_at_once_while_the_memory_of_answers_is_exhausted() -> None:
+    """Guards against requests that wait, or are run in vain, when there is no memory for their answers."""
+    readers = Readers(2, 10 * LARGEST)
+    readers.memory.used += readers.memory.limit
+    readers.ask(0, 1)
+    assert not readers.recorder.opened
+    readers.read_until(0, lambda: readers.got[0])
+    assert readers.got[0] == b"-BUSY 250\r\n"
+    readers.memory.used -= readers.memory.limit
+    readers.ask(0, 1)
+    assert len(readers.recorder.opened) == 1
+    readers.finish()
+    readers.close()
+
+
+def test_value_that_does_not_fit_fails_if_its_request_may_not_be_repeated() -> None:
+    """Guards against a refusal, which says that nothing has run, of a request that was served."""
+    readers = Readers(1, 2 * LARGEST)
+    readers.serial = 2
+    readers.asked[0] += [b"aa", b"bb"]
+    readers.clients[0].sendall(command("aa") + command("bb", "Q.DO", "change"))
+    run_until(readers.recorder.loop, lambda: len(readers.open) == 2)
+    first, second = readers.open
+    readers.memory.used += 2 * LARGEST
+    readers.answer(second, LARGEST)
+    readers.memory.used -= 2 * LARGEST
+    readers.answer(first, 6)
+    readers.finish()
+    assert readers.got[0].endswith(b"-ERR no memory for the value\r\n")
+    counts = readers.recorder.exchange.counts["change"]
+    assert (counts.succeeded, counts.declined, counts.aborted) == (0, 0, 1)
+    readers.close()
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -20,6 +20,7 @@
 from standflow.net.memory_budget import MemoryBudget
 from standflow.net.nexthop import NextHops
 from standflow.net.resp import Buffer
+from standflow.net.stream import READ_SIZE
 from tests.test_connections import Recorder
 from tests.test_ops import VALUE, telemetry, with_ops
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, run_until
@@ -363,6 +364,38 @@
     rig.close()
 
 
+def test_value_that_came_whole_behind_an_earlier_answer_is_counted() -> None:
+    """Guards against memory that outgrows its limit by values which fit into their windows."""
+    rig = PipelinedRig(1)
+    rig.sent[1].sendall(REPLY)
+    rig.until(lambda: rig.recorder.ended)
+    assert rig.hops.flows.open == 0
+    assert len(LONG) < rig.side.answer_memory.used < len(LONG) + 100
+    rig.sent[0].sendall(VALUE)
+    rig.until(lambda: len(rig.got) > len(LONG) + 11)
+    assert bytes(rig.got) == b"$5\r\nva\r\nl\r\n$%d\r\n%b\r\n" % (len(LONG), LONG)
+    assert rig.side.answer_memory.used == 0
+    rig.close()
+
+
+def test_value_waits_at_its_backend_while_there_is_no_memory_for_it() -> None:
+    """Guards against values that arrive whole before their turn while the memory is exhausted."""
+    rig = PipelinedRig(1)
+    rig.side.answer_memory.used += rig.side.answer_memory.limit
+    rig.sent[1].sendall(REPLY)
+    rig.until(lambda: rig.recorder.began)
+    rig.wait(0.05)
+    flow = next(iter(rig.side.connections)).slots[1].flow
+    assert flow is not None
+    assert 0 < flow.buffered <= READ_SIZE  # what was read with its length line
+    assert flow.remaining > 0
+    rig.sent[0].sendall(VALUE)
+    rig.until(lambda: len(rig.got) > len(LONG) + 11)
+    assert bytes(rig.got).endswith(b"$%d\r\n%b\r\n" % (len(LONG), LONG))
+    assert rig.side.answer_memory.used == rig.side.answer_memory.limit
+    rig.close()
+
+
 def test_late_long_value_fails_in_time_without_affecting_later_requests() -> None:
     rig = PipelinedRig(1)
     rig.sent[0].sendall(REPLY[:-100])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -548,16 +548,22 @@
     path.write_text(json.dumps(config()))
     loop = Loop(lambda line: None)
     one = Ingress(load_config({"EDGE_CONFIG": f"{path}"}, print), loop, print)
-    whole = (one.next_hops.max_connections, one.next_hops.flows.budget, one.clients.body_budget.budget)
+
+    def limits() -> tuple[int, ...]:
+        clients, next_hops = one.clients, one.next_hops
+        return (
+            next_hops.max_connections,
+            next_hops.flows.budget,
+            clients.answer_memory.limit,
+            clients.body_budget.budget,
+            clients.value_budget.budget,
+        )
+
+    whole = limits()
     one._share_limits(True)
-    half = (one.next_hops.max_connections, one.next_hops.flows.budget, one.clients.body_budget.budget)
-    assert half == tuple(most // 2 for most in whole)
+    assert limits() == tuple(most // 2 for most in whole)
     one._share_limits(False)
-    assert whole == (
-        one.next_hops.max_connections,
-        one.next_hops.flows.budget,
-        one.clients.body_budget.budget,
-    )
+    assert limits() == whole
     one.close()
     loop.epoll.close()
 
