A client that reads late is not ended over answers that are ready

Cause: a connection was ended at 1 MiB unsent, or at 256 KiB while all together were over their limit. Reading pauses at 256 KiB, but 64 commands may be open by then, whose answers of 64 KiB come all the same.

Evidence: `end caller slow_reader answered=85 open=43 age=0.10` with values of 60,000 bytes.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -39,7 +39,6 @@
 
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
-MAX_UNSENT = 1024 * 1024  # unsent bytes at which a connection is ended as a slow reader
 # Bytes of a long value in a connection's send buffer, at most.
 MIN_VALUE_CHUNK, MAX_VALUE_CHUNK = 8 * 1024, 64 * 1024
 LOGGED_UNREAD_SECONDS = 0.5  # for which commands have waited unread
@@ -171,8 +170,6 @@
                 return "cut_off"  # closing in the middle of a value tells the client that it is incomplete
             if self._finish():
                 return self.reason
-            if self.too_slow():
-                return "slow_reader"
 
     def _read(self) -> bool:
         """Reads bytes which arrived at one time; returns false at the end of the stream."""
@@ -233,12 +230,6 @@
             while (yield from loop.wait(IN, end - loop.now())) and self.sock.recv(READ_SIZE):
                 continue
 
-    def too_slow(self) -> bool:
-        """True if the connection's unsent bytes exceed its own limit, or the limit of all connections."""
-        size = len(self.unsent)
-        memory = self.host.answer_memory
-        return size > MAX_UNSENT or (size > PAUSE_UNSENT and memory.used > memory.limit)
-
     def mask(self) -> int:
         """Events to wait for.
 
@@ -439,7 +430,7 @@
             self._flush()
         if self.task is None:
             return
-        if self.ending or self.buffer.data or self._cut_off() or self.too_slow():
+        if self.ending or self.buffer.data or self._cut_off():
             # the connection may be done, or buffered commands may now be taken
             self.host.loop.resume(self.task, NO_EVENT)
         else:
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -8,8 +8,8 @@
 
 from standflow.exchange import Served, Transaction
 from standflow.net.answer_memory import AnswerMemory, HeldAnswers
-from standflow.net.client_connection import ClientConnection
-from standflow.net.client_side import ClientSide
+from standflow.net.client_connection import MAX_PIPELINED, ClientConnection
+from standflow.net.client_side import MAX_WRITE_STALLS, ClientSide
 from tests.test_connections import Recorder
 from tests.wire import command, run_until
 
@@ -154,6 +154,7 @@
             readers.answer(rng.choice(waiting), rng.choice((6, 1000, LARGEST)))
         readers.check_account()
     assert readers.memory.peak > LARGEST
+    readers.finish()
     readers.close()
 
 
@@ -244,3 +245,32 @@
     counts = readers.recorder.exchange.counts["change"]
     assert (counts.succeeded, counts.declined, counts.aborted) == (0, 0, 1)
     readers.close()
+
+
+def test_client_that_begins_to_read_late_gets_all_answers_that_are_ready() -> None:
+    """Guards against a client that is cut off as a slow reader over answers that are ready."""
+    readers = Readers(1)
+    for _ in range(2):
+        readers.ask(0, MAX_PIPELINED)
+        for transaction in readers.open:
+            readers.answer(transaction, LARGEST)
+    for _ in range(MAX_WRITE_STALLS - 1):
+        readers.side._sweep()
+    readers.turn()
+    assert readers.connections[0] in readers.side.connections
+    assert len(readers.connections[0].unsent) > (MAX_PIPELINED - 2) * LARGEST
+    assert readers.finish() == 2 * MAX_PIPELINED
+    readers.close()
+
+
+def test_client_that_takes_nothing_for_long_is_ended() -> None:
+    """Guards against answers that are kept for ever for a client that has stopped to read."""
+    readers = Readers(1)
+    readers.ask(0, MAX_PIPELINED)
+    for transaction in readers.open:
+        readers.answer(transaction, LARGEST)
+    for _ in range(MAX_WRITE_STALLS + 1):
+        readers.side._sweep()
+    assert not readers.side.connections
+    assert any(line.startswith("end caller slow_reader") for line in readers.recorder.log)
+    readers.close()
