Bodies of open requests and commands that were read count in the same account

Bodies of up to 64 KiB were bounded by what the module admits, which grows with the backends, and what was read and not taken by the connections alone.

Change: both count in the account, now ClientMemory; a body does until no backend needs it. Under strain a connection's further requests are read and refused at once, so none waits for memory unseen.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -135,7 +135,7 @@
                 self.exchange,
                 config.listen,
                 config.max_clients,
-                config.max_answer_bytes,
+                config.max_client_bytes,
                 config.passed_fd,
                 config.max_body_bytes,
                 config.max_value_bytes,
@@ -301,7 +301,7 @@
         config, processes = self.config, 2 if shared else 1
         self.next_hops.max_connections = config.max_connections // processes
         self.next_hops.flows.resize(config.max_flow_bytes // processes)
-        self.clients.answer_memory.resize(config.max_answer_bytes // processes)
+        self.clients.client_memory.resize(config.max_client_bytes // processes)
         self.clients.body_budget.resize(config.max_body_bytes // processes)
         self.clients.value_budget.resize(config.max_value_bytes // processes)
 
--- a/standflow/config/directives.py
+++ b/standflow/config/directives.py
@@ -50,7 +50,7 @@
     Directive(
         "unread",
         (size(1 << 20, 1 << 36),),
-        "Bytes of answers that may wait for clients, at most a quarter of the memory.",
+        "Bytes that may be held for clients beside long bodies and values, at most a quarter of the memory.",
         "32m",
     ),
     Directive("units", (number(0.001, 1e6),), "Maximum units of one request.", "4"),
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -120,12 +120,12 @@
     fleet: FleetOptions | None = None
     store: StoreOptions | None = None
     platform_keys: Any = None  # the keys of the platform's JSON, from reload.key_shape
-    max_unread_bytes: int = 32 * 1024 * 1024  # of answers that may wait for clients
+    max_unread_bytes: int = 32 * 1024 * 1024  # that may be held for clients
     memory: int = 192 * 1024 * 1024  # bytes that this ingress may use
 
     @property
-    def max_answer_bytes(self) -> int:
-        """Limit of answers that wait for clients."""
+    def max_client_bytes(self) -> int:
+        """Limit of what is held for clients beside long values and long bodies."""
         return min(self.max_unread_bytes, self.memory // 4)
 
     @property
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -6,6 +6,7 @@
 import socket
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from standflow.exchange import (
@@ -17,9 +18,9 @@
     Served,
 )
 from standflow.net import resp
-from standflow.net.answer_memory import AnswerMemory, HeldAnswers
 from standflow.net.answer_slot import AnswerSlot, encode_final
 from standflow.net.arrival import READ_SIZE, UnreadBytes, count_unread_bytes
+from standflow.net.client_memory import ClientMemory, HeldBytes
 from standflow.net.closing import shut_down_unless_unread
 from standflow.net.flow import Flow
 from standflow.net.long_body import BodyBudget, LongBody
@@ -57,7 +58,7 @@
     drain_expired: bool  # each connection gets at most one more command served
     refuse_unopened: bool  # commands that have not become a request yet are refused
     buffer_values_from: float  # long values of requests received later are buffered as a whole
-    answer_memory: AnswerMemory  # for answers that wait for clients
+    client_memory: ClientMemory  # for what is held for clients in other buffers
     idle: OrderedDict[ClientConnection, None]
 
     def pong(self) -> bytes:
@@ -78,7 +79,8 @@
         self.buffer = resp.Buffer()
         self.slots: deque[AnswerSlot] = deque()
         self.unsent = bytearray()
-        self.held = HeldAnswers(host.answer_memory)  # `unsent`, and answers behind an earlier one
+        self.held = HeldBytes(host.client_memory)  # in `buffer`, `slots` and `unsent`
+        self.received = 0  # bytes in `buffer` that count as held
         self.reason = "shutdown"
         self.draining = False  # the connection ends once nothing is open or unread
         self.draining_since = 0.0
@@ -162,6 +164,7 @@
                 elif ready & ERROR_EVENTS:
                     return "broken"
                 self._process()
+                self._count_received()
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -190,6 +193,13 @@
             self.host.log(f"caller: {len(data)} bytes waited unread for up to {waited:.2f} s")
         return True
 
+    def _count_received(self) -> None:
+        """Counts what was read and not taken; a long body counts against the budget of bodies."""
+        received = 0 if self.long_body is not None else len(self.buffer.data)
+        if received != self.received:
+            self.held.change(received - self.received)
+            self.received = received
+
     def _count_unread_bytes(self) -> None:
         """Notes what has arrived and is not read, so that it is known later how long it has waited."""
         loop, unread = self.host.loop, count_unread_bytes(self.sock)
@@ -260,9 +270,7 @@
         """
         if self.slots and self.slots[0].streaming:
             return True
-        if len(self.slots) >= MAX_PIPELINED or len(self.unsent) > PAUSE_UNSENT:
-            return True
-        return self.host.answer_memory.strained and bool(self.slots or self.unsent)
+        return len(self.slots) >= MAX_PIPELINED or len(self.unsent) > PAUSE_UNSENT
 
     def _process(self) -> None:
         """Takes commands and writes answers alternately: immediate answers allow further commands."""
@@ -305,7 +313,7 @@
                 elif self.client_closed:
                     # The client has closed: no request is opened, the connection ends next.
                     self.host.exchange.tally("left.unread")
-                elif dropped or self.host.answer_memory.exhausted:
+                elif dropped or not self._admits(command, reserved):
                     slot.answer = encode_final(self.host.exchange.refuse_unopened(command.class_name))
                 else:
                     self._open(slot, command, reserved)
@@ -315,6 +323,17 @@
             if reserved:
                 self.host.body_budget.release(reserved)
 
+    def _admits(self, ask: resp.Ask, reserved: int) -> bool:
+        """True if there is memory for a request that was just read, beside what is reserved for its body.
+
+        Under strain a connection has one request at a time. Others are refused rather than left unread: their
+        time is running.
+        """
+        memory = self.host.client_memory
+        if memory.strained and (len(self.slots) > 1 or self.unsent):
+            return False
+        return memory.admits(0 if reserved or ask.body is None else len(ask.body))
+
     def _new_slot(self) -> AnswerSlot:
         """The place of the next command's answer."""
         slot = AnswerSlot(self.host.value_budget, self.received_at)
@@ -369,6 +388,7 @@
         exchange = self.host.exchange
         if (effects := exchange.safe_flags(ask.class_name)) and ask.safe not in effects:
             raise resp.CommandError("the class goes with the other command")
+        release = self._body_release(ask, reserved)
         request = Request(
             ask.class_name,
             ask.plan,
@@ -379,7 +399,7 @@
             ask.first,
             ask,
             ask.ident,
-            (lambda: self.host.body_budget.release(reserved)) if reserved else None,
+            release,
         )
 
         def reply(final: FinalAnswer) -> None:
@@ -392,10 +412,25 @@
             elif self.task is not None and not self.task.running:
                 self._answered()
 
-        transaction = exchange.open(request, self.received_at, reply)
+        try:
+            transaction = exchange.open(request, self.received_at, reply)
+        except InvalidRequestError:
+            if release is not None and not reserved:
+                release()
+            raise
         if slot.answer is None:
             slot.transaction = transaction
 
+    def _body_release(self, ask: resp.Ask, reserved: int) -> Callable[[], None] | None:
+        """Counts the body of a request that is opened; returns what ends that."""
+        if reserved:
+            return partial(self.host.body_budget.release, reserved)
+        if not ask.body:
+            return None
+        bodies, size = self.host.client_memory.bodies, len(ask.body)
+        bodies.change(size)
+        return partial(bodies.change, -size)
+
     def _fit(self, final: FinalAnswer, slot: AnswerSlot) -> FinalAnswer:
         """Returns what may wait here until the answers before it are sent: the answer, if there is memory.
 
@@ -469,7 +504,7 @@
     @property
     def _value_chunk(self) -> int:
         """Bytes of a long value that may be in the send buffer."""
-        return MIN_VALUE_CHUNK if self.host.answer_memory.strained else MAX_VALUE_CHUNK
+        return MIN_VALUE_CHUNK if self.host.client_memory.strained else MAX_VALUE_CHUNK
 
     def _may_start(self, slot: AnswerSlot, flow: Flow) -> bool:
         """True if the first bytes of the long value that is next in order may be sent.
--- a/standflow/net/answer_memory.py
+++ b/standflow/net/client_memory.py
@@ -1,9 +1,11 @@
-"""Account of the answers that wait for clients: behind an earlier one, or in a send buffer. No I/O.
+"""Account of what is held for clients, whichever buffer it is in. No I/O.
+
+It counts commands that were read and not taken, bodies of open requests, answers behind an earlier one of
+their connection, and unsent bytes. Bodies and values above 64 KiB have budgets of their own.
 
-A client that does not read, or that waits for a lost answer, keeps the later answers of its connection here.
 As the account fills, less is taken in: from half of the limit on each connection has one request at a time,
-and no further ones are opened at the limit. From that half on a connection that holds more than its share of
-it keeps no more answers, so that a few clients can't take the memory of all others.
+and its others are refused; at the limit all are. From that half on a connection that holds more than its
+share of it keeps no more answers, so that a few clients can't take the memory of all others.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 LOGGED_SHARE = 0.25  # of the limit; a peak below it is not worth a log line
 
 
-class AnswerMemory:
+class ClientMemory:
     """What all connections hold together, in bytes."""
 
     def __init__(self, limit: int, log: Callable[[str], None] = lambda text: None) -> None:
@@ -23,6 +25,8 @@
         self.used = 0
         self.holders = 0  # connections that hold something
         self.peak = 0  # since the last report
+        # Bodies of open requests. They stay until no backend needs them, also if their clients leave.
+        self.bodies = HeldBytes(self)
 
     def resize(self, limit: int) -> None:
         """Changes the limit."""
@@ -34,27 +38,26 @@
         """True if each connection may have only one request at a time."""
         return self.used >= self.strained_from
 
-    @property
-    def exhausted(self) -> bool:
-        """True if no further requests may be opened."""
-        return self.used >= self.limit
+    def admits(self, size: int) -> bool:
+        """True if a request with a body of `size` bytes may be opened."""
+        return self.used + size < self.limit
 
     def report(self) -> None:
         """Logs the most that was held since the last report. To be called now and then."""
         if self.peak >= LOGGED_SHARE * self.limit:
             self.log(
-                f"caller: answers that wait for clients: peak={self.peak} now={self.used}"
+                f"caller: memory held for clients: peak={self.peak} now={self.used}"
                 f" limit={self.limit} connections={self.holders}"
             )
         self.peak = self.used
 
 
-class HeldAnswers:
+class HeldBytes:
     """What one connection holds, in bytes."""
 
     __slots__ = ("memory", "size")
 
-    def __init__(self, memory: AnswerMemory) -> None:
+    def __init__(self, memory: ClientMemory) -> None:
         self.memory = memory
         self.size = 0
 
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -11,9 +11,9 @@
 from standflow.exchange import Exchange
 from standflow.net import resp
 from standflow.net.acceptor import Acceptor
-from standflow.net.answer_memory import AnswerMemory
 from standflow.net.arrival import seconds_since_received
 from standflow.net.client_connection import ClientConnection
+from standflow.net.client_memory import ClientMemory
 from standflow.net.closing import MAX_READS, close_gracefully, shut_down_unless_unread
 from standflow.net.long_body import BodyBudget
 from standflow.net.loop import IN, NO_EVENT, READABLE, Loop, Task, error_reason
@@ -24,7 +24,7 @@
 
 MAX_BODIES = 16 * 1024 * 1024  # default limit for long bodies, in bytes
 MAX_VALUES = 8 * 1024 * 1024  # default limit for buffered long values, in bytes
-MAX_ANSWERS = 32 * 1024 * 1024  # default limit for answers that wait for clients, in bytes
+MAX_HELD = 32 * 1024 * 1024  # default limit of what is held for clients in other buffers, in bytes
 SWEEP_INTERVAL = 0.25  # seconds
 REPORT_INTERVAL = 5.0  # seconds
 MAX_WRITE_STALLS = 80  # consecutive sweeps without a byte sent after which a slow reader is disconnected
@@ -48,7 +48,7 @@
         exchange: Exchange,
         address: tuple[str, int],
         max_clients: int,
-        max_answers: int = MAX_ANSWERS,
+        max_held: int = MAX_HELD,
         inherited_fd: int | None = None,
         max_bodies: int = MAX_BODIES,
         max_values: int = MAX_VALUES,
@@ -58,7 +58,7 @@
         Raises OSError if the address or the descriptor can't be used for listening.
         """
         self.loop, self.log, self.exchange, self.max_clients = loop, log, exchange, max_clients
-        self.answer_memory = AnswerMemory(max_answers, log)  # for answers that wait for clients
+        self.client_memory = ClientMemory(max_held, log)  # for what is held in other buffers
         self.body_budget = BodyBudget(max_bodies, loop, log, exchange.tally)
         self.value_budget = MemoryBudget(max_values)  # for long values that are buffered as a whole
         self.ready = False
@@ -77,7 +77,7 @@
         self.evicting = False
         loop.free_descriptor = self.evict_idle
         loop.every(SWEEP_INTERVAL, self._sweep)
-        loop.every(REPORT_INTERVAL, self.answer_memory.report)
+        loop.every(REPORT_INTERVAL, self.client_memory.report)
 
     @property
     def listening(self) -> bool:
--- a/tests/test_answer_memory.py
+++ b/tests/test_client_memory.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from standflow.exchange import Served, Transaction
-from standflow.net.answer_memory import AnswerMemory, HeldAnswers
 from standflow.net.client_connection import MAX_PIPELINED, ClientConnection
+from standflow.net.client_memory import ClientMemory, HeldBytes
 from standflow.net.client_side import MAX_WRITE_STALLS, ClientSide
 from tests.test_connections import Recorder
 from tests.wire import command, run_until
@@ -34,8 +34,8 @@
             self.connect()
 
     @property
-    def memory(self) -> AnswerMemory:
-        return self.side.answer_memory
+    def memory(self) -> ClientMemory:
+        return self.side.client_memory
 
     @property
     def open(self) -> list[Transaction]:
@@ -55,12 +55,12 @@
         self.got.append(bytearray())
         self.asked.append([])
 
-    def ask(self, client: int, number: int) -> None:
+    def ask(self, client: int, number: int, body: bytes = b"") -> None:
         """Sends several requests at once."""
         idents = [f"{self.serial + n:06x}" for n in range(number)]
         self.serial += number
         self.asked[client] += [ident.encode() for ident in idents]
-        self.clients[client].sendall(b"".join(command(ident, d=600_000) for ident in idents))
+        self.clients[client].sendall(b"".join(command(ident, body=body, d=600_000) for ident in idents))
         self.turn()
 
     def answer(self, transaction: Transaction, size: int) -> None:
@@ -128,8 +128,11 @@
         sizes = []
         for connection in self.connections:
             waiting = list(connection.slots)[1:]
-            sizes.append(len(connection.unsent) + sum(len(slot.answer or b"") for slot in waiting))
+            answers = sum(len(slot.answer or b"") for slot in waiting)
+            sizes.append(len(connection.buffer.data) + answers + len(connection.unsent))
             assert connection.held.size == sizes[-1]
+        sizes.append(sum(len(one.request.message.body or b"") for one in self.open))
+        assert self.memory.bodies.size == sizes[-1]
         assert self.memory.used == sum(sizes)
         assert self.memory.holders == sum(map(bool, sizes))
 
@@ -141,13 +144,13 @@
         self.recorder.close()
 
 
-def test_answers_are_counted_from_when_they_are_ready_until_they_are_sent(seed: int) -> None:
-    """Guards against answers that are in no account, so that the process outgrows its memory limit."""
+def test_what_is_held_is_counted_until_it_is_sent_or_over(seed: int) -> None:
+    """Guards against buffers that are in no account, so that the process outgrows its memory limit."""
     rng, readers = random.Random(seed), Readers(4)
     for _ in range(400):
         step, client = rng.choice(("ask", "answer", "answer", "read")), rng.randrange(4)
         if step == "ask":
-            readers.ask(client, rng.randint(1, 20))
+            readers.ask(client, rng.randint(1, 20), b"b" * rng.choice((0, 10, 1000)))
         elif step == "read":
             readers.read(client)
         elif waiting := readers.open:
@@ -161,8 +164,8 @@
 def test_peak_of_what_waits_for_clients_is_told_in_the_log() -> None:
     """Guards against memory that grows without a trace of what holds it."""
     log: list[str] = []
-    memory = AnswerMemory(1000, log.append)
-    held = HeldAnswers(memory)
+    memory = ClientMemory(1000, log.append)
+    held = HeldBytes(memory)
     held.change(200)
     memory.report()
     held.change(300)
@@ -170,7 +173,7 @@
     memory.report()
     held.release()
     memory.report()
-    assert log == ["caller: answers that wait for clients: peak=500 now=50 limit=1000 connections=1"]
+    assert log == ["caller: memory held for clients: peak=500 now=50 limit=1000 connections=1"]
 
 
 def test_answers_behind_lost_ones_stay_within_the_limit_and_each_request_is_answered(seed: int) -> None:
@@ -228,6 +231,49 @@
     readers.close()
 
 
+def test_bodies_of_open_requests_stay_within_the_limit() -> None:
+    """Guards against memory that outgrows its limit by bodies of up to 64 KiB while backends are slow."""
+    limit = 20 * LARGEST
+    readers = Readers(30, limit)
+    for _ in range(2):  # the second ones are refused
+        for client in range(30):
+            readers.ask(client, 1, b"b" * (LARGEST - 1000))
+            readers.turn()
+            assert readers.memory.used < limit + LARGEST
+    assert limit // 2 < readers.memory.bodies.size < limit
+    assert 10 < readers.finish() < 30
+    assert readers.memory.bodies.size == 0
+    readers.close()
+
+
+def test_body_of_a_request_counts_until_it_is_over_and_not_where_it_is_invalid() -> None:
+    """Guards against an account that fills up with what is gone."""
+    readers = Readers(1)
+    text = command("aa", body=b"b" * 1000)
+    readers.clients[0].sendall(text.replace(b"c=look", b"c=luck") + command("bb", kind="change", body=b"b"))
+    readers.read_until(0, lambda: len(readers.answers(0)) == 2)
+    assert readers.memory.used == 0
+    readers.ask(0, 1, b"b" * 1000)
+    assert readers.memory.used == 1000
+    readers.clients[0].close()
+    run_until(readers.recorder.loop, lambda: not readers.side.connections)
+    assert readers.memory.used == 0
+    readers.close()
+
+
+def test_requests_behind_an_open_one_are_refused_while_memory_is_short() -> None:
+    """Guards against requests that wait unread for memory, beyond their time."""
+    readers = Readers(1)
+    readers.memory.used += readers.memory.strained_from
+    readers.ask(0, 3)
+    assert len(readers.recorder.opened) == 1
+    assert not readers.connections[0].unread.spans
+    assert [bool(slot.answer) for slot in readers.connections[0].slots] == [False, True, True]
+    readers.memory.used -= readers.memory.strained_from
+    assert readers.finish() == 1
+    readers.close()
+
+
 def test_value_that_does_not_fit_fails_if_its_request_may_not_be_repeated() -> None:
     """Guards against a refusal, which says that nothing has run, of a request that was served."""
     readers = Readers(1, 2 * LARGEST)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -370,18 +370,18 @@
     rig.sent[1].sendall(REPLY)
     rig.until(lambda: rig.recorder.ended)
     assert rig.hops.flows.open == 0
-    assert len(LONG) < rig.side.answer_memory.used < len(LONG) + 100
+    assert len(LONG) < rig.side.client_memory.used < len(LONG) + 100
     rig.sent[0].sendall(VALUE)
     rig.until(lambda: len(rig.got) > len(LONG) + 11)
     assert bytes(rig.got) == b"$5\r\nva\r\nl\r\n$%d\r\n%b\r\n" % (len(LONG), LONG)
-    assert rig.side.answer_memory.used == 0
+    assert rig.side.client_memory.used == 0
     rig.close()
 
 
 def test_value_waits_at_its_backend_while_there_is_no_memory_for_it() -> None:
     """Guards against values that arrive whole before their turn while the memory is exhausted."""
     rig = PipelinedRig(1)
-    rig.side.answer_memory.used += rig.side.answer_memory.limit
+    rig.side.client_memory.used += rig.side.client_memory.limit
     rig.sent[1].sendall(REPLY)
     rig.until(lambda: rig.recorder.began)
     rig.wait(0.05)
@@ -392,7 +392,7 @@
     rig.sent[0].sendall(VALUE)
     rig.until(lambda: len(rig.got) > len(LONG) + 11)
     assert bytes(rig.got).endswith(b"$%d\r\n%b\r\n" % (len(LONG), LONG))
-    assert rig.side.answer_memory.used == rig.side.answer_memory.limit
+    assert rig.side.client_memory.used == rig.side.client_memory.limit
     rig.close()
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -554,7 +554,7 @@
         return (
             next_hops.max_connections,
             next_hops.flows.budget,
-            clients.answer_memory.limit,
+            clients.client_memory.limit,
             clients.body_budget.budget,
             clients.value_budget.budget,
         )
