The receiving side of a client connection is a module of its own

What reads bytes and dates them, and what it keeps for that, is TimedReader now; no behaviour changes.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -19,7 +19,7 @@
 )
 from standflow.net import resp
 from standflow.net.answer_slot import AnswerSlot, encode_final
-from standflow.net.arrival import READ_SIZE, UnreadBytes, count_unread_bytes
+from standflow.net.arrival import READ_SIZE
 from standflow.net.client_memory import ClientMemory, HeldBytes
 from standflow.net.closing import shut_down_unless_unread
 from standflow.net.flow import Flow
@@ -37,12 +37,12 @@
     error_reason,
 )
 from standflow.net.memory_budget import MemoryBudget
+from standflow.net.timed_reader import TimedReader
 
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
 # Bytes of a long value in a connection's send buffer, at most.
 MIN_VALUE_CHUNK, MAX_VALUE_CHUNK = 8 * 1024, 64 * 1024
-LOGGED_UNREAD_SECONDS = 0.5  # for which commands have waited unread
 LINGER = 1.0  # seconds for which a connection keeps reading after its last answer, to avoid a reset
 
 
@@ -90,10 +90,8 @@
         self.answered = 0
         self.stalls = 0
         self.created_at = host.loop.now()
-        self.received_at = self.created_at  # the earliest time at which the bytes read last can have arrived
-        self.unread = UnreadBytes()
-        self.paused = False  # nothing is read
-        self.last_received_at = self.created_at  # when bytes were last read
+        self.reader = TimedReader(host.loop, host.log, sock)
+        self.progress_at = self.created_at  # when bytes were last read, or a body was granted memory
         self.long_body: LongBody | None = None  # the body that is being read, with its memory
         self.client_closed = False  # the client has closed: nobody waits for answers to what is read now
         self.task: Task | None = None
@@ -175,22 +173,14 @@
                 return self.reason
 
     def _read(self) -> bool:
-        """Reads bytes which arrived at one time; returns false at the end of the stream."""
-        loop, size = self.host.loop, self.unread.next_read_size
-        data = self.sock.recv(size)
+        """Reads what has arrived; returns false at the end of the stream."""
+        data = self.reader.read()
         if not data:
             return False
         self.buffer.feed(data)
         self.stalls = 0
         self.refusing = self.draining
-        self.last_received_at = loop.now()
-        # Time in the kernel's buffer counts against the client's limit.
-        self.received_at = self.unread.bytes_read(len(data), loop.earliest_arrival)
-        if len(data) == size:
-            self._count_unread_bytes()
-        waited = self.last_received_at - self.received_at
-        if waited > LOGGED_UNREAD_SECONDS:
-            self.host.log(f"caller: {len(data)} bytes waited unread for up to {waited:.2f} s")
+        self.progress_at = self.reader.read_at
         return True
 
     def _count_received(self) -> None:
@@ -200,19 +190,6 @@
             self.held.change(received - self.received)
             self.received = received
 
-    def _count_unread_bytes(self) -> None:
-        """Notes what has arrived and is not read, so that it is known later how long it has waited."""
-        loop, unread = self.host.loop, count_unread_bytes(self.sock)
-        if unread or self.paused:
-            self.unread.count(unread, loop.now(), loop.earliest_arrival)
-        else:
-            self.unread.polls_tell()
-
-    def note_arrivals(self) -> None:
-        """To be called now and then: notes what has arrived while reading is paused."""
-        if self.paused:
-            self._count_unread_bytes()
-
     def _cut_off(self) -> bool:
         return bool(self.slots) and self.slots[0].cut_off
 
@@ -250,18 +227,9 @@
         paused = self.full() or self.framing_lost or self.awaiting_memory or not_served_yet
         if paused and not self.framing_lost and self.slots and self.slots[0].streaming:
             paused = self.slots[0].buffering  # an unread command makes the rest be buffered
-        if paused is not self.paused:
-            self.paused = paused
-            self._count_unread_bytes()
+        self.reader.pause(paused)
         return (READ_HANGUP if paused else IN) | (OUT if self.unsent else 0)
 
-    def has_unread_bytes(self) -> bool:
-        """True if the kernel holds unread bytes."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
-
     def full(self) -> bool:
         """True if no further command may be taken.
 
@@ -336,7 +304,7 @@
 
     def _new_slot(self) -> AnswerSlot:
         """The place of the next command's answer."""
-        slot = AnswerSlot(self.host.value_budget, self.received_at)
+        slot = AnswerSlot(self.host.value_budget, self.reader.received_at)
         self.slots.append(slot)
         return slot
 
@@ -358,7 +326,7 @@
         """Continues reading a long body for which memory was granted, or which was dropped."""
         if self.long_body is not None and self.long_body.dropped:
             self.buffer.drop_body()
-        self.last_received_at = self.host.loop.now()
+        self.progress_at = self.host.loop.now()
         if self.task is not None and not self.task.running:
             self.host.loop.watch(self.task, self.mask())
 
@@ -413,7 +381,7 @@
                 self._answered()
 
         try:
-            transaction = exchange.open(request, self.received_at, reply)
+            transaction = exchange.open(request, self.reader.received_at, reply)
         except InvalidRequestError:
             if release is not None and not reserved:
                 release()
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -107,7 +107,7 @@
         disable_nagle(sock)
         connection = ClientConnection(self, sock)
         if self.has_pending_bytes(connection):
-            connection.unread.waited_since(self._arrived_at(sock))
+            connection.reader.unread.waited_since(self._arrived_at(sock))
         self.connections.add(connection)
         self.idle[connection] = None
         try:
@@ -177,7 +177,7 @@
 
     def has_pending_bytes(self, connection: ClientConnection) -> bool:
         """True if the kernel holds unread bytes; they are read before the connection is ended."""
-        return connection.has_unread_bytes()
+        return connection.reader.has_unread_bytes()
 
     def _sweep(self) -> None:
         """Ends connections without a command in time, or stuck in a command or an answer."""
@@ -187,7 +187,7 @@
                 self._serve_last_command(connection)
         self._end_overdue_drains(now)
         for connection in self.connections:
-            connection.note_arrivals()
+            connection.reader.note_arrivals()
         for connection in [
             one for one in self.connections if (one.unsent or not one.slots) and not one.awaiting_memory
         ]:
@@ -348,7 +348,7 @@
     if connection.unsent:
         return "slow_reader" if connection.stalls > MAX_WRITE_STALLS else ""
     if connection.buffer.body:
-        stalled = now - connection.last_received_at > BODY_STALL_TIMEOUT
+        stalled = now - connection.progress_at > BODY_STALL_TIMEOUT
         return "slow_writer" if stalled and (late or connection.answered) else ""
     if late and not connection.answered:
         return "silent"
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -267,7 +267,7 @@
     readers.memory.used += readers.memory.strained_from
     readers.ask(0, 3)
     assert len(readers.recorder.opened) == 1
-    assert not readers.connections[0].unread.spans
+    assert not readers.connections[0].reader.unread.spans
     assert [bool(slot.answer) for slot in readers.connections[0].slots] == [False, True, True]
     readers.memory.used -= readers.memory.strained_from
     assert readers.finish() == 1
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -31,7 +31,7 @@
 from standflow.net.acceptor import ACCEPT_BATCH
 from standflow.net.arrival import MAX_SPANS, READ_SIZE, UnreadBytes
 from standflow.net.backend_connection import REPLY_STALL_TIMEOUT
-from standflow.net.client_connection import LOGGED_UNREAD_SECONDS, MAX_PIPELINED
+from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.client_side import (
     FIRST_COMMAND_TIMEOUT,
     MAX_READ_STALLS,
@@ -41,6 +41,7 @@
 )
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
+from standflow.net.timed_reader import LOGGED_UNREAD_SECONDS
 from tests.wire import LIMIT, command, listener, read_until, run_until
 
 STEPS = settings(derandomize=True, max_examples=60, stateful_step_count=30, deadline=None)
@@ -639,7 +640,7 @@
     with socket.create_connection(side.address) as client:
         client.sendall(b"".join(command(f"{n:04x}") for n in range(MAX_PIPELINED)))
         run_until(recorder.loop, lambda: len(recorder.opened) == MAX_PIPELINED)
-        assert next(iter(side.connections)).paused
+        assert next(iter(side.connections)).reader.paused
         for transaction in recorder.opened:
             recorder.exchange.fail(transaction.name)
         end = recorder.loop.now() + 0.3
