--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -416,6 +416,8 @@
 
     def _hold(self, slot: AnswerSlot) -> None:
         """Counts what a slot keeps until the answers before it are sent."""
+        if self.task is None:  # the connection has ended, and a value that it gave up ends after it
+            return
         before, slot.held = slot.held, slot.kept
         self.held.change(slot.held - before)
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -396,6 +396,23 @@
     rig.close()
 
 
+@pytest.mark.parametrize("sent", [200, len(LONG) // 2, len(REPLY) - 20, len(REPLY)])
+@pytest.mark.parametrize("number", [0, 1])
+def test_connection_that_ends_over_a_value_leaves_nothing_in_the_account(number: int, sent: int) -> None:
+    """Guards against an account that fills up with values which their connections gave up."""
+    rig = PipelinedRig(1)
+    rig.sent[number].sendall(REPLY[:sent])
+    rig.until(lambda: rig.recorder.began)
+    rig.wait(0.02)
+    rig.client.close()
+    run_until(rig.recorder.loop, lambda: not rig.side.connections and not rig.hops.flows.open)
+    rig.recorder.loop.call_later(0, int)
+    rig.recorder.loop.run_once()
+    assert (rig.side.client_memory.used, rig.side.client_memory.holders) == (0, 0)
+    assert rig.side.value_budget.used == 0
+    rig.close()
+
+
 def test_late_long_value_fails_in_time_without_affecting_later_requests() -> None:
     rig = PipelinedRig(1)
     rig.sent[0].sendall(REPLY[:-100])
