The test of a reload to an empty counter waits until the writer knows its total

Cause, traced: the test moved the ingress as soon as the old counter held the total. An ingress that is moved before it has the answer takes the call for uncertain and reads its register anew, so it can't find the new counter emptied; what it had used was written to it all the same, as it should be.

No code of the program was changed.

--- a/tests/test_counter_program.py
+++ b/tests/test_counter_program.py
@@ -13,7 +13,7 @@
 from lab.callers import command, read, reply_outcome
 from lab.counter import CounterServer, ServerFaults, Store
 from lab.processes import WAIT_LIMIT_SECONDS, Ingress
-from standflow.counter.ledger import PERIOD_SECONDS, decode_register
+from standflow.counter.ledger import PERIOD_SECONDS, SETTLE_SECONDS, VERIFY_SECONDS, decode_register
 from standflow.counter.rate_limit import DECREASE_FACTOR, DECREASE_INTERVAL_SECONDS, AdaptiveRateLimit
 
 FILE = """
@@ -121,11 +121,15 @@
         pair(tmp_path, box, server) as both,
     ):
         first, second = both
-        while time.time() % PERIOD_SECONDS > PERIOD_SECONDS - 6.0:
+        server.faults.delay = 0.05  # the total is there well before its writer knows
+        while time.time() % PERIOD_SECONDS > PERIOD_SECONDS - 8.0:
             # a register is empty at the start of a period, so an emptied one would go unnoticed
             time.sleep(0.1)
         assert served(first, 2, "a") == 2
         until(lambda: units_in_counter(server, 0) == 2)
+        # A writer that moves before it has its answer does not know its total, and can't miss it. By now it
+        # has the answer, or has read its register again.
+        time.sleep(SETTLE_SECONDS + VERIFY_SECONDS)
         for one, path in zip(both, ("0.conf", "1.conf"), strict=True):
             text = (tmp_path / path).read_text()
             moved = text.replace(f":{server.address[1]}\n", f":{other.address[1]}\n")
