--- a/tests/test_regression.py
+++ b/tests/test_regression.py
@@ -110,6 +110,7 @@
     "gate-in-brink": (5, {"output": "score 0.3\nGATE failed", "status": 0}, "gate failed"),
     "gate-in-the-journal": (3, {"entry": {"figures": {"gate": 0.0}}}, "gate failed according to the journal"),
     "no-gate": (3, {"output": "GATE passed\nand then it ended"}, "no gate result"),
+    "no-gate-before-hints": (3, {"output": "score 0.3\none day in full: x\nsnapshot 1f"}, "no gate result"),
     "no-output": (3, {"output": ""}, "no gate result"),
     "rule": (0, {"entry": {"days": RULE_BROKEN}}, "rule broken on big-1: drain 2 times"),
     "rule-when-tested": (1, {"entry": {"figures": {"rule_days_broken": 1.0}}}, "a rule broken on the days"),
@@ -132,6 +133,14 @@
     assert all(line.endswith("  passed") for n, line in enumerate(lines) if n != number)
 
 
+def test_hints_behind_the_result_of_the_gate_are_no_failure(tmp_path: Path) -> None:
+    """Guards against a run that passed and is told as failed, as the bench adds hints behind its result."""
+    output = "score 0.9\nGATE passed (three of the six days)\none day in full: lbreal\nsnapshot 01c9"
+    finished = regression(tmp_path, *STANDING, "a.toml", case={"3": {"output": output}})
+    assert finished.returncode == 0
+    assert all(line.endswith("  passed") for line in finished.stdout.splitlines())
+
+
 def test_a_missing_program_is_a_failure(tmp_path: Path) -> None:
     finished = regression(tmp_path, "--kit", str(tmp_path / "none"), "a.toml")
     assert finished.returncode == 1
