Shutdown: requests that are not answered by the exit are named in the log

The log gave a count (open=9) and 'end caller drained', which every drained connection gets, but not which requests were lost nor whether their attempts were out. That is needed to tell a lost answer from a value on its way.

One line each now, with class and attempts, 50 at most, as for those that are answered at the end.

--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -462,9 +462,13 @@
         for transaction in self.transactions.values():
             transaction.deadline = min(transaction.deadline, moment)
 
+    def unanswered(self) -> list[Transaction]:
+        """The transactions whose clients wait for an answer that has not begun."""
+        return [transaction for transaction in self.transactions.values() if transaction.open]
+
     def abandon_all(self) -> list[Transaction]:
         """The process exits: answers every open transaction now, and returns them."""
-        left = [transaction for transaction in self.transactions.values() if transaction.open]
+        left = self.unanswered()
         for transaction in left:
             self.abandon(transaction, AbandonReason.ENDING)
         for transaction in left:  # after all answers: the module may need some time for each
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -6,7 +6,7 @@
 import traceback
 from collections.abc import Callable, Iterable
 
-from standflow.exchange import Exchange
+from standflow.exchange import Exchange, Transaction
 from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop, Timer
 from standflow.platform_terms import LATE_REQUEST_SECONDS, MAX_PAUSE_SECONDS
@@ -15,7 +15,7 @@
 POLL_SECONDS = 0.01  # between checks whether all connections have ended
 MIN_STORE_SECONDS = 0.05  # for the last write of the store, however late the exit is
 MAX_STORE_SECONDS = 1.0
-MAX_DESCRIBED = 50  # requests answered at the end that are described in the log
+MAX_DESCRIBED = 50  # requests that one step describes in the log
 MAX_DELIVERY_SECONDS = 60.0  # after the exit is due, for answers that are still on their way
 SLOW_CLOSE_SECONDS = 0.01  # a component that takes longer to close is named in the log
 
@@ -104,11 +104,7 @@
         self.clients.refuse_new()
         left = self.exchange.abandon_all()
         self.clients.refuse_new()  # again for unread commands: this may be the last iteration of the loop
-        for transaction in left[:MAX_DESCRIBED]:
-            self.log(f"shutdown: answered at the end: {transaction.describe()}")
-        if len(left) > MAX_DESCRIBED:
-            self.log(f"shutdown: answered at the end: {len(left) - MAX_DESCRIBED} more")
-
+        self._describe("answered at the end", left)
         self._keep_time_to_flush()
 
     def _keep_time_to_flush(self) -> None:
@@ -123,6 +119,7 @@
     def _exit(self) -> None:
         """Ends the process, unless an answer is on its way: ending then would cut it off."""
         self._log_state("ends")
+        self._describe("not answered by the exit", self.exchange.unanswered())
         delivering = self.clients.close_unless_delivering()
         if not delivering:
             self.loop.stop()
@@ -143,6 +140,13 @@
             f" at={since:.3f}"
         )
 
+    def _describe(self, what: str, transactions: list[Transaction]) -> None:
+        """Logs requests, one line each, and the number of those that are left out."""
+        for transaction in transactions[:MAX_DESCRIBED]:
+            self.log(f"shutdown: {what}: {transaction.describe()}")
+        if len(transactions) > MAX_DESCRIBED:
+            self.log(f"shutdown: {what}: {len(transactions) - MAX_DESCRIBED} more")
+
     def store_time_limit(self) -> float:
         """Seconds that the exit may wait for a slow disk."""
         if self.begun_at is None or self.schedule is None:
