Client side: values that are late at the exit cost no other client its answer

Cause: fail_late_values went through the deque of slots while each failure flushes the answers behind it out of that deque. The RuntimeError left Shutdown.answer_all before abandon_all.

Why this works: the copy is of the slots as the step begins; a slot that was answered meanwhile has no open transaction or has started and is passed over, and slots added meanwhile can't hold a value, as no request is opened any more. If a failure ends the connection, nothing more is failed on it: its requests are over, and bytes written then would stay in the account.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -500,15 +500,18 @@
     def _value_late(self, slot: AnswerSlot) -> None:
         """Fails a buffered value that is incomplete at its deadline, so that later answers can be sent."""
         transaction = slot.transaction
-        if slot.flow is None or slot.started or transaction is None:
+        if self.task is None or slot.flow is None or slot.started or transaction is None:
             return
         slot.fail_value()
         self.host.exchange.value_timed_out(transaction)
         self._answered()
 
     def fail_late_values(self) -> None:
-        """Fails values that have not started, to let later answers through before the process ends."""
-        for slot in self.slots:
+        """Fails values that have not started, to let later answers through before the process ends.
+
+        Each failure sends the answers behind it, which takes their slots out of the queue.
+        """
+        for slot in list(self.slots):
             self._value_late(slot)
 
     def _write(self) -> None:
--- a/tests/test_delivery_at_exit.py
+++ b/tests/test_delivery_at_exit.py
@@ -17,7 +17,8 @@
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
-from tests.test_long import LONG, REPLY, Rig
+from tests.test_long import LONG, REPLY, PipelinedRig, Rig
+from tests.test_ops import VALUE as SHORT_REPLY
 from tests.wire import (
     LIMIT,
     Program,
@@ -153,6 +154,35 @@
     rig.close()
 
 
+@pytest.mark.parametrize("late_values", [1, 2, 3])
+def test_values_that_are_late_at_the_exit_cost_no_other_client_its_answer(late_values: int) -> None:
+    """Guards against last answers that are skipped as late values are failed (review case 7)."""
+    rig = PipelinedRig(3)
+    for value in rig.sent[:late_values]:
+        value.sendall(REPLY[:-100])
+    for answered in rig.sent[late_values:]:
+        answered.sendall(SHORT_REPLY)
+    rig.until(lambda: len(rig.recorder.began) == late_values)
+    rig.until(lambda: len(rig.recorder.ended) == 4 - late_values)
+    others = [socket.create_connection(rig.side.address, LIMIT) for _ in range(3)]
+    for number, other in enumerate(others):
+        other.sendall(command(f"bb{number:02}", d=60_000))
+    rig.until(lambda: len(rig.recorder.opened) == 4 + len(others))
+    shutdown = Shutdown(rig.recorder.loop, rig.recorder.log.append, rig.side, rig.recorder.exchange)
+    rig.recorder.loop.call_later(0.0, shutdown.answer_all)
+    rig.until(lambda: rig.closed)
+    answers = [
+        *[b"-ERR the value was cut off\r\n"] * late_values,
+        *[b"$5\r\nva\r\nl\r\n"] * (4 - late_values),
+    ]
+    assert bytes(rig.got) == b"".join(answers)
+    for other in others:
+        assert read_until(other, b"\r\n") == b"-BUSY 250\r\n"
+        other.close()
+    assert not [line for line in rig.recorder.log if "fault" in line]
+    rig.close()
+
+
 def test_exit_with_nothing_on_its_way_is_at_its_time() -> None:
     """Guards against a process that stays for connections on which no answer is on its way."""
     recorder = Recorder()
