Shutdown, drain, evacuation: a fault of one connection skips no step for the others

Cause: the loops of ClientSide, Shutdown's steps and Exchange.abandon_all ran bare under one timer, so that an exception left out all that followed.

Change: isolation.py runs a step, or one for each item of a copy of a table, logs a fault and goes on. The exit answers what is open by then, and limits its stay before it saves. A transaction whose reply fails is dropped as any.

Why this works: each step no longer depends on the one before it, and the moments come from timers that are set before any of them runs.

Tests: a fault planted in one of four connections, in each step in turn, and in each whole step.

--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -14,6 +14,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
+from standflow.isolation import run_for_each
 from standflow.net.loop import Loop, Timer
 
 
@@ -469,10 +470,9 @@
     def abandon_all(self) -> list[Transaction]:
         """The process exits: answers every open transaction now, and returns them."""
         left = self.unanswered()
-        for transaction in left:
-            self.abandon(transaction, AbandonReason.ENDING)
-        for transaction in left:  # after all answers: the module may need some time for each
-            self.decisions.transaction_gone(transaction)
+        run_for_each(self.log, left, lambda transaction: self.abandon(transaction, AbandonReason.ENDING))
+        # After all answers: the module may need some time for each.
+        run_for_each(self.log, left, self.decisions.transaction_gone)
         return left
 
     # Called by the next-hop side.
@@ -546,8 +546,10 @@
             counts.declined += 1
         else:
             counts.aborted += 1
-        transaction.reply(answer)
-        self._drop_if_done(transaction)
+        try:
+            transaction.reply(answer)
+        finally:
+            self._drop_if_done(transaction)
 
     def _close(self, transaction: Transaction) -> None:
         transaction.open = False
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from standflow.exchange import Exchange
+from standflow.isolation import run_for_each, run_isolated
 from standflow.net import resp
 from standflow.net.acceptor import Acceptor
 from standflow.net.arrival import seconds_since_received
@@ -91,6 +92,11 @@
 
     # Called by the acceptor.
 
+    @property
+    def delivering(self) -> int:
+        """The number of connections on which an answer is on its way."""
+        return sum(connection.delivering for connection in self.connections)
+
     def has_room(self) -> bool:
         """True if another connection may be accepted, possibly in place of an idle one."""
         return len(self.connections) < self.max_clients or any(map(self._evictable, self.idle))
@@ -183,35 +189,38 @@
         """Ends connections without a command in time, or stuck in a command or an answer."""
         now = self.loop.now()
         if self.drain_expired:
-            for connection in [one for one in self.idle if now - one.created_at > SWEEP_INTERVAL]:
-                self._serve_last_command(connection)
-        self._end_overdue_drains(now)
-        for connection in self.connections:
-            connection.reader.note_arrivals()
-        for connection in [
-            one for one in self.connections if (one.unsent or not one.slots) and not one.awaiting_memory
-        ]:
-            connection.stalls += 1
-            reason = _stuck_reason(connection, now)
-            unread = not connection.unsent and self.has_pending_bytes(connection)
-            if not reason or connection.task is None or connection.ending or unread:
-                continue
-            connection.reason = reason
-            if not connection.unsent:
-                with contextlib.suppress(OSError):  # the connection is closed in any case
-                    connection.sock.send(resp.error("no whole command in time"))
-            self.loop.end(connection.task)
-
-    def _end_overdue_drains(self, now: float) -> None:
-        """Ends draining connections whose clients have begun a command and take long to write it."""
-        for connection in [one for one in self.connections if one.draining and one.mid_command]:
-            if connection.task is None or now - connection.draining_since < PARTIAL_COMMAND_DRAIN:
-                continue
-            if self.has_pending_bytes(connection):
-                self._read_now(connection, connection.task)
-            connection.refuse_partial_command()
-            if connection.task is not None:  # it may have ended by what was read
-                self.loop.resume(connection.task, NO_EVENT)
+            old = [one for one in self.idle if now - one.created_at > SWEEP_INTERVAL]
+            run_for_each(self.log, old, self._serve_last_command)
+        run_for_each(self.log, self.connections, self._end_overdue_drain)
+        run_for_each(self.log, self.connections, lambda connection: connection.reader.note_arrivals())
+        run_for_each(self.log, self.connections, self._end_if_stuck)
+
+    def _end_if_stuck(self, connection: ClientConnection) -> None:
+        """Ends a connection that has been stuck for too long."""
+        if (connection.slots and not connection.unsent) or connection.awaiting_memory:
+            return
+        connection.stalls += 1
+        reason = _stuck_reason(connection, self.loop.now())
+        unread = not connection.unsent and self.has_pending_bytes(connection)
+        if not reason or connection.task is None or connection.ending or unread:
+            return
+        connection.reason = reason
+        if not connection.unsent:
+            with contextlib.suppress(OSError):  # the connection is closed in any case
+                connection.sock.send(resp.error("no whole command in time"))
+        self.loop.end(connection.task)
+
+    def _end_overdue_drain(self, connection: ClientConnection) -> None:
+        """Ends a draining connection whose client has begun a command and takes long to write it."""
+        if connection.task is None or not (connection.draining and connection.mid_command):
+            return
+        if self.loop.now() - connection.draining_since < PARTIAL_COMMAND_DRAIN:
+            return
+        if self.has_pending_bytes(connection):
+            self._read_now(connection, connection.task)
+        connection.refuse_partial_command()
+        if connection.task is not None:  # it may have ended by what was read
+            self.loop.resume(connection.task, NO_EVENT)
 
     def became_idle(self, connection: ClientConnection) -> None:
         """A connection has no open request any more."""
@@ -251,35 +260,34 @@
 
     def close(self) -> None:
         """Ends the remaining connections at once."""
-        for connection in list(self.connections):
-            self._close(connection)
+        run_for_each(self.log, self.connections, self._close)
 
-    def close_unless_delivering(self) -> int:
-        """Ends the connections on which no answer is on its way; returns how many others there are."""
-        for connection in list(self.connections):
-            if not connection.delivering:
-                self._close(connection)
-        return len(self.connections)
+    def close_unless_delivering(self) -> None:
+        """Ends the connections on which no answer is on its way."""
+        ended = [connection for connection in self.connections if not connection.delivering]
+        run_for_each(self.log, ended, self._close)
 
     def _close(self, connection: ClientConnection) -> None:
         if connection.task is None:
             return
         if connection.delivering:
             connection.reason = "cut_off"
-        connection.refuse_partial_command()
+        run_isolated(self.log, connection.refuse_partial_command)
         self.loop.end(connection.task)
 
     def start_serving(self) -> None:
         """Starts serving clients. Before, nothing is read, as the route set may be stale."""
         self.ready = True
         self.acceptor.begin()
-        for connection in self.connections:
-            if connection.task is not None:
-                self.loop.watch(connection.task, connection.mask())
+        run_for_each(self.log, self.connections, self._watch)
+
+    def _watch(self, connection: ClientConnection) -> None:
+        if connection.task is not None:
+            self.loop.watch(connection.task, connection.mask())
 
     def stop(self, serve_for: float = DRAIN_PERIOD) -> None:
         """Stops accepting and drains the connections; the drain expires after `serve_for` seconds."""
-        self.acceptor.end()
+        run_isolated(self.log, self.acceptor.end)
         self._drain(serve_for)
 
     def evacuate(self, wanted: bool, at: float) -> None:
@@ -301,10 +309,12 @@
         self.draining = True
         self.drain_count += 1
         self.loop.call_later(serve_for, self._expire_drain, self.drain_count)
-        for connection in list(self.idle):
-            # A new connection without a command is spared: its first command is under way.
-            if connection.answered and not self._has_unread(connection):
-                self._drain_connection(connection)
+        run_for_each(self.log, self.idle, self._drain_if_answered)
+
+    def _drain_if_answered(self, connection: ClientConnection) -> None:
+        """Drains an idle connection. A new one without a command is spared: its first one is under way."""
+        if connection.answered and not self._has_unread(connection):
+            self._drain_connection(connection)
 
     def _expire_drain(self, drain: int) -> None:
         """Ends the drain period: each connection gets at most one more command served."""
@@ -314,13 +324,13 @@
             f"drain: no more is served, connections={len(self.connections)} open={self.exchange.open_count}"
         )
         self.drain_expired = True
-        for connection in list(self.connections):
-            if (
-                connection.answered
-                or connection.slots
-                or self.loop.now() - connection.created_at > FIRST_COMMAND_GRACE
-            ):
-                self._serve_last_command(connection)
+        run_for_each(self.log, self.connections, self._expire_drain_of)
+
+    def _expire_drain_of(self, connection: ClientConnection) -> None:
+        """Serves the last command of a connection, unless its first one may still be under way."""
+        age = self.loop.now() - connection.created_at
+        if connection.answered or connection.slots or age > FIRST_COMMAND_GRACE:
+            self._serve_last_command(connection)
 
     def _serve_last_command(self, connection: ClientConnection) -> None:
         """Drains a connection; commands that have arrived are read first, and one more of them is served."""
@@ -335,11 +345,13 @@
     def refuse_new(self) -> None:
         """Opens no further requests, as the process is about to end."""
         self.draining = self.drain_expired = self.refuse_unopened = True
-        self.acceptor.end()
-        for connection in list(self.connections):
-            connection.fail_late_values()
-            connection.drop_long_body()
-            self._serve_last_command(connection)
+        run_isolated(self.log, self.acceptor.end)
+        run_for_each(self.log, self.connections, self._refuse_new_on)
+
+    def _refuse_new_on(self, connection: ClientConnection) -> None:
+        run_isolated(self.log, connection.fail_late_values)
+        run_isolated(self.log, connection.drop_long_body)
+        self._serve_last_command(connection)
 
 
 def _stuck_reason(connection: ClientConnection, now: float) -> str:
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import time
-import traceback
 from collections.abc import Callable, Iterable
 
 from standflow.exchange import Exchange, Transaction
+from standflow.isolation import log_fault, run_isolated
 from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop, Timer
 from standflow.platform_terms import LATE_REQUEST_SECONDS, MAX_PAUSE_SECONDS
@@ -101,12 +101,18 @@
         """Answers every request that is open or was received, as the process is about to exit."""
         self._log_state("answers all")
         # First: each answer makes room for a pipelined command, which must be refused and not opened.
-        self.clients.refuse_new()
-        left = self.exchange.abandon_all()
-        self.clients.refuse_new()  # again for unread commands: this may be the last iteration of the loop
-        self._describe("answered at the end", left)
+        run_isolated(self.log, self.clients.refuse_new)
+        self._answer_open_requests("answered at the end")
+        # Again for unread commands: this may be the last iteration of the loop.
+        run_isolated(self.log, self.clients.refuse_new)
         self._keep_time_to_flush()
 
+    def _answer_open_requests(self, how: str) -> None:
+        """Answers every open request and describes it in the log."""
+        left = self.exchange.unanswered()
+        run_isolated(self.log, self.exchange.abandon_all)
+        self._describe(how, left)
+
     def _keep_time_to_flush(self) -> None:
         """Postpones an exit that would follow at once because the last answers were late."""
         earliest = self.loop.now() + FLUSH_SECONDS
@@ -119,14 +125,15 @@
     def _exit(self) -> None:
         """Ends the process, unless an answer is on its way: ending then would cut it off."""
         self._log_state("ends")
-        self._describe("not answered by the exit", self.exchange.unanswered())
-        delivering = self.clients.close_unless_delivering()
+        self._answer_open_requests("not answered by the exit")
+        run_isolated(self.log, self.clients.close_unless_delivering)
+        delivering = self.clients.delivering
         if not delivering:
             self.loop.stop()
             return
         self.log(f"shutdown: stays for {delivering} answers that are on their way")
-        self.save()
         self.exit_timer = self.loop.call_later(MAX_DELIVERY_SECONDS, self._abort_deliveries)
+        run_isolated(self.log, self.save)
 
     def _abort_deliveries(self) -> None:
         self._log_state("cuts off what is still on its way")
@@ -169,7 +176,7 @@
         try:
             close()
         except Exception:
-            log("fault at the end: " + traceback.format_exc().replace("\n", " | "))
+            log_fault(log, "at the end")
         taken = time.monotonic() - before
         if taken > SLOW_CLOSE_SECONDS:
             log(f"shutdown: {close.__qualname__} took {taken:.3f}")
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -3,13 +3,28 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 import pytest
 
-from standflow.net.client_side import ClientSide
+from standflow.exchange import FinalAnswer, Transaction
+from standflow.net.client_connection import ClientConnection
+from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
 from standflow.shutdown import Shutdown
+from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
-from tests.wire import LIMIT, command, run_until
+from tests.wire import LIMIT, command, read_until, run_until
+
+REFUSED = b"-BUSY 250\r\n"
+
+
+class PlantedError(Exception):
+    """The fault that a test plants."""
+
+
+def fail(*arguments: object) -> None:
+    """Takes the place of a step that has a fault."""
+    raise PlantedError
 
 
 class Clients:
@@ -26,6 +41,15 @@
             client.sendall(command(f"{position:04x}", d=60_000))
         run_until(loop, lambda: len(self.recorder.opened) == number)
 
+    def first(self) -> ClientConnection:
+        """The connection that comes first wherever a step is run for each."""
+        return next(iter(self.side.connections))
+
+    def others(self) -> list[socket.socket]:
+        """The clients of the other connections."""
+        address = self.first().sock.getpeername()
+        return [client for client in self.sockets if client.getsockname() != address]
+
     def logged(self, text: str) -> int:
         """The number of log lines with this text."""
         return sum(text in line for line in self.recorder.log)
@@ -47,3 +71,173 @@
     assert clients.logged("shutdown: not answered by the exit: 0000 class=look attempts=none") == 1
     assert clients.logged("shutdown: not answered by the exit: 0001 class=look attempts=none") == 1
     clients.close()
+
+
+def plant_in(name: str) -> Callable[[Clients, pytest.MonkeyPatch], None]:
+    """Plants a fault in a method of the first connection."""
+    return lambda clients, patch: patch.setattr(clients.first(), name, fail)
+
+
+def plant_in_acceptor(clients: Clients, patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(clients.side.acceptor, "end", fail)
+
+
+def plant_in_reply(clients: Clients, patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(clients.first().slots[0].transaction, "reply", fail)
+
+
+def plant_in_decisions(clients: Clients, patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(clients.recorder, "transaction_gone", fail)
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        plant_in("fail_late_values"),
+        plant_in("drop_long_body"),
+        plant_in("start_drain"),
+        plant_in("full"),
+        plant_in("refuse_partial_command"),
+        plant_in_acceptor,
+        plant_in_reply,
+        plant_in_decisions,
+    ],
+    ids=[
+        *("late-values", "long-body", "start-drain", "full", "partial-command"),
+        *("acceptor", "reply", "decisions"),
+    ],
+)
+def test_fault_of_one_connection_in_a_shutdown_costs_no_other_its_answer(
+    plant: Callable[[Clients, pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against steps of a shutdown that are skipped because of a fault in an earlier one."""
+    clients = Clients(4)
+    loop, others = clients.recorder.loop, clients.others()
+    plant(clients, monkeypatch)
+    begin = loop.now()
+    clients.shutdown.begin(0.3, begin)
+    run_until(loop, lambda: loop.stopped)
+    assert loop.now() - begin < schedule_for(0.3).kill
+    monkeypatch.undo()
+    for client in others:
+        assert read_until(client, b"\r\n") == REFUSED
+    assert clients.logged("PlantedError")
+    clients.close()
+
+
+@pytest.mark.parametrize("step", ["refuse_new", "abandon_all", "close_unless_delivering"])
+def test_fault_of_a_whole_step_of_a_shutdown_costs_no_answer_and_no_time(
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an exit that never comes, or without the last answers, after a fault in a step."""
+    clients = Clients(3)
+    loop, exchange = clients.recorder.loop, clients.recorder.exchange
+    faults: list[str] = []
+
+    def fail_once() -> None:
+        if not faults:
+            faults.append(step)
+            raise PlantedError
+        original()
+
+    holder = exchange if step == "abandon_all" else clients.side
+    original = getattr(holder, step)
+    monkeypatch.setattr(holder, step, fail_once)
+    begin = loop.now()
+    clients.shutdown.begin(0.3, begin)
+    run_until(loop, lambda: loop.stopped)
+    assert faults
+    assert loop.now() - begin < schedule_for(0.3).kill
+    for client in clients.sockets:
+        assert read_until(client, b"\r\n") == REFUSED
+    clients.close()
+
+
+def test_fault_in_what_is_saved_leaves_the_limit_of_a_process_that_stays(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that stays for ever over an answer, as saving its state failed."""
+    clients = Clients(1)
+    loop = clients.recorder.loop
+    monkeypatch.setattr("standflow.shutdown.MAX_DELIVERY_SECONDS", 0.1)
+    monkeypatch.setattr(ClientConnection, "delivering", True)
+    clients.shutdown.save = fail
+    clients.shutdown.begin(0.3)
+    run_until(loop, lambda: loop.stopped)
+    assert clients.logged("stays for 1 answers") == 1
+    assert clients.logged("cuts off what is still on its way") == 1
+    assert clients.logged("PlantedError") == 1
+    clients.close()
+
+
+def test_fault_of_one_connection_in_a_sweep_lets_the_others_be_swept(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against stuck clients that are kept for ever, as each sweep ends at the fault of another."""
+    clients = Clients(1)
+    loop = clients.recorder.loop
+    faulty = clients.first()
+    monkeypatch.setattr(faulty.reader, "note_arrivals", fail)
+    monkeypatch.setattr("standflow.net.client_side.FIRST_COMMAND_TIMEOUT", 2 * SWEEP_INTERVAL)
+    silent = socket.create_connection(clients.side.address, LIMIT)
+    clients.sockets.append(silent)
+    run_until(loop, lambda: clients.logged("end caller silent"))
+    assert read_until(silent, b"\r\n") == b"-ERR no whole command in time\r\n"
+    clients.close()
+
+
+def test_fault_of_one_connection_in_an_evacuation_lets_the_others_be_drained(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an evacuation that stops at the first connection with a fault."""
+    clients = Clients(4)
+    loop, side = clients.recorder.loop, clients.side
+    for transaction in clients.recorder.opened:
+        clients.recorder.exchange.refuse(transaction.name, None)
+    run_until(loop, lambda: len(side.idle) == 4)
+    monkeypatch.setattr(next(iter(side.idle)), "start_drain", fail)
+    side.evacuate(True, 1.0)
+    run_until(loop, lambda: clients.logged("end caller drained") == 3)
+    monkeypatch.undo()
+    clients.close()
+
+
+def test_fault_of_one_connection_at_the_start_lets_the_others_be_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against clients that are never served, as the start ended at the fault of another."""
+    clients = Clients(0)
+    loop, side = clients.recorder.loop, clients.side
+    side.ready = False
+    clients.sockets += [socket.create_connection(side.address, LIMIT) for _ in range(4)]
+    run_until(loop, lambda: len(side.connections) == 4)
+    for number, client in enumerate(clients.others()):
+        client.sendall(command(f"{number:04x}", d=60_000))
+    monkeypatch.setattr(clients.first(), "mask", fail)
+    side.start_serving()
+    run_until(loop, lambda: len(clients.recorder.opened) == 3)
+    monkeypatch.undo()
+    clients.close()
+
+
+@pytest.mark.parametrize("method", ["reply", "transaction_gone"])
+def test_fault_of_one_request_lets_all_others_be_abandoned(
+    method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that are left open, as the answer to an earlier one failed."""
+    clients = Clients(3)
+    recorder = clients.recorder
+    answered: list[FinalAnswer] = []
+    notified: list[Transaction] = []
+    for transaction in recorder.opened:
+        transaction.reply = answered.append
+    if method == "reply":
+        recorder.opened[0].reply = fail
+    else:
+        monkeypatch.setattr(
+            recorder, method, lambda one: fail() if one is recorder.opened[0] else notified.append(one)
+        )
+    recorder.exchange.abandon_all()
+    assert len(answered) == (2 if method == "reply" else 3)
+    assert len(notified) == (0 if method == "reply" else 2)
+    assert recorder.exchange.open_count == 0
+    assert not recorder.exchange.transactions
+    clients.close()
