Loop: a fault as one coroutine ends, or in its poll, reaches nobody else

Callers would see all their connections end: an exception that a coroutine raises as it is ended left Loop.end, so that a loop over connections stopped there, or run_once, and with it the process. So did an error of epoll_ctl.

Cause: resume isolates a coroutine while it runs; end and watch, which it calls afterwards, were outside of that.

Change: end logs such an exception. A poll that can't be changed for lack of memory is changed after a pause; any other error ends that coroutine alone.

Why this works: end and watch raise nothing any more, and the mask applied later is the one wanted by then.

--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -11,10 +11,10 @@
 import select
 import socket
 import time
-import traceback
 from collections.abc import Callable, Generator
 from typing import Any, TypeVar
 
+from standflow.isolation import log_fault
 from standflow.net.transient_errors import (
     MAX_TRIES,
     RETRY_PAUSE,
@@ -129,7 +129,7 @@
                 yield from make()
                 return
             except Exception:
-                self.log("fault of a coroutine, begun anew: " + traceback.format_exc().replace("\n", " | "))
+                log_fault(self.log, "of a coroutine, begun anew")
             yield from self.pause(RESTART_PAUSE)
 
     def every(self, seconds: float | Callable[[], float], call: Callable[[], object]) -> None:
@@ -156,7 +156,7 @@
             return
         except Exception:
             self._unregister(task)
-            self.log("fault of a coroutine: " + traceback.format_exc().replace("\n", " | "))
+            log_fault(self.log, "of a coroutine")
             return
         finally:
             task.running = False
@@ -167,18 +167,37 @@
             self.watch(task, mask)
 
     def watch(self, task: Task, mask: int) -> None:
-        """Changes the events that a coroutine waits for."""
+        """Changes the events that a coroutine waits for. If that is impossible, the coroutine is ended."""
         if mask != task.mask and self.tasks.get(task.fd) is task:
             task.mask = mask
-            self.epoll.modify(task.fd, mask)
+            self._apply_mask(task)
+
+    def _apply_mask(self, task: Task) -> None:
+        """Tells the kernel what a coroutine waits for, again after a pause while the kernel lacks memory."""
+        if self.tasks.get(task.fd) is not task:
+            return
+        try:
+            self.epoll.modify(task.fd, task.mask)
+        except OSError as error:
+            if error.errno in TRANSIENT_ERRORS:
+                self.call_later(RETRY_PAUSE, self._apply_mask, task)
+                return
+            log_fault(self.log, "of a poll: a coroutine is ended")
+            self.end(task)
 
     def end(self, task: Task) -> None:
-        """Ends a coroutine from outside: it receives GeneratorExit and closes its socket in `finally`."""
+        """Ends a coroutine from outside: it receives GeneratorExit and closes its socket in `finally`.
+
+        An exception in that is logged: whoever ends one connection has others to look after.
+        """
         if task.running:  # a generator can't close itself while it runs
             task.end_requested = True
             return
         self._unregister(task)
-        task.coroutine.close()
+        try:
+            task.coroutine.close()
+        except Exception:
+            log_fault(self.log, "of a coroutine that was ended")
 
     def _unregister(self, task: Task) -> None:
         """Removes a task, unless its descriptor number already belongs to a newer one."""
@@ -300,4 +319,4 @@
             try:
                 timer.call(*timer.args)
             except Exception:
-                self.log("fault of a timer: " + traceback.format_exc().replace("\n", " | "))
+                log_fault(self.log, "of a timer")
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -100,10 +100,11 @@
 
 
 class FailingEpoll:
-    """An epoll whose `register` fails `times` times."""
+    """An epoll whose `register` fails `times` times, and its `modify` once with each of `modify_errors`."""
 
-    def __init__(self, real: Any, times: int) -> None:
+    def __init__(self, real: Any, times: int, modify_errors: tuple[int, ...] = ()) -> None:
         self.real, self.times = real, times
+        self.modify_errors = list(modify_errors)
 
     def register(self, fd: int, mask: int) -> None:
         """See select.epoll.register."""
@@ -112,6 +113,13 @@
             raise OSError(errno.ENOMEM, "no memory")
         self.real.register(fd, mask)
 
+    def modify(self, fd: int, mask: int) -> None:
+        """See select.epoll.modify."""
+        if self.modify_errors:
+            code = self.modify_errors.pop(0)
+            raise OSError(code, errno.errorcode[code])
+        self.real.modify(fd, mask)
+
     def __getattr__(self, name: str) -> Any:
         return getattr(self.real, name)
 
@@ -137,6 +145,77 @@
     recorder.close()
 
 
+@pytest.mark.parametrize("times", [1, 5])
+def test_poll_that_can_not_be_changed_for_a_moment_is_changed_later(times: int) -> None:
+    """Guards against a process that ends as the kernel lacks memory for one connection's poll."""
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
+    side.start_serving()
+    client = socket.create_connection(side.address, LIMIT)
+    run_until(recorder.loop, lambda: side.connections)
+    connection = next(iter(side.connections))
+    assert connection.task is not None
+    recorder.loop.watch(connection.task, 0)
+    recorder.loop.epoll = FailingEpoll(recorder.loop.epoll, 0, (errno.ENOMEM,) * times)  # type: ignore[assignment]
+    recorder.loop.watch(connection.task, IN)
+    client.sendall(command("aa01"))
+    run_until(recorder.loop, lambda: recorder.opened)
+    assert not recorder.loop.epoll.modify_errors  # type: ignore[attr-defined]
+    assert recorder.log == []
+    client.close()
+    recorder.close()
+
+
+def test_poll_that_can_not_be_changed_ends_its_connection_alone() -> None:
+    """Guards against an error of one descriptor's poll that ends the loop, and all clients with it."""
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
+    side.start_serving()
+    clients = [socket.create_connection(side.address, LIMIT) for _ in range(2)]
+    run_until(recorder.loop, lambda: len(side.connections) == 2)
+    ended = next(iter(side.connections))
+    other = next(client for client in clients if client.getsockname() != ended.sock.getpeername())
+    recorder.loop.epoll = FailingEpoll(recorder.loop.epoll, 0, (errno.EBADF,))  # type: ignore[assignment]
+    assert ended.task is not None
+    recorder.loop.watch(ended.task, 0)
+    assert ended not in side.connections
+    other.sendall(command("aa01"))
+    run_until(recorder.loop, lambda: recorder.opened)
+    for client in clients:
+        client.close()
+    recorder.close()
+
+
+@pytest.mark.parametrize("while_running", [True, False])
+def test_fault_of_a_coroutine_as_it_is_ended_reaches_nobody_else(while_running: bool) -> None:
+    """Guards against a fault of one connection that ends whoever closes it, or the loop itself."""
+    log: list[str] = []
+    loop = Loop(log.append)
+    near, far = socket.socketpair()
+    ended: list[bool] = []
+
+    def faulty() -> Coroutine[None]:
+        try:
+            yield IN
+            if while_running:
+                loop.end(task)
+            yield IN
+        finally:
+            ended.append(True)
+            raise ValueError("a fault of the cleanup")
+
+    task = loop.spawn(near.fileno(), faulty())
+    far.sendall(b"x")
+    loop.run_once()
+    loop.end(task)
+    assert ended == [True]
+    assert task.fd not in loop.tasks
+    assert [line[:37] for line in log] == ["fault of a coroutine that was ended: "]
+    near.close()
+    far.close()
+    loop.epoll.close()
+
+
 def test_client_listener_survives_an_exception(monkeypatch: pytest.MonkeyPatch) -> None:
     recorder = Recorder()
     side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 10)
