Connections: a fault of one client ends its own connection and nothing else

Callers would see: a fault as one answer is sent ended the connection of its backend, the module was never told of the attempt's end, and the client waited for ever. A fault of a client that is granted memory lost the answer of the client that gave it back. A fault in the end of a connection left its other requests open and its memory taken.

Cause: what others ask of a client's connection ran in their coroutine or timer, and only its own coroutine was isolated.

Change: such calls go through one place that logs a fault and ends the connection; the ends of both kinds of connections and grants of memory run step by step.

Why this works: nothing raises through reply, on_change, granted or a timer of a connection any more, and its client is told by the end.

--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from standflow.exchange import Outcome, Result, Route
+from standflow.isolation import run_isolated
 from standflow.net import resp
 from standflow.net.flow import Flow, FlowBudget
 from standflow.net.loop import ERROR_EVENTS, IN, NO_EVENT, OUT, Coroutine, Loop, Task, error_reason
@@ -174,19 +175,27 @@
             if not failed:
                 self.reason = yield from self._serve()
         finally:
-            if opening:
-                self._report_opened(None)
-            pending, self.pending = self.pending, None
-            if pending is not None and pending.fully_written:
-                outcome = Outcome.ERROR if self.reason in UNREADABLE_REPLY else Outcome.RESET
-            flow, self.flow = self.flow, None
-            if flow is not None:
-                flow.abort()
-                # Behind a complete value only the figures can be missing.
-                outcome = Outcome.OK if flow.complete else outcome
-            self.owner.closed(self)
-            if pending is not None:
-                pending.on_result(Result(outcome))
+            self._clean_up(outcome, opening)
+
+    def _clean_up(self, unwritten_outcome: Outcome, opening: bool) -> None:
+        """Ends what is under way, whatever fails of it: the request must learn its outcome.
+
+        `unwritten_outcome`: of a command that is not fully written; `opening`: dialling has not ended.
+        """
+        log, outcome = self.owner.log, unwritten_outcome
+        if opening:
+            run_isolated(log, self._report_opened, None)
+        pending, self.pending = self.pending, None
+        if pending is not None and pending.fully_written:
+            outcome = Outcome.ERROR if self.reason in UNREADABLE_REPLY else Outcome.RESET
+        flow, self.flow = self.flow, None
+        if flow is not None:
+            run_isolated(log, flow.abort)
+            # Behind a complete value only the figures can be missing.
+            outcome = Outcome.OK if flow.complete else outcome
+        run_isolated(log, self.owner.closed, self)
+        if pending is not None:
+            pending.on_result(Result(outcome))
 
     def _report_opened(self, reason: str | None) -> None:
         admission = self.owner.admission
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -17,6 +17,7 @@
     Request,
     Served,
 )
+from standflow.isolation import run_for_each, run_isolated
 from standflow.net import resp
 from standflow.net.answer_slot import AnswerSlot, encode_final
 from standflow.net.arrival import READ_SIZE
@@ -133,16 +134,37 @@
             self.reason = yield from self._serve()
             if self.reason in ("bad_framing", "drained"):
                 yield from self._linger()
+        except Exception:
+            self.reason = "fault"
+            raise
         finally:
             self.task = None  # nothing may resume it any more, not even the end of a value that it gives up
-            self.host.closed(self)
-            if self.long_body is not None:
-                self.long_body.abandon()
-            for slot in self.slots:
-                slot.release_memory()
-                if slot.transaction is not None:
-                    self.host.exchange.client_gone(slot.transaction)
-            self.held.release()
+            self._clean_up()
+
+    def _clean_up(self) -> None:
+        """Returns everything that the ended connection holds, whatever fails of it."""
+        log = self.host.log
+        run_isolated(log, self.host.closed, self)
+        if self.long_body is not None:
+            run_isolated(log, self.long_body.abandon)
+        run_for_each(log, self.slots, AnswerSlot.release_memory)
+        run_for_each(log, self.slots, self._give_up)
+        self.held.release()
+
+    def _give_up(self, slot: AnswerSlot) -> None:
+        if slot.transaction is not None:
+            self.host.exchange.client_gone(slot.transaction)
+
+    def _isolate(self, step: Callable[..., object], *args: object) -> None:
+        """Runs a step on behalf of another component. A fault in it ends this connection and goes no further.
+
+        Without an end the client would wait for answers that can't be sent any more.
+        """
+        if run_isolated(self.host.log, step, *args):
+            return
+        self.reason = "fault"
+        if self.task is not None:
+            self.host.loop.end(self.task)
 
     def _serve(self) -> Coroutine[str]:
         while True:
@@ -316,7 +338,10 @@
         if self.long_body is None:
             time_limit = resp.time_limit(self.buffer.parts_before_body)
             self.long_body = LongBody(
-                self.host.body_budget, self.buffer.body, time_limit, self._memory_changed
+                self.host.body_budget,
+                self.buffer.body,
+                time_limit,
+                partial(self._isolate, self._memory_changed),
             )
         if self.host.refuse_unopened or self.refusing or self.client_closed:
             self.long_body.drop()
@@ -370,16 +395,7 @@
             release,
         )
 
-        def reply(final: FinalAnswer) -> None:
-            first = self.slots[0] is slot
-            if not first or self.unsent:
-                final = self._fit(final, slot)
-            slot.set_answer(final, lambda: self._value_changed(slot))
-            if not first:
-                self._hold(slot)
-            elif self.task is not None and not self.task.running:
-                self._answered()
-
+        reply = partial(self._isolate, self._reply, slot)
         try:
             transaction = exchange.open(request, self.reader.received_at, reply)
         except InvalidRequestError:
@@ -389,6 +405,17 @@
         if slot.answer is None:
             slot.transaction = transaction
 
+    def _reply(self, slot: AnswerSlot, final: FinalAnswer) -> None:
+        """Takes the final answer to a request, and sends it if it is next in order."""
+        first = self.slots[0] is slot
+        if not first or self.unsent:
+            final = self._fit(final, slot)
+        slot.set_answer(final, partial(self._isolate, self._value_changed, slot))
+        if not first:
+            self._hold(slot)
+        elif self.task is not None and not self.task.running:
+            self._answered()
+
     def _body_release(self, ask: resp.Ask, reserved: int) -> Callable[[], None] | None:
         """Counts the body of a request that is opened; returns what ends that."""
         if reserved:
@@ -493,7 +520,8 @@
             return True
         if not slot.buffering:
             if slot.transaction is not None:
-                slot.timer = self.host.loop.call_at(slot.transaction.deadline, self._value_late, slot)
+                deadline = slot.transaction.deadline
+                slot.timer = self.host.loop.call_at(deadline, self._isolate, self._value_late, slot)
             slot.buffer_value()
         return False
 
@@ -512,7 +540,7 @@
         Each failure sends the answers behind it, which takes their slots out of the queue.
         """
         for slot in list(self.slots):
-            self._value_late(slot)
+            self._isolate(self._value_late, slot)
 
     def _write(self) -> None:
         """Writes at once; the rest waits until the socket is writable."""
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -61,7 +61,7 @@
         self.loop, self.log, self.exchange, self.max_clients = loop, log, exchange, max_clients
         self.client_memory = ClientMemory(max_held, log)  # for what is held in other buffers
         self.body_budget = BodyBudget(max_bodies, loop, log, exchange.tally)
-        self.value_budget = MemoryBudget(max_values)  # for long values that are buffered as a whole
+        self.value_budget = MemoryBudget(max_values, log)  # for long values that are buffered as a whole
         self.ready = False
         self.draining = False  # each connection ends when it has no open request
         self.drain_expired = False  # each connection gets at most one more command served
--- a/standflow/net/long_body.py
+++ b/standflow/net/long_body.py
@@ -12,6 +12,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from standflow.isolation import run_isolated
 from standflow.net.arrival import READ_SIZE
 from standflow.net.loop import Loop, Timer
 from standflow.net.memory_budget import MemoryBudget
@@ -33,8 +34,8 @@
         log: Callable[[str], None] = lambda text: None,
         tally: Callable[[str], None] = lambda name: None,
     ) -> None:
-        super().__init__(budget)
-        self.loop, self.log, self.tally = loop, log, tally
+        super().__init__(budget, log)
+        self.loop, self.tally = loop, tally
         self.growing: OrderedDict[LongBody, int] = OrderedDict()  # bodies that wait for more bytes
         self.slow: OrderedDict[LongBody, None] = OrderedDict()  # slow bodies, the oldest first
 
@@ -57,7 +58,7 @@
                 return
             del self.growing[body]
             self.used += size
-            body.granted(size)
+            run_isolated(self.log, body.granted, size)
         super()._grant()
 
     def withdraw(self, body: LongBody) -> None:
--- a/standflow/net/memory_budget.py
+++ b/standflow/net/memory_budget.py
@@ -9,12 +9,14 @@
 from collections import OrderedDict
 from collections.abc import Callable, Hashable
 
+from standflow.isolation import run_isolated
+
 
 class MemoryBudget:
     """A budget in bytes. A body larger than the whole budget is granted when nothing else is reserved."""
 
-    def __init__(self, budget: int) -> None:
-        self.budget = budget
+    def __init__(self, budget: int, log: Callable[[str], None] = lambda text: None) -> None:
+        self.budget, self.log = budget, log
         self.used = 0
         self.waiting: OrderedDict[Hashable, tuple[int, Callable[[], None]]] = OrderedDict()
 
@@ -51,10 +53,11 @@
         return not self.used or self.used + size <= self.budget
 
     def _grant(self) -> None:
+        """Grants what fits. A fault of a receiver is not one of whoever gives memory back."""
         while self.waiting:
             owner, (size, granted) = next(iter(self.waiting.items()))
             if not self._fits(size):
                 return
             del self.waiting[owner]
             self.used += size
-            granted()
+            run_isolated(self.log, granted)
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from standflow.exchange import Branch, Exchange, Outcome, Phase, Result, Route, RouteSet
+from standflow.isolation import run_isolated
 from standflow.net import resp
 from standflow.net.backend_connection import (
     PAUSE_STALL_TIMEOUT,
@@ -266,11 +267,11 @@
         hop.connections.discard(connection)
         if connection in hop.idle:
             hop.idle.remove(connection)
-        connection.stream.close()
-        close_gracefully(connection.sock)
-        if self.admission is not None and connection.established:
-            self.admission.closed(connection)
         self.connections -= 1
+        run_isolated(self.log, connection.stream.close)
+        run_isolated(self.log, close_gracefully, connection.sock)
+        if self.admission is not None and connection.established:
+            run_isolated(self.log, self.admission.closed, connection)
         age, notes = self.loop.now() - connection.created_at, connection.stream.log_suffix()
         self.log(
             f"end nexthop {hop.route.hop} {connection.reason} served={connection.served} age={age:.2f}{notes}"
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -7,12 +7,15 @@
 
 import pytest
 
-from standflow.exchange import FinalAnswer, Transaction
+from standflow.exchange import FinalAnswer, Outcome, Transaction
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
+from standflow.net.stream import PlainStream
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
+from tests.test_long import REPLY, PipelinedRig, Rig
+from tests.test_ops import VALUE as SHORT_REPLY
 from tests.wire import LIMIT, command, read_until, run_until
 
 REFUSED = b"-BUSY 250\r\n"
@@ -241,3 +244,87 @@
     assert recorder.exchange.open_count == 0
     assert not recorder.exchange.transactions
     clients.close()
+
+
+def test_fault_as_an_answer_is_sent_ends_its_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a fault of a client that ends its backend's connection and is not told to the module."""
+    rig = Rig()
+    backend = rig.ask()
+    (connection,) = rig.side.connections
+    monkeypatch.setattr(connection, "_flush", fail)
+    backend.sendall(SHORT_REPLY)
+    rig.until(lambda: rig.closed)
+    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.OK]
+    assert not rig.recorder.exchange.transactions
+    assert any(line.startswith("end caller fault") for line in rig.recorder.log)
+    assert not any(line.startswith("end nexthop") for line in rig.recorder.log)
+    monkeypatch.undo()
+    rig.close()
+
+
+def test_fault_as_a_value_is_forwarded_ends_its_connection_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a client that waits for the rest of a value whose forwarding failed."""
+    rig = Rig()
+    backend = rig.ask()
+    backend.sendall(REPLY[:1000])
+    rig.until(lambda: len(rig.got) > 900)
+    (connection,) = rig.side.connections
+    monkeypatch.setattr(connection, "_flush", fail)
+    backend.sendall(REPLY[1000:2000])
+    rig.until(lambda: rig.closed)
+    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.CANCELLED]
+    assert (rig.recorder.exchange.open_count, rig.hops.flows.open) == (0, 0)
+    assert any(line.startswith("end caller fault") for line in rig.recorder.log)
+    monkeypatch.undo()
+    rig.close()
+
+
+def test_fault_of_one_client_as_memory_is_granted_costs_no_other_its_answer() -> None:
+    """Guards against an answer that is lost as the memory it gives back is granted to a faulty client."""
+    rig = PipelinedRig(1)
+    value, answered = rig.sent
+    answered.sendall(SHORT_REPLY)
+    rig.until(lambda: len(rig.recorder.ended) == 1)
+    value.sendall(REPLY[:-100])
+    rig.until(lambda: rig.side.value_budget.used)
+    waiting = rig.side.value_budget.reserve("another", rig.side.value_budget.budget, fail)
+    assert not waiting
+    value.sendall(REPLY[-100:])
+    rig.until(lambda: rig.got.endswith(b"va\r\nl\r\n"))
+    assert sum("PlantedError" in line for line in rig.recorder.log) == 1
+    rig.close()
+
+
+def test_fault_as_a_connection_is_cleaned_up_leaves_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests and memory that stay taken, as one step of the end of their client failed."""
+    rig = PipelinedRig(2)
+    rig.sent[0].sendall(REPLY[:-100])
+    rig.sent[2].sendall(SHORT_REPLY)
+    rig.until(lambda: len(rig.recorder.ended) == 1 and rig.side.client_memory.used)
+    (connection,) = rig.side.connections
+    give_up = connection._give_up
+    first = connection.slots[0]
+    monkeypatch.setattr(connection, "_give_up", lambda slot: fail() if slot is first else give_up(slot))
+    monkeypatch.setattr("standflow.net.client_side.close_gracefully", fail)
+    rig.client.close()
+    run_until(rig.recorder.loop, lambda: len(rig.recorder.ended) == 2)
+    assert rig.recorder.gone == [rig.recorder.opened[1]]
+    assert (rig.side.client_memory.used, rig.side.value_budget.used) == (0, 0)
+    assert not rig.side.connections
+    monkeypatch.undo()
+    connection.sock.close()
+    rig.close()
+
+
+def test_fault_as_a_backend_connection_is_cleaned_up_leaves_no_request_without_outcome(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that waits for its deadline, as the end of its connection failed."""
+    rig = Rig()
+    backend = rig.ask()
+    monkeypatch.setattr(PlainStream, "close", fail)
+    backend.close()
+    rig.until(lambda: rig.recorder.ended)
+    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.RESET]
+    assert rig.hops.connections == 0
+    rig.close()
