Reload: a fault in one part of it skips neither the others nor a shorter shutdown

Callers would see: after a fault in a reload during a shutdown SIGKILL comes by the new file's deadline, over all open requests.

Cause: one sequence; the deadline followed the classes, and what shortens a shutdown came last of all.

Change: the deadline first, then each part as a step of its own, isolated; the shutdown is shortened in any case. A fault while the file is read counts as a rejected file and is told so.

Why this works: no step's effect depends on the one before it; the deadline in force can only fall.

The test failed before in all three forms (classes, discovery, reading).

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -14,6 +14,7 @@
 from standflow.config import Config, ConfigError
 from standflow.driver import Driver
 from standflow.exchange import Exchange, Route, RouteSet
+from standflow.isolation import run_isolated
 from standflow.net.client_side import ClientSide
 from standflow.net.flow import FlowBudget
 from standflow.net.loop import Loop
@@ -506,7 +507,7 @@
 
     def reload(self) -> None:
         """SIGHUP, also during a shutdown, which then ends by the shorter deadline of the two files."""
-        self.reloading.reload()
+        run_isolated(self.log, self.reloading.reload)
         self.shutdown.shorten(self.reloading.config.longest_deadline)
 
     def close(self) -> None:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -12,14 +12,17 @@
 import pytest
 
 from hoistfold import interface as i
+from standflow.assembly import Ingress
 from standflow.config import load
 from standflow.config.model import ConfigError
 from standflow.config.reload import first_missing_key, key_shape
 from standflow.exchange import Branch, InvalidRequestError, Outcome, Request, Result
+from standflow.net.loop import Loop
 from standflow.net.nexthop import COOL_DOWN
+from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
 from tests.test_ops import VALUE, telemetry, with_ops
-from tests.wire import LIMIT, command, config, listener, member, program, read_until
+from tests.wire import LIMIT, command, config, listener, member, program, read_until, with_deadline
 from tests.world import ended, request, sends, settings, started
 
 
@@ -201,3 +204,60 @@
             figures = telemetry(running)
             assert (figures["sighup_applied"], figures["sighup_rejected"]) == (3, 2)
             assert figures["results.new.succeeded"] == figures["results.change.succeeded"] == 1
+
+
+class Reloads:
+    """One ingress in this process, whose file changes; each callback of a reload can be made to fail."""
+
+    def __init__(self, folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.path = folder / "config.json"
+        monkeypatch.setenv("EDGE_CONFIG", str(self.path))
+        monkeypatch.delenv("STANDFLOW_CONF", raising=False)
+        self.raw = with_deadline(config(counter="127.0.0.1:1"), 3.0)
+        self.log: list[str] = []
+        self.loop = Loop(self.log.append)
+        self.ingress = Ingress(loaded(self.path, json.dumps(self.raw)), self.loop, self.log.append)
+        self.moved: list[tuple[str, int]] = []
+        self.ingress.reloading.callbacks.move_discovery = self.moved.append
+        self.ingress.reloading.callbacks.move_counter = self.moved.append
+
+    def reload(self) -> None:
+        """SIGHUP with a shorter deadline, and other addresses of discovery and the counter."""
+        raw = with_deadline(json.loads(json.dumps(self.raw)), 0.8)
+        self.path.write_text(json.dumps(raw | {"discovery": "127.0.0.1:2", "counter": "127.0.0.1:3"}))
+        self.ingress.reload()
+
+    def close(self) -> None:
+        self.ingress.close()
+        self.loop.epoll.close()
+
+
+def raise_fault(*arguments: object) -> None:
+    """Takes the place of a step that has a fault."""
+    raise ZeroDivisionError
+
+
+@pytest.mark.parametrize("fault", ["classes", "discovery", "reading"])
+def test_fault_in_a_part_of_a_reload_skips_no_other(
+    fault: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a shutdown that SIGKILL overtakes, or a counter not moved, after a fault in a reload."""
+    reloads = Reloads(tmp_path, monkeypatch)
+    ingress = reloads.ingress
+    ingress.stop()
+    if fault == "classes":
+        monkeypatch.setattr(ingress.exchange, "reconfigure", raise_fault)
+    elif fault == "discovery":
+        ingress.reloading.callbacks.move_discovery = raise_fault
+    else:
+        monkeypatch.setattr("standflow.reloading.load", raise_fault)
+    reloads.reload()
+    assert ingress.shutdown.schedule == schedule_for(3.0 if fault == "reading" else 0.8)
+    moved = {"classes": [("127.0.0.1", 2), ("127.0.0.1", 3)], "discovery": [("127.0.0.1", 3)], "reading": []}
+    assert reloads.moved == moved[fault]
+    assert (ingress.reloading.applied, ingress.reloading.rejected) == (fault != "reading", fault == "reading")
+    assert any("ZeroDivisionError" in line for line in reloads.log)
+    said = "nothing was changed" if fault == "reading" else "reload: done but for what the faults before name"
+    assert any(said in line for line in reloads.log)
+    monkeypatch.undo()
+    reloads.close()
