Upgrade: a fault in taking over state keeps no process from serving

Callers would see: after an upgrade nobody accepts. A state that is no JSON object, or an unforeseen fault while it is taken over, left the new process with its listener paused for good, while it counts as serving.

Cause: an action of a role is due once, its steps were one sequence, and only four kinds of errors were caught; Driver.import_state raises AttributeError for a list, text, number or null.

Change: the steps of each action, and those of a poll, run isolated; errors of form include AttributeError and IndexError. Listening to peers anew is a step of its own too.

Why this works: beginning to serve and sending again follow whatever came before them.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -465,10 +465,7 @@
         """Starts serving clients."""
         if not self.clients.ready:
             if self.config.passed_fd is not None:
-                try:
-                    self._listen_to_peers()
-                except ConfigError as error:  # the ring works without this ingress
-                    self.log(f"fault: {error}")
+                run_isolated(self.log, self._listen_to_peers)  # the ring works without this ingress
             self.clients.start_serving()
             self.log(f"ready {self.config.name} on {self.clients.address[0]}:{self.clients.address[1]}")
 
--- a/standflow/upgrade/handover.py
+++ b/standflow/upgrade/handover.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from standflow.isolation import run_isolated
 from standflow.net.loop import Loop
 from standflow.ops.overlay import Overlay, Override
 from standflow.upgrade import roles
@@ -18,6 +19,8 @@
 HEARTBEAT_SECONDS = 0.5  # between writes of a process outside a handover
 REMOVE_AFTER_SECONDS = 60.0  # for which the file of a process that has exited is kept
 MAX_OVERRIDES = 2000
+# What reading a record raises if another version wrote it in another form.
+MALFORMED_RECORD_ERRORS = (AttributeError, LookupError, TypeError, ValueError, OverflowError)
 
 
 @dataclass(slots=True)
@@ -117,30 +120,36 @@
         self.last_writes = {
             generation: write for generation, write in self.last_writes.items() if generation in raw
         }
-        others = []
+        others: list[ProcessStatus] = []
         for generation, value in sorted(raw.items()):
-            try:
-                others.append(self._with_local_time(roles.read(generation, value), now))
-                self._merge_overrides(value)
-                if self.role.stage in (Stage.SERVING, Stage.HANDED):
-                    self._add_use(generation, value)
-                if now - others[-1].at > REMOVE_AFTER_SECONDS and generation < self.role.generation:
-                    self.files.remove(generation)
-                    self.applied_use = {
-                        key: units for key, units in self.applied_use.items() if key[0] != generation
-                    }
-            except (KeyError, TypeError, ValueError, OverflowError) as error:
-                self.log(f"upgrade: the record of process {generation} is ignored: {error!r}")
+            run_isolated(self.log, self._read_record, generation, value, now, others)
         alive = [process for process in others if now - process.at < roles.LIVENESS_SECONDS]
         if bool(alive) != self.another_alive:
             self.another_alive = bool(alive)
-            self.callbacks.share_limits(self.another_alive)
-        self._perform(self.role.step(others, now), raw)
+            run_isolated(self.log, self.callbacks.share_limits, self.another_alive)
+        run_isolated(self.log, self._perform, self.role.step(others, now), raw)
         shares_use = self.role.stage is Stage.HANDED or (self.took_from and self.another_alive)
         due = FAST_POLL_SECONDS if shares_use else HEARTBEAT_SECONDS
         if now - self.written_at >= due:
             self.write()
 
+    def _read_record(
+        self, generation: int, value: dict[str, Any], now: float, others: list[ProcessStatus]
+    ) -> None:
+        """Applies the record of another process, and appends its status to `others`."""
+        try:
+            others.append(self._with_local_time(roles.read(generation, value), now))
+            self._merge_overrides(value)
+            if self.role.stage in (Stage.SERVING, Stage.HANDED):
+                self._add_use(generation, value)
+            if now - others[-1].at > REMOVE_AFTER_SECONDS and generation < self.role.generation:
+                self.files.remove(generation)
+                self.applied_use = {
+                    key: units for key, units in self.applied_use.items() if key[0] != generation
+                }
+        except MALFORMED_RECORD_ERRORS as error:
+            self.log(f"upgrade: the record of process {generation} is ignored: {error!r}")
+
     def _with_local_time(self, process: ProcessStatus, now: float) -> ProcessStatus:
         """Replaces `at`, a process's own timestamp, by when it was last seen writing, on the loop's clock.
 
@@ -158,30 +167,39 @@
         return replace(process, at=min(seen_at, now))
 
     def _perform(self, action: str, raw: dict[int, dict[str, Any]]) -> None:
+        """Carries out an action of the role. It is due once: a fault in one step must not skip the next."""
+        log = self.log
         if action == "take":
-            predecessor = max(g for g, value in raw.items() if value.get("handed_to") == self.role.generation)
-            try:
-                # Routes first: the state of next hops is only imported for those that are known.
-                self.callbacks.import_routes(raw[predecessor]["routes"])
-                self.callbacks.import_state(raw[predecessor]["told"])
-                self.took_from = predecessor
-                self.log("upgrade: took over the state of the previous process")
-            except (KeyError, TypeError, ValueError, OverflowError) as error:
-                self.log(f"upgrade: the state of the previous process is ignored: {error!r}")
+            run_isolated(log, self._take_over, raw)
         if action in ("take", "begin"):
-            self.write()
+            run_isolated(log, self.write)
             self.begin()
         elif action == "hand":
-            self.log("upgrade: handing the state over to a newer process: no longer sending on the ring")
-            self.callbacks.set_peer_sending(False)
-            self.exported = self.callbacks.export_state()
+            log("upgrade: handing the state over to a newer process: no longer sending on the ring")
+            run_isolated(log, self.callbacks.set_peer_sending, False)
+            run_isolated(log, self._export)
             self.write()
         elif action == "resume":
-            self.log("upgrade: the newer process is dead: sending on the ring again")
+            log("upgrade: the newer process is dead: sending on the ring again")
             self.exported = None
-            self.callbacks.resume()
+            run_isolated(log, self.callbacks.resume)
             self.callbacks.set_peer_sending(True)
 
+    def _take_over(self, raw: dict[int, dict[str, Any]]) -> None:
+        """Imports the state that the previous process has handed over."""
+        predecessor = max(g for g, value in raw.items() if value.get("handed_to") == self.role.generation)
+        try:
+            # Routes first: the state of next hops is only imported for those that are known.
+            self.callbacks.import_routes(raw[predecessor]["routes"])
+            self.callbacks.import_state(raw[predecessor]["told"])
+            self.took_from = predecessor
+            self.log("upgrade: took over the state of the previous process")
+        except MALFORMED_RECORD_ERRORS as error:
+            self.log(f"upgrade: the state of the previous process is ignored: {error!r}")
+
+    def _export(self) -> None:
+        self.exported = self.callbacks.export_state()
+
     def _merge_overrides(self, value: dict[str, Any]) -> None:
         overlay = self.callbacks.overlay
         for hop, excluded, at, excluded_at in value["words"][:MAX_OVERRIDES] if overlay is not None else ():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -263,6 +263,74 @@
     loop.epoll.close()
 
 
+class PlantedError(Exception):
+    """The fault that a test plants."""
+
+
+def fail(*arguments: object) -> None:
+    """Takes the place of a callback that has a fault."""
+    raise PlantedError
+
+
+@pytest.mark.parametrize("callback", ["import_routes", "import_state", "add"])
+def test_fault_in_a_step_of_a_handover_does_not_keep_the_new_process_from_serving(
+    callback: str, tmp_path: Path
+) -> None:
+    """Guards against a process that never serves, or falls silent, as taking over its state failed."""
+    events: list[str] = []
+    loop = Loop(events.append)
+    handover_part(loop, events, tmp_path, "old")
+    new = handover_part(loop, events, tmp_path, "new")
+    setattr(new.callbacks, callback, fail)
+    run_until(loop, lambda: "new begins" in events)
+    begun_at = new.written_at
+    run_until(loop, lambda: new.written_at > begun_at + 2 * HEARTBEAT_SECONDS)
+    assert "old resumes" not in events
+    assert any("PlantedError" in line for line in events)
+    loop.epoll.close()
+
+
+@pytest.mark.parametrize("told", [[], "text", 7, None, {}, {"known": []}])
+def test_state_of_another_form_does_not_keep_the_new_process_from_serving(told: Any, tmp_path: Path) -> None:
+    """Guards against a process that never serves, as another version hands over state of another form."""
+    events: list[str] = []
+    loop = Loop(events.append)
+    other = StateFiles(f"{tmp_path}", "n0", 5, events.append)
+    scripted = ScriptedDriver()
+
+    def beat(handed_to: int) -> None:
+        status = {"generation": 5, "at": time.time(), "stage": "handed", "handed_to": handed_to}
+        other.write(
+            status | {"words": [], "evacuated": [False, 0.0], "spent": [], "routes": [], "told": told}
+        )
+
+    beat(0)
+    new = handover_part(loop, events, tmp_path, "new")
+    new.callbacks.import_state = scripted.driver.import_state
+    loop.every(0.05, lambda: beat(new.role.generation))
+    run_until(loop, lambda: "new begins" in events)
+    assert any("the state of the previous process is ignored" in line for line in events)
+    scripted.recorder.close()
+    loop.epoll.close()
+
+
+@pytest.mark.parametrize("callback", ["export_state", "resume"])
+def test_fault_in_a_step_of_the_old_process_leaves_it_sending_once_it_is_alone(
+    callback: str, tmp_path: Path
+) -> None:
+    """Guards against an ingress that sends nothing on the ring for good after a failed handover."""
+    events: list[str] = []
+    loop = Loop(events.append)
+    old = handover_part(loop, events, tmp_path, "old")
+    setattr(old.callbacks, callback, fail)
+    new = handover_part(loop, events, tmp_path, "new")
+    run_until(loop, lambda: "new begins" in events)
+    new.closed = True
+    run_until(loop, lambda: "old sends True" in events)
+    assert any("PlantedError" in line for line in events)
+    loop.epoll.close()
+
+
 def handover_part(loop: Loop, events: list[str], folder: Path, name: str) -> Handover:
     """One process of a handover that records the callbacks it gets."""
 
