Handshakes: the replacement of old connections goes on whatever happens to one

Callers would see nothing at once: at some next hops connections would keep TLS material that was replaced, for good.

Cause: the search went through the table of next hops while opening a connection can end others (no descriptor is left), and with the last one a next hop that is gone. The RuntimeError left out the call of the next search.

Change: names first, then the next search, then one step for each.

Why this works: the table is not held while anything is opened, and the search no longer depends on the outcome of its steps.

Both forms of the test (a next hop goes, a fault) failed before.

--- a/standflow/handshakes/limiter.py
+++ b/standflow/handshakes/limiter.py
@@ -8,6 +8,7 @@
 from standflow.exchange import Outcome, Phase, Route, RouteSet
 from standflow.handshakes.limits import Decision, Limits
 from standflow.handshakes.visible_routes import VisibleRoutes
+from standflow.isolation import run_for_each
 from standflow.net.backend_connection import Connection
 from standflow.net.loop import Loop, Timer
 from standflow.net.nexthop import LOCAL_REASONS, NextHops
@@ -64,8 +65,9 @@
             self.wanted.discard(hop)
         if visible.routes or visible.complete:
             self.publish(visible)
-        for route in self.visible_routes.awaiting_connection():
-            self._check(route.hop)
+        run_for_each(
+            self.log, self.visible_routes.awaiting_connection(), lambda route: self._check(route.hop)
+        )
 
     def _started(self, route: Route, now: float, unix_time: float) -> float | None:
         """When a next hop started, of the loop's clock; `unix_time`: Unix time at `now`. None: long ago."""
@@ -176,14 +178,22 @@
         return any(one.stream.generation != self.generation for one in held.idle)
 
     def _replace_old(self) -> None:
-        left = False
-        for hop, held in self.next_hops.hops.items():
-            if any(one.stream.generation != self.generation for one in held.connections):
-                left = True
-                if hop not in self.timers and self._needs_replacement(hop):
-                    self._check(hop)
-        if left:
+        """Begins what can be replaced now, and looks again until no connection is old.
+
+        Opening a connection may end others where descriptors run out, and with them a next hop that is gone.
+        """
+        old = [
+            hop
+            for hop, held in self.next_hops.hops.items()
+            if any(one.stream.generation != self.generation for one in held.connections)
+        ]
+        if old:
             self.loop.call_later(REPLACE_INTERVAL_SECONDS, self._replace_old)
+        run_for_each(self.log, old, self._check_replacement)
+
+    def _check_replacement(self, hop: str) -> None:
+        if hop not in self.timers and self._needs_replacement(hop):
+            self._check(hop)
 
 
 def _offered(stream: Stream) -> bool:
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -24,7 +24,7 @@
 from standflow.handshakes.limits import MAX_IN_FLIGHT, Decision, Limits
 from standflow.handshakes.time_slots import TimeSlots, WarmUp, worst_case_share
 from standflow.handshakes.visible_routes import VisibleRoutes
-from tests.test_tls import CERT, Rig, options
+from tests.test_tls import CERT, NAME, Rig, options
 from tests.wire import run_until
 
 WARM_UP = WarmUp(0.15, 17.0)
@@ -505,6 +505,39 @@
     tls_rig.recorder.exchange.cancel(busy.transaction.name, busy.number)
 
 
+@pytest.mark.parametrize("event", ["next-hop-removed", "raised"])
+def test_what_happens_as_one_connection_is_replaced_keeps_no_other_from_it(
+    event: str, tls_rig: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections that keep old TLS material, as a next hop went while one was opened."""
+    tls_rig.streams.options.names["tt-08"] = NAME  # the same server, under another id
+    limited = LimitedRig(tls_rig)
+    serving = [
+        Route(name, tls_rig.address, "room-b", "std", 0, Phase.SERVING, 1.0, None)
+        for name in ("tt-07", "tt-08")
+    ]
+    limited.limiter.update_routes(RouteSet(11, True, tuple(serving)))
+    limited.until(lambda: limited.published and len(limited.published_hops()) == 2)
+    gone = Route("tt-09", tls_rig.address, "room-b", "std", 0, Phase.DRAINING, 1.0, None)
+    tls_rig.side.update_routes(RouteSet(12, False, (gone,)))
+    open_ahead, hops, opened = tls_rig.side.open_ahead, tls_rig.side.hops, list[str]()
+
+    def open_first(name: str) -> bool:
+        opened.append(name)
+        if len(opened) == 1 and event == "raised":
+            raise ZeroDivisionError
+        hops.pop("tt-09", None)
+        return bool(open_ahead(name))
+
+    monkeypatch.setattr(tls_rig.side, "open_ahead", open_first)
+    tls_rig.recorder.loop.call_later(0.0, tls_rig.streams.reload, tls_rig.streams.options)
+    limited.until(lambda: tls_rig.ends().count("rotated") == 2)
+    assert {one.stream.generation for name in ("tt-07", "tt-08") for one in hops[name].idle} == {2}
+    planted = [line for line in tls_rig.recorder.log if "ZeroDivisionError" in line]
+    assert len(planted) == (event == "raised")
+    tls_rig.recorder.log[:] = [line for line in tls_rig.recorder.log if line not in planted]
+
+
 def test_a_replacement_is_waited_for_however_long_its_handshake_takes(tls_rig: Any) -> None:
     # During a slow handshake another replacement for the same connection was opened every 50 ms.
     limited = LimitedRig(tls_rig)
