Recovery: a fault in one kind of state keeps no other from the disk

Operators would see after a power loss: a word, next hops or members that had been taken are gone, as a fault elsewhere kept them from the store, or as its thread had ended without a line in the log.

Cause: plain sequences where records are collected, at the exit and after an operator's call; the store's thread caught OSError alone.

Change: each kind of records is collected on its own and all are put at once; the other steps run isolated; any fault of the thread is reported and retried as a failed write is.

Why this works: what is put no longer depends on what failed, one put a write keeps the number of syncs, and the thread ends at the close alone.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -347,7 +347,7 @@
     def _operator_state_changed(self) -> None:
         """Saves what operators changed, for other processes of this ingress and for the next start."""
         if self.handover is not None:
-            self.handover.write()
+            run_isolated(self.log, self.handover.write)
         if self.store is not None:
             self.store.write_operator_records()
 
@@ -519,9 +519,9 @@
 
     def _save(self) -> None:
         """Saves what must not be lost by SIGKILL, which may come to a process that stays for a long value."""
-        self.tally.flush()
+        run_isolated(self.log, self.tally.flush)
         if self.handover is not None:
-            self.handover.write()
+            run_isolated(self.log, self.handover.write)
         self._close_store()
 
     def _close_store(self) -> None:
--- a/standflow/recovery/store.py
+++ b/standflow/recovery/store.py
@@ -128,9 +128,9 @@
                 if self._last_error:
                     self.log_lines.append("store: written again")
                 self._last_error, self._retry_needed = "", False
-            except OSError as error:
+            except Exception as error:  # without this thread nothing would be kept any more
                 self._rewrite_needed = self._retry_needed = True  # the state of the file is unknown
-                self._report_error(f"{RECORDS_FILE}: {error.strerror}")
+                self._report_error(f"{RECORDS_FILE}: {getattr(error, 'strerror', None) or repr(error)}")
                 with self._wake:
                     self._wake.wait_for(lambda: self._closed, RETRY_SECONDS)
                 if closed and time.monotonic() < self._retry_deadline:
@@ -146,7 +146,7 @@
         for record in records:
             try:
                 line = encode(record, self.owner)
-            except ValueError as error:
+            except (TypeError, ValueError) as error:
                 self.log_lines.append(f"store: record skipped: {error}")
                 continue
             before = self.lines.pop(record.key, b"")
--- a/standflow/recovery/writer.py
+++ b/standflow/recovery/writer.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from standflow.isolation import run_for_each, run_isolated
 from standflow.net.loop import Loop
 from standflow.recovery.records import Record
 from standflow.recovery.store import Store
@@ -138,7 +139,7 @@
     def close(self, limit: float = 1.0) -> None:
         """Writes a last time and closes the store, within `limit` seconds."""
         if not self.closed:
-            self._write()
+            run_isolated(self.log, self._write)
             self.closed = True
             self.store.close(limit)
             self._flush_log()
@@ -167,21 +168,33 @@
         if self.store.lock_fd < 0:
             return
         now, uptime = self.loop.now(), read_boot_clock().uptime
-        records = [
-            Record(USAGE, row[0], row[1:], self.boot_id, uptime)
-            for row in self.callbacks.used_windows(self.last_write)
-        ] or [Record(HEARTBEAT, "", 1, self.boot_id, uptime)]
-        self.last_write = now
-        records += self._operator_records(uptime)
+        kinds = [self._usage_records, self._operator_records]
         if now >= self.next_slow_write:
             self.next_slow_write = now + SLOW_WRITE_SECONDS
-            records.append(Record(LEARNED, "", self.callbacks.learned_estimates(), self.boot_id, uptime))
-            next_hops = {str(route["id"]): route for route in self.callbacks.routes()}
-            records += self._changed_records(NEXT_HOP, next_hops, uptime)
-            if (members := self.callbacks.members()) is not None:
-                records += self._changed_records(MEMBER, members, uptime)
+            kinds += [self._learned_records, self._next_hop_records, self._member_records]
+        records: list[Record] = []
+        # Each kind on its own: a fault in one of them must not keep the others from the disk.
+        run_for_each(self.log, kinds, lambda records_of: records.extend(records_of(uptime)))
         self.store.put(records)
 
+    def _usage_records(self, uptime: float) -> list[Record]:
+        now = self.loop.now()
+        rows = self.callbacks.used_windows(self.last_write)
+        self.last_write = now
+        usage = [Record(USAGE, row[0], row[1:], self.boot_id, uptime) for row in rows]
+        return usage or [Record(HEARTBEAT, "", 1, self.boot_id, uptime)]
+
+    def _learned_records(self, uptime: float) -> list[Record]:
+        return [Record(LEARNED, "", self.callbacks.learned_estimates(), self.boot_id, uptime)]
+
+    def _next_hop_records(self, uptime: float) -> list[Record]:
+        next_hops = {str(route["id"]): route for route in self.callbacks.routes()}
+        return self._changed_records(NEXT_HOP, next_hops, uptime)
+
+    def _member_records(self, uptime: float) -> list[Record]:
+        members = self.callbacks.members()
+        return [] if members is None else self._changed_records(MEMBER, members, uptime)
+
     def _operator_records(self, uptime: float) -> list[Record]:
         evacuation = list(self.callbacks.evacuation())
         records = self._changed_records(EVACUATION, {"": evacuation} if evacuation[1] else {}, uptime)
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -7,16 +7,19 @@
 
 import pytest
 
+from standflow.assembly import Ingress
+from standflow.config import read
 from standflow.exchange import FinalAnswer, Outcome, Transaction
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
+from standflow.net.loop import Loop
 from standflow.net.stream import PlainStream
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
 from tests.test_long import REPLY, PipelinedRig, Rig
 from tests.test_ops import VALUE as SHORT_REPLY
-from tests.wire import LIMIT, command, read_until, run_until
+from tests.wire import LIMIT, command, config, read_until, run_until
 
 REFUSED = b"-BUSY 250\r\n"
 
@@ -328,3 +331,37 @@
     assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.RESET]
     assert rig.hops.connections == 0
     rig.close()
+
+
+class StubState:
+    """Stands in for the handover and the store of an ingress, and records what is called on it."""
+
+    def __init__(self) -> None:
+        self.called: list[str] = []
+
+    def write_operator_records(self) -> None:
+        """See StateStoreWriter."""
+        self.called.append("operator records")
+
+    def close(self, limit: float) -> None:
+        """See StateStoreWriter."""
+        self.called.append("closed")
+
+    write = fail
+
+
+@pytest.mark.parametrize(
+    ("step", "called"), [("_operator_state_changed", "operator records"), ("_save", "closed")]
+)
+def test_fault_as_state_is_handed_over_does_not_keep_it_from_the_store(step: str, called: str) -> None:
+    """Guards against operators' words that a power loss takes along, as writing them elsewhere failed."""
+    log: list[str] = []
+    loop, state = Loop(log.append), StubState()
+    ingress = Ingress(read(config(), log.append), loop, log.append)
+    ingress.handover = ingress.store = state  # type: ignore[assignment]
+    getattr(ingress, step)()
+    assert state.called == [called]
+    assert sum("PlantedError" in line for line in log) == 1
+    ingress.handover = ingress.store = None
+    ingress.close()
+    loop.epoll.close()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -14,12 +14,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from standflow.net.loop import Loop
 from standflow.recovery.records import Record, encode, header_line, identity, read
 from standflow.recovery.store import RECORDS_FILE, Store
 from standflow.recovery.trust import (
     EVACUATION,
     HEARTBEAT,
     LEARNED,
+    MEMBER,
     NEXT_HOP,
     OPERATOR_OVERRIDE,
     USAGE,
@@ -27,6 +29,7 @@
     Plan,
     select_trusted,
 )
+from standflow.recovery.writer import StateStoreWriter, WriterCallbacks
 from tests.wire import LIMIT
 
 OURS = identity("n1", 1, "lab")
@@ -321,3 +324,66 @@
     # the clock of a boot never goes back, so no time is taken to have passed
     early = select_trusted(records, BootClock("b", 50.0), PLANS)
     assert [w.own + w.others for w in early.windows] == [12.0]
+
+
+def fail(*arguments: object) -> Any:
+    """Takes the place of a callback that has a fault."""
+    raise ZeroDivisionError
+
+
+@pytest.mark.parametrize("callback", ["used_windows", "operator_overrides", "learned_estimates", "routes"])
+def test_fault_in_one_kind_of_record_keeps_no_other_from_the_disk(callback: str, tmp_path: Path) -> None:
+    """Guards against an exit that saves nothing, as collecting one kind of records failed."""
+    log: list[str] = []
+    loop = Loop(log.append)
+    callbacks = WriterCallbacks(
+        used_windows=lambda since: [["aa", "plain", 0, 1, 2.0, 0.0]],
+        refill_windows=fail,
+        learned_estimates=lambda: {"look": 1.0},
+        restore_learned_estimates=fail,
+        routes=lambda: [{"id": "s-1"}],
+        operator_overrides=lambda: {"s-2": [True, 1.0, 1.0]},
+        evacuation=lambda: (False, 0.0),
+        members=lambda: {"3": [7, "", 0]},
+    )
+    kinds = {"used_windows": USAGE, "operator_overrides": OPERATOR_OVERRIDE}
+    kinds |= {"learned_estimates": LEARNED, "routes": NEXT_HOP}
+    setattr(callbacks, callback, fail)
+    store = Store(tmp_path, OURS, 1 << 20)
+    writer = StateStoreWriter(loop, log.append, store, 1.0, callbacks)
+    assert store.lock()
+    writer.close(LIMIT)
+    written = {kind for kind, _ in kept(tmp_path)}
+    assert written == {USAGE, OPERATOR_OVERRIDE, LEARNED, NEXT_HOP, MEMBER} - {kinds[callback]}
+    assert store.lock_fd < 0
+    assert sum("ZeroDivisionError" in line for line in log) == 1
+    loop.epoll.close()
+
+
+def test_record_that_can_not_be_written_ends_neither_the_thread_nor_other_records(tmp_path: Path) -> None:
+    """Guards against a store that keeps nothing any more after a single bad record."""
+    store = Store(tmp_path, OURS, 1 << 20)
+    assert store.lock()
+    store.put([Record(NEXT_HOP, "bad", [object()], "b", 1.0), Record(NEXT_HOP, "good", [1], "b", 1.0)])
+    until(lambda: bool(store.syncs))
+    store.put([Record(NEXT_HOP, "later", [2], "b", 1.0)])
+    store.close(LIMIT)
+    assert kept(tmp_path) == {(NEXT_HOP, "good"): [1], (NEXT_HOP, "later"): [2]}
+    assert len(store.log_lines) == 1
+
+
+def test_fault_of_the_thread_is_retried_as_a_failed_write(tmp_path: Path) -> None:
+    """Guards against a store whose thread has ended, which is found out at the next power loss."""
+    faults = [ZeroDivisionError()]
+
+    def sync(fd: int) -> None:
+        if faults:
+            raise faults.pop()
+
+    store = Store(tmp_path, OURS, 1 << 20, sync)
+    assert store.lock()
+    store.put([Record(NEXT_HOP, "s-1", [1], "b", 1.0)])
+    until(lambda: bool(store.log_lines))
+    store.close(LIMIT)
+    assert kept(tmp_path) == {(NEXT_HOP, "s-1"): [1]}
+    assert "ZeroDivisionError()" in store.log_lines[0]
