Exchange: an attempt that the module ends while its client leaves is ended once

Callers would see nothing; backends would: other attempts of a client that left go on, and its memory stays taken, as its end stopped halfway.

Cause: client_gone chose the attempts without outcome and then told the module of each end. If the module ends another of them in reply, that one has no context any more as its turn comes (AttributeError). Today's module does not cancel there; the exchange guards what holds whatever is decided.

Change: each attempt is asked as its turn comes, on a copy of the list; the same copy as a long value begins.

--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -380,17 +380,18 @@
             self.counts[transaction.request.class_name].gone += 1
             self._close(transaction)
             self.decisions.transaction_gone(transaction)
-            for waiting in [branch for branch in transaction.branches if branch.outcome is None]:
-                if self.next_hops.unsent(waiting):
-                    self.next_hops.give_up(waiting)
-                    self.branch_ended(waiting, Result(Outcome.CANCELLED))
+            for branch in list(transaction.branches):
+                # The module may have ended it meanwhile, as it was told of an earlier one.
+                if branch.outcome is None and self.next_hops.unsent(branch):
+                    self.next_hops.give_up(branch)
+                    self.branch_ended(branch, Result(Outcome.CANCELLED))
             self._drop_if_done(transaction)
-        elif (branch := transaction.streaming) is not None:
+        elif (streaming := transaction.streaming) is not None:
             self.tally("answer.gone")
             self.counts[transaction.request.class_name].gone += 1
             self._release(transaction)
-            self.next_hops.give_up(branch)
-            self.branch_ended(branch, Result(Outcome.CANCELLED))
+            self.next_hops.give_up(streaming)
+            self.branch_ended(streaming, Result(Outcome.CANCELLED))
 
     def value_timed_out(self, transaction: Transaction) -> None:
         """A value that started to arrive is not complete at the deadline of its client."""
@@ -491,7 +492,7 @@
             if timer is not None:
                 timer.cancel()
         self.decisions.stream_started(branch, branch.first_byte_at - branch.started_at)
-        for other in transaction.branches:
+        for other in list(transaction.branches):
             if other is not branch and other.outcome is None:
                 self.next_hops.give_up(other)
                 self.branch_ended(other, Result(Outcome.CANCELLED))
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -9,7 +9,7 @@
 
 from standflow.assembly import Ingress
 from standflow.config import read
-from standflow.exchange import FinalAnswer, Outcome, Transaction
+from standflow.exchange import Branch, FinalAnswer, Outcome, Transaction
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
 from standflow.net.loop import Loop
@@ -365,3 +365,28 @@
     ingress.handover = ingress.store = None
     ingress.close()
     loop.epoll.close()
+
+
+def test_branch_that_the_module_ends_while_its_client_leaves_is_ended_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a client's end that stops halfway, as the module ended another of its attempts."""
+    rig = Rig()
+    rig.client.sendall(command("aa01") + command("aa02"))
+    rig.until(lambda: len(rig.recorder.opened) == 2)
+    exchange = rig.recorder.exchange
+    first, second = rig.recorder.opened
+    for transaction in (first, first, second):
+        exchange.send(transaction.name, "s-1", None)
+    ended: list[tuple[str, int]] = []
+
+    def cancel_the_other(branch: Branch, *details: object) -> None:
+        ended.append((branch.transaction.name, branch.number))
+        exchange.cancel(branch.transaction.name, 1 - branch.number)
+
+    monkeypatch.setattr(rig.recorder, "branch_ended", cancel_the_other)
+    rig.side.close()
+    assert sorted(ended) == [(first.name, 0), (first.name, 1), (second.name, 0)]
+    assert not exchange.transactions
+    assert not any("fault" in line for line in rig.recorder.log)
+    rig.close()
