Driver: what the module decided before a fault is carried out

Callers would see quotas go wrong: after one fault in the module's periodic work its timer was never set again. In any event a fault took decisions on other requests along.

Cause: the actions of an event in which the module failed were dropped, while the module's state already counted them as done.

Change: they are carried out, then the request in question is answered.

Why this works: a timer comes first among an epoch's actions, and attempts that the module counts as in flight are really sent, so that they end.

The test failed before (no second epoch).

--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -22,6 +21,7 @@
     RouteSet,
     Transaction,
 )
+from standflow.isolation import log_fault
 from standflow.net.loop import Loop
 from standflow.start_times import StartTimes
 
@@ -119,20 +119,25 @@
         try:
             actions = self.module.handle(self.handled_at + self.clock_offset, event)
         except Exception:
-            # The ingress keeps running: this transaction is answered, the others are not affected.
-            name = type(event).__name__
-            self.log(f"fault of the module on {name}: " + traceback.format_exc().replace("\n", " | "))
+            # The ingress keeps running: this transaction is answered, the others are not affected. What was
+            # decided before the fault is part of the module's state: timers, and attempts of other requests.
+            log_fault(self.log, f"of the module on {type(event).__name__}")
+            self._carry_out(self.module.actions)
             if transaction is not None:
                 self.exchange.abandon(transaction, AbandonReason.FAULT)
                 # The module drops what it still holds of the request.
                 if not isinstance(event, i.RequestCancelled):
                     self.events.append((i.RequestCancelled(transaction.name), None))
             return
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: list[i.Action]) -> None:
+        """Carries out actions in order; a fault in one of them is logged."""
         for action in actions:
             try:
                 self.handlers[type(action)](action)
             except Exception:
-                self.log(f"fault of {action}: " + traceback.format_exc().replace("\n", " | "))
+                log_fault(self.log, f"of {action}")
 
     # Events.
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -8,11 +8,13 @@
 import socket
 import time
 from dataclasses import replace
+from functools import partial
 from random import Random
 
 import pytest
 
 from hoistfold import interface as i
+from hoistfold.gateway import Gateway
 from standflow.config import read
 from standflow.driver import Driver
 from standflow.exchange import Failed, Outcome, Phase, Refused, Request, Result, Route, RouteSet
@@ -77,6 +79,27 @@
     scripted.recorder.close()
 
 
+def test_fault_of_the_module_in_an_epoch_keeps_its_periodic_work_going(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a module whose timer is never set again, so that quotas are reported no more."""
+    scripted = ScriptedDriver()
+    module, loop = scripted.driver.module, scripted.recorder.loop
+    monkeypatch.setattr(module, "handle", partial(Gateway.handle, module))
+    epochs: list[float] = []
+
+    def fail_first(seconds: float) -> None:
+        epochs.append(loop.now())
+        if len(epochs) == 1:
+            raise ZeroDivisionError
+
+    monkeypatch.setattr(module, "_evict_idle", fail_first)
+    scripted.driver.start(None)
+    run_until(loop, lambda: len(epochs) == 2)
+    assert sum("fault of the module on TimerFired" in line for line in scripted.recorder.log) == 1
+    scripted.recorder.close()
+
+
 def test_a_malformed_datagram_does_not_count_as_a_peer_message() -> None:
     scripted = ScriptedDriver(gateways=3)
     del scripted.driver.module.handle
