Acceptor: a fault at the end of accepting leaves no listener open

Callers would see: they can connect to a process that is ending, up to its exit, and one of them gets a reset.

Cause: Acceptor.end scheduled its next try behind the step that can fail; a fault as a connection is set up left its socket to be collected.

Change: the next try first; setting up a connection is isolated, and its socket closed in order. Accepted sockets are made non-blocking at once: a first form of this change hung in close_gracefully on one that was not.

Both forms of the test (no room told, setup failed) failed before.

--- a/standflow/net/acceptor.py
+++ b/standflow/net/acceptor.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from standflow.isolation import run_isolated
+from standflow.net.closing import close_gracefully
 from standflow.net.listening import inherited_listener, tcp_listener
 from standflow.net.loop import IN, Coroutine, Loop, Task, Timer
 from standflow.net.transient_errors import MAX_TRIES, RETRY_PAUSE, TRANSIENT_ERRORS, retry_at_startup
@@ -35,7 +37,7 @@
         """Closes an idle connection; false if there is none to close."""
 
     def connection_accepted(self, sock: socket.socket) -> None:
-        """Serves a connection."""
+        """Serves a connection, whose socket does not block."""
 
 
 class Acceptor:
@@ -81,12 +83,14 @@
         if self.listener is None:
             return
         if not self.shared:
+            self.end_timer = self.loop.call_later(RETRY_PAUSE, self.end)  # also after a fault in accepting
             if self._accept():
+                self.end_timer.cancel()
                 self.end_timer = self.loop.call_later(0.0, self.end)
                 return
             if self.waiting_since is not None and not self.host.refuse_unopened:  # at the limit: try again
-                self.end_timer = self.loop.call_later(RETRY_PAUSE, self.end)
                 return
+            self.end_timer.cancel()
         self.loop.end(self.listener)
         self.listener = None
 
@@ -119,7 +123,9 @@
                     return False
                 shortages += error.errno in TRANSIENT_ERRORS
                 continue
-            self.host.connection_accepted(sock)
+            sock.setblocking(False)
+            if not run_isolated(self.log, self.host.connection_accepted, sock):
+                close_gracefully(sock)
         return True
 
     def _may_accept_again(self, error: OSError, shortages: int) -> bool:
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -109,7 +109,6 @@
 
     def _start_connection(self, sock: socket.socket) -> None:
         """Starts serving an accepted connection. It may carry a request already, so no failure may escape."""
-        sock.setblocking(False)
         disable_nagle(sock)
         connection = ClientConnection(self, sock)
         if self.has_pending_bytes(connection):
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -390,3 +390,32 @@
     assert not exchange.transactions
     assert not any("fault" in line for line in rig.recorder.log)
     rig.close()
+
+
+@pytest.mark.parametrize("step", ["has_room", "connection_accepted"])
+def test_fault_at_the_end_of_accepting_keeps_no_client_waiting(
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a listener that stays open through a shutdown, with clients that nobody answers."""
+    clients = Clients(1)
+    loop, side = clients.recorder.loop, clients.side
+    original, faults = getattr(side, step), list[str]()
+
+    def fail_once(*arguments: object) -> object:
+        if not faults:
+            faults.append(step)
+            raise PlantedError
+        return original(*arguments)
+
+    clients.sockets += [socket.create_connection(side.address, LIMIT) for _ in range(3)]
+    for number, client in enumerate(clients.sockets[1:]):
+        client.sendall(command(f"bb{number:02}", d=60_000))
+    monkeypatch.setattr(side, step, fail_once)
+    begin = loop.now()
+    side.stop()
+    run_until(loop, lambda: not side.listening)
+    assert loop.now() - begin < 0.3
+    served = 4 if step == "has_room" else 3  # the connection with the fault is closed
+    run_until(loop, lambda: len(clients.recorder.opened) == served)
+    assert faults
+    clients.close()
