Counter: a fault as one call is settled leaves no other without a result

Callers would see requests that wait for the counter up to their deadline: as a connection to it ended, a fault in taking one call's result left those behind it without any.

Cause: on_closed settled the calls in one bare loop. Each is a step of its own now, so that none depends on another. The test failed before.

--- a/standflow/counter/client.py
+++ b/standflow/counter/client.py
@@ -21,6 +21,7 @@
 
 import h11
 
+from standflow.isolation import run_for_each, run_isolated
 from standflow.net.loop import ERROR_EVENTS, IN, OUT, Coroutine, Loop, Task, Timer, error_reason
 
 READ_SIZE_BYTES = 16384
@@ -286,14 +287,17 @@
         left = [*connection.calls, *connection.unwritten]
         if connection.awaiting_response and connection.status == 200 and connection.calls:
             # The status confirms that the amount was added; only the total is missing.
-            self.settle(connection.calls[0], CallEffect.ADDED, None)
+            run_isolated(self.log, self.settle, connection.calls[0], CallEffect.ADDED, None)
         age = self.loop.now() - connection.created_at
         self.log(f"end counter {connection.close_reason} open={len(left)} age={age:.2f}")
         if left:
             self.depth = max(1, self.depth // 2)
-        for call in left:
-            if not call.settled:
-                self.settle(call, CallEffect.UNCERTAIN if call.written else CallEffect.NOT_ADDED, None)
+        run_for_each(self.log, left, self._settle_by_bytes)
+
+    def _settle_by_bytes(self, call: Call) -> None:
+        """Settles a call whose connection has ended, by what was written of it."""
+        if not call.settled:
+            self.settle(call, CallEffect.UNCERTAIN if call.written else CallEffect.NOT_ADDED, None)
 
     def _time_out(self, call: Call) -> None:
         """Reports a call that exceeded the timeout.
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -296,6 +296,24 @@
             assert rig.results(rig.add("a"))[0].total == 1.0
 
 
+def test_fault_as_one_call_is_settled_leaves_no_other_without_result() -> None:
+    """Guards against requests that wait for the counter in vain, as the result of another was not taken."""
+
+    def fail(result: CallResult) -> None:
+        raise ZeroDivisionError
+
+    with listener() as old:
+        rig = Rig(old.getsockname())
+        rig.client.add("a", 1.0, 60.0, fail)
+        calls = [rig.add("b"), rig.add("c")]
+        with accepted(old):
+            run_until(rig.loop, lambda: len(rig.client.connections[0].calls) == 3)
+            rig.client.switch_address(("127.0.0.1", 1))
+        assert [call[0].effect for call in calls] == [CallEffect.UNCERTAIN] * 2
+        assert sum("ZeroDivisionError" in line for line in rig.log) == 1
+        rig.loop.epoll.close()
+
+
 def test_no_call_is_lost_when_the_counter_closes_an_idle_connection() -> None:
     with CounterServer(Store(), idle=0.02) as server, open_rig(server.address) as rig:
         assert rig.results(rig.add("a"))[0].total == 1.0
