Fleet: a fault as a datagram is sent keeps no change of membership from the module

Callers would see quotas by the membership of before a crash or a cut, until the next event: a fault in sending one datagram left out the log and the report of that event's changes.

Cause: Member._execute ran them in one sequence. Each datagram and each line is a step of its own now, and the report follows. The test failed before.

--- a/standflow/fleet/member.py
+++ b/standflow/fleet/member.py
@@ -13,6 +13,7 @@
 from standflow.fleet.outbox import Send
 from standflow.fleet.own_member import Change
 from standflow.fleet.snapshot import Snapshot
+from standflow.isolation import run_for_each
 from standflow.net.loop import Loop
 
 
@@ -139,10 +140,8 @@
 
     def _execute(self, sends: list[Send]) -> None:
         """Carries out the results of an event: datagrams, log lines and the report to the module."""
-        for send in sends:
-            self._send(send)
-        for change in self.membership.changes:
-            self._log_change(change)
+        run_for_each(self.log, sends, self._send)
+        run_for_each(self.log, self.membership.changes, self._log_change)
         self.membership.changes.clear()
         self._report()
 
--- a/tests/test_fleet_member.py
+++ b/tests/test_fleet_member.py
@@ -100,6 +100,22 @@
     assert all(member.metrics().present == 2 for member in two.members)
 
 
+def test_fault_as_a_datagram_is_sent_does_not_keep_a_change_from_the_module() -> None:
+    """Guards against quotas by a membership of before, as one datagram of an event was not sent."""
+
+    def fail(to: object, content: bytes) -> None:
+        raise ZeroDivisionError
+
+    two = Two()
+    two.loop.run(2.0)
+    two.is_cut = True
+    two.members[1].callbacks.send = fail
+    two.loop.run(8.0)
+    assert not two.reports[1][-1].has_quorum
+    assert "fleet: place 0: suspected -> gone (suspicion timed out), 1 present" in two.logs[1]
+    assert any("ZeroDivisionError" in line for line in two.logs[1])
+
+
 def test_dead_members_are_stored_for_the_next_start_and_members_that_left_are_not() -> None:
     two = Two()
     two.loop.run(2.0)
