--- a/tests/test_delivery_at_exit.py
+++ b/tests/test_delivery_at_exit.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import signal
 import socket
 import threading
 import time
@@ -183,6 +185,34 @@
     rig.close()
 
 
+@pytest.mark.parametrize("reloaded", [None, 1.0])
+def test_planned_restart_over_a_slow_value_answers_all_other_clients(
+    reloaded: float | None, tmp_path: Path
+) -> None:
+    """Guards against a process that ends with requests open, by its deadline or a reloaded one (case 7)."""
+    longest = 5.0  # above the 3 s that count, so that the requests' own time is not over before the exit
+    with slow_value(tmp_path, longest, seconds=longest) as running:
+        reader = running.call()
+        reader.sendall(command("aa01", "Q.DO", "change", d=5000) + command("aa02", "Q.DO", "change", d=5000))
+        time.sleep(0.3)  # the value has come in part, and is buffered as another command is behind it
+        others = [running.call() for _ in range(3)]
+        for number, other in enumerate(others):
+            other.sendall(command(f"bb{number:02}", "Q.DO", "change", d=5000))
+        time.sleep(0.2)
+        if reloaded is not None:
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(with_deadline(json.loads(path.read_text()), reloaded)))
+            running.process.send_signal(signal.SIGHUP)
+            running.logged("reload: done")
+        running.terminate()
+        begin = time.monotonic()
+        for other in others:
+            assert read_until(other, b"\r\n") == b"-ERR failed\r\n"
+        assert time.monotonic() - begin < schedule_for(reloaded or longest).kill
+        running.logged("shutdown: answers all")
+        assert "fault" not in running.log
+
+
 def test_exit_with_nothing_on_its_way_is_at_its_time() -> None:
     """Guards against a process that stays for connections on which no answer is on its way."""
     recorder = Recorder()
