Shutdown: serving ends by its moment after SIGTERM, also after a reload

Cause: the time from the end of accepting to the end of serving was a span, which began anew as the reload ended accepting once more.

Change: the moment counts from SIGTERM. A SIGTERM that is handled late ends serving no later either. The test failed before (order of the two steps).

--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -86,15 +86,16 @@
         self.exchange.set_final_deadline(begun_at + schedule.answer_all)
         # A listener that was passed in is served by the next process: this one stops accepting at once.
         stop_accepting = 0.0 if self.clients.shared else schedule.stop_accepting
-        serve_for = schedule.stop_serving - stop_accepting
+        stop_serving_at = begun_at + schedule.stop_serving
         self.timers = [
-            self.loop.call_at(begun_at + stop_accepting, self._stop_accepting, serve_for),
+            self.loop.call_at(begun_at + stop_accepting, self._stop_accepting, stop_serving_at),
             self.loop.call_at(begun_at + schedule.answer_all, self.answer_all),
         ]
         self.exit_timer = self.loop.call_at(begun_at + schedule.exit, self._exit)
 
-    def _stop_accepting(self, serve_for: float) -> None:
-        self.clients.stop(serve_for)
+    def _stop_accepting(self, stop_serving_at: float) -> None:
+        """Ends accepting. Serving ends at its own moment, however late accepting ends or is ended again."""
+        self.clients.stop(max(0.0, stop_serving_at - self.loop.now()))
         self._log_state("accepts no more")
 
     def answer_all(self) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -235,6 +235,29 @@
     recorder.close()
 
 
+def test_reload_in_a_shutdown_ends_serving_by_the_shorter_schedule() -> None:
+    """Guards against requests that are sent on up to the last answers, and fail then, after such a reload."""
+    recorder = Recorder()
+    side = ClientSide(recorder.loop, recorder.log.append, recorder.exchange, ("127.0.0.1", 0), 2)
+    side.start_serving()
+    client = socket.create_connection(side.address)
+    client.sendall(command("aa01", d=60_000))
+    run_until(recorder.loop, lambda: len(recorder.opened) == 1)
+    shutdown = ShutdownSteps(recorder.loop, recorder.log.append, side, recorder.exchange)
+    shutdown.begin(3.0, recorder.loop.now() - schedule_for(2.8).stop_serving)
+    run_until(recorder.loop, lambda: any("accepts no more" in line for line in recorder.log))
+    shutdown.shorten(2.8)
+    client.sendall(command("aa02", d=60_000))
+    recorder.loop.run()
+    lines = [line for line in recorder.log if line.startswith(("drain: no more", "shutdown: answers all"))]
+    assert [line.split(",")[0] for line in lines] == ["drain: no more is served", "shutdown: answers all"]
+    assert read_until(client, b"-BUSY 250\r\n-BUSY 250\r\n")
+    assert len(recorder.opened) <= 2  # the second one as the last that is served, or none
+    client.close()
+    side.close()
+    recorder.close()
+
+
 def test_sigkill_may_be_timed_by_the_deadlines_before_or_after_a_reload(tmp_path: Path) -> None:
     assert run_all(tmp_path, [Restart(0.8, reloaded=2.4), Restart(2.4, reloaded=0.8)]) == []
 
