--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -13,7 +13,7 @@
 
 from standflow.config import Config, ConfigError
 from standflow.driver import Driver
-from standflow.exchange import Exchange, Route, RouteSet
+from standflow.exchange import Exchange
 from standflow.isolation import run_isolated
 from standflow.net.client_side import ClientSide
 from standflow.net.flow import FlowBudget
@@ -23,6 +23,7 @@
 from standflow.net.routes import RouteWatch, read_routes, write_route
 from standflow.net.watch_timing import MAX_BACK_OFF
 from standflow.reloading import ReloadCallbacks, Reloading
+from standflow.route_set import Route, RouteSet
 from standflow.shutdown import Shutdown, close_all
 from standflow.tally import INTERVAL_SECONDS, Tally
 
--- a/standflow/config/model.py
+++ b/standflow/config/model.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from hoistfold import interface as i
-from standflow.exchange import RouteSet
+from standflow.route_set import RouteSet
 
 Address = tuple[str, int]
 
--- a/standflow/config/platform.py
+++ b/standflow/config/platform.py
@@ -17,8 +17,8 @@
 from hoistfold.adapter import read_settings
 from standflow.config.model import Address, Config, ConfigError
 from standflow.config.reload import key_shape
-from standflow.exchange import RouteSet
 from standflow.net.routes import RouteError, read_address, read_routes
+from standflow.route_set import RouteSet
 
 DEFAULT_SOCKETS = 1024
 DEFAULT_MEMORY_MB = 192
--- a/standflow/counter/quota_calls.py
+++ b/standflow/counter/quota_calls.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from standflow.counter.client import CallEffect, CallResult, CounterClient
-from standflow.exchange import Outcome
+from standflow.messages import Outcome
 from standflow.net.loop import Loop
 
 MAX_CONNECTIONS = 4  # each carries up to PIPELINE_DEPTH calls
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -10,19 +10,11 @@
 
 from hoistfold import interface as i
 from hoistfold.gateway import Gateway
-from standflow.exchange import (
-    AbandonReason,
-    Branch,
-    Exchange,
-    Outcome,
-    Phase,
-    Result,
-    Route,
-    RouteSet,
-    Transaction,
-)
+from standflow.exchange import AbandonReason, Branch, Exchange, Transaction
 from standflow.isolation import log_fault
+from standflow.messages import Outcome, Result
 from standflow.net.loop import Loop
+from standflow.route_set import Phase, Route, RouteSet
 from standflow.start_times import StartTimes
 
 if TYPE_CHECKING:
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -10,100 +10,24 @@
 
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Protocol
 
 from standflow.isolation import run_for_each
+from standflow.messages import (
+    NEVER_RAN,
+    Failed,
+    FinalAnswer,
+    InvalidRequestError,
+    Outcome,
+    Refused,
+    Request,
+    Result,
+    Served,
+)
 from standflow.net.loop import Loop, Timer
 
-
-class Outcome(Enum):
-    """How a branch, a probe or a counter call ended."""
-
-    OK = "ok"
-    ERROR = "error"
-    FULL = "full"
-    TIMEOUT = "timeout"
-    CONNECT_FAILED = "connect_failed"
-    RESET = "reset"
-    CANCELLED = "cancelled"
-    MOOT = "moot"
-
-
-NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
-
-
-class Phase(Enum):
-    """The state of a next hop in the route set."""
-
-    SERVING = "serving"
-    DRAINING = "draining"
-    GONE = "gone"
-
-
-@dataclass(slots=True, frozen=True)
-class Route:
-    """One next hop of the route set."""
-
-    hop: str
-    address: tuple[str, int]
-    zone: str
-    kind: str
-    cell: int
-    phase: Phase
-    size: float
-    up_since: float | None
-
-
-@dataclass(slots=True, frozen=True)
-class RouteSet:
-    """A complete route set, or changes to it."""
-
-    revision: int
-    complete: bool
-    routes: tuple[Route, ...]
-    partial: bool = False  # some members of the message could not be parsed
-
-
-@dataclass(slots=True, frozen=True)
-class Request:
-    """A request as the client side received it, for any protocol."""
-
-    class_name: str
-    plan: str
-    tenant: str
-    timeout: float
-    units: float
-    ring_size: int
-    ring_first: int
-    message: Any
-    ident: object = None  # the client's request id, unique among open requests
-    release: Callable[[], None] | None = None  # called once when the request's resources are no longer needed
-
-
-@dataclass(slots=True, frozen=True)
-class Served:
-    """Final answer: the value of a next hop."""
-
-    value: Any
-
-
-@dataclass(slots=True, frozen=True)
-class Refused:
-    """Final answer: a retry does no harm, preferably after this many seconds."""
-
-    retry_after: float | None
-
-
-@dataclass(slots=True, frozen=True)
-class Failed:
-    """Final answer: the request may or may not have run."""
-
-    reason: str
-
-
-FinalAnswer = Served | Refused | Failed
 ANSWER_COUNTERS: dict[type, str] = {
     Served: "answer.served",
     Refused: "answer.refused",
@@ -119,16 +43,6 @@
     FAULT = "fault"  # the module raised an exception
 
 
-@dataclass(slots=True, frozen=True)
-class Result:
-    """How a branch or a probe ended, with the load report of the next hop."""
-
-    outcome: Outcome
-    value: Any = None
-    used_percent: float = 0.0
-    report: Mapping[str, float] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class TransactionCounts:
     """Transactions of one class since the process started: how many were accepted and how they ended."""
@@ -145,10 +59,6 @@
         return self.taken - self.succeeded - self.declined - self.aborted - self.gone
 
 
-class InvalidRequestError(ValueError):
-    """A request that can't be accepted; the message is sent to the client."""
-
-
 class Branch:
     """One attempt of a transaction at one next hop."""
 
--- a/standflow/handshakes/limiter.py
+++ b/standflow/handshakes/limiter.py
@@ -5,14 +5,15 @@
 import time
 from collections.abc import Callable
 
-from standflow.exchange import Outcome, Phase, Route, RouteSet
 from standflow.handshakes.limits import Decision, Limits
 from standflow.handshakes.visible_routes import VisibleRoutes
 from standflow.isolation import run_for_each
+from standflow.messages import Outcome
 from standflow.net.backend_connection import Connection
 from standflow.net.loop import Loop, Timer
 from standflow.net.nexthop import LOCAL_REASONS, NextHops
 from standflow.net.stream import Stream
+from standflow.route_set import Phase, Route, RouteSet
 from standflow.start_times import StartTimes
 
 MIN_CHECK_INTERVAL_SECONDS = 0.002  # between two checks of the same next hop
--- a/standflow/handshakes/visible_routes.py
+++ b/standflow/handshakes/visible_routes.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass, replace
 
-from standflow.exchange import Phase, Route, RouteSet
+from standflow.route_set import Phase, Route, RouteSet
 
 
 @dataclass(slots=True)
--- a/standflow/net/answer_slot.py
+++ b/standflow/net/answer_slot.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from standflow.exchange import Failed, FinalAnswer, Refused, Served, Transaction
+from standflow.exchange import Transaction
+from standflow.messages import Failed, FinalAnswer, Refused, Served
 from standflow.net import resp
 from standflow.net.flow import Flow
 from standflow.net.loop import Timer
--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -13,13 +13,14 @@
 from enum import Enum
 from typing import Protocol
 
-from standflow.exchange import Outcome, Result, Route
 from standflow.isolation import run_isolated
+from standflow.messages import Outcome, Result
 from standflow.net import resp
 from standflow.net.flow import Flow, FlowBudget
 from standflow.net.loop import ERROR_EVENTS, IN, NO_EVENT, OUT, Coroutine, Loop, Task, error_reason
 from standflow.net.stream import READ_SIZE, Stream
 from standflow.net.transient_errors import TRANSIENT_ERRORS
+from standflow.route_set import Route
 
 REPLY_STALL_TIMEOUT = 0.1  # seconds within which the rest of a reply must follow its beginning
 PAUSE_STALL_TIMEOUT = 2.0  # the same for what a sound backend may write after a pause
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -9,15 +9,9 @@
 from functools import partial
 from typing import Protocol
 
-from standflow.exchange import (
-    Exchange,
-    FinalAnswer,
-    InvalidRequestError,
-    Refused,
-    Request,
-    Served,
-)
+from standflow.exchange import Exchange
 from standflow.isolation import run_for_each, run_isolated
+from standflow.messages import FinalAnswer, InvalidRequestError, Refused, Request, Served
 from standflow.net import resp
 from standflow.net.answer_slot import AnswerSlot, encode_final
 from standflow.net.arrival import READ_SIZE
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -8,8 +8,9 @@
 import socket
 from collections.abc import Callable
 
-from standflow.exchange import Branch, Exchange, Outcome, Phase, Result, Route, RouteSet
+from standflow.exchange import Branch, Exchange
 from standflow.isolation import run_isolated
+from standflow.messages import Outcome, Result
 from standflow.net import resp
 from standflow.net.backend_connection import (
     PAUSE_STALL_TIMEOUT,
@@ -23,6 +24,7 @@
 from standflow.net.loop import Loop, error_reason
 from standflow.net.stream import PlainStream, Stream
 from standflow.platform_terms import MAX_PAUSE_SECONDS
+from standflow.route_set import Phase, Route, RouteSet
 
 FLOW_BUDGET = 16 * 1024 * 1024  # default, in bytes of long values that are being forwarded
 # Seconds for which a connection is not reused after an answer. A duplicate answer to the same command may
--- a/standflow/net/routes.py
+++ b/standflow/net/routes.py
@@ -13,9 +13,9 @@
 
 import h11
 
-from standflow.exchange import Phase, Route, RouteSet
 from standflow.net.loop import IN, NO_EVENT, OUT, Coroutine, Loop, Task, Timer, error_reason
 from standflow.net.watch_timing import CONNECT_TIMEOUT, MAX_BACK_OFF, SILENCE_TIMEOUT, CallEnd, WatchTiming
+from standflow.route_set import Phase, Route, RouteSet
 
 PHASES = {"SERVING": Phase.SERVING, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 NO_ADDRESS = ("0.0.0.0", 0)  # of a next hop that is gone, whose address is not needed
--- a/standflow/ops/operations.py
+++ b/standflow/ops/operations.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from standflow.exchange import RouteSet
 from standflow.net.loop import Loop
 from standflow.ops.calls import Calls
 from standflow.ops.figures import Counts, Figures, Fleet, Recovery, text
 from standflow.ops.overlay import Overlay
 from standflow.ops.server import Server
+from standflow.route_set import RouteSet
 
 
 @dataclass(slots=True)
--- a/standflow/ops/overlay.py
+++ b/standflow/ops/overlay.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 
-from standflow.exchange import Phase, Route, RouteSet
+from standflow.route_set import Phase, Route, RouteSet
 
 MAX_EXCLUDED = 1000  # next hops excluded at once; another one is refused
 MAX_KNOWN_IDS = 20_000  # ids remembered as listed at some time, the most recent ones
--- a/standflow/tls/streams.py
+++ b/standflow/tls/streams.py
@@ -8,9 +8,9 @@
 from datetime import UTC, datetime, timedelta
 
 from standflow.config.model import TlsOptions
-from standflow.exchange import Route
 from standflow.net.loop import Coroutine, Loop
 from standflow.net.stream import PlainStream, Stream
+from standflow.route_set import Route
 from standflow.tls import material
 from standflow.tls.material import Material, MaterialError
 from standflow.tls.names import name_for
--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -12,7 +12,8 @@
 
 from standflow.assembly import Ingress
 from standflow.config import read
-from standflow.exchange import Branch, Result, Transaction
+from standflow.exchange import Branch, Transaction
+from standflow.messages import Result
 from standflow.net import resp
 from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.client_side import ClientSide
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -11,7 +11,7 @@
 
 from standflow.assembly import Ingress
 from standflow.config import read
-from standflow.exchange import Outcome, Served
+from standflow.messages import Outcome, Served
 from standflow.net import resp
 from standflow.net.client_connection import MAX_PIPELINED, PAUSE_UNSENT
 from standflow.net.client_side import ClientSide
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -6,7 +6,8 @@
 import socket
 from collections.abc import Callable
 
-from standflow.exchange import Served, Transaction
+from standflow.exchange import Transaction
+from standflow.messages import Served
 from standflow.net.client_connection import MAX_PIPELINED, ClientConnection
 from standflow.net.client_memory import ClientMemory, HeldBytes
 from standflow.net.client_side import MAX_WRITE_STALLS, ClientSide
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -14,19 +14,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from standflow.exchange import (
-    Branch,
-    Exchange,
-    Failed,
-    Outcome,
-    Phase,
-    Refused,
-    Request,
-    Result,
-    Route,
-    RouteSet,
-    Transaction,
-)
+from standflow.exchange import Branch, Exchange, Transaction
+from standflow.messages import Failed, Outcome, Refused, Request, Result
 from standflow.net import resp
 from standflow.net.acceptor import ACCEPT_BATCH
 from standflow.net.arrival import MAX_SPANS, READ_SIZE, UnreadBytes
@@ -42,6 +31,7 @@
 from standflow.net.loop import Loop
 from standflow.net.nexthop import NextHops
 from standflow.net.timed_reader import LOGGED_UNREAD_SECONDS
+from standflow.route_set import Phase, Route, RouteSet
 from tests.wire import LIMIT, command, listener, read_until, run_until
 
 STEPS = settings(derandomize=True, max_examples=60, stateful_step_count=30, deadline=None)
--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -24,7 +24,7 @@
 from lab.counter import CounterServer, ServerFaults, Store
 from standflow.counter.client import CallEffect, CallResult
 from standflow.counter.quota_calls import QuotaCalls
-from standflow.exchange import Outcome
+from standflow.messages import Outcome
 from standflow.net.loop import Loop
 from tests.wire import Program, config, member, program, run_until
 from tests.world import BASIC, LIMITED, READ, CounterNetwork, actions_of, ended, sends
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -17,12 +17,13 @@
 from hoistfold.gateway import Gateway
 from standflow.config import read
 from standflow.driver import Driver
-from standflow.exchange import Failed, Outcome, Phase, Refused, Request, Result, Route, RouteSet
 from standflow.log import MAX_LINES, Log
+from standflow.messages import Failed, Outcome, Refused, Request, Result
 from standflow.net.loop import IN, Coroutine
 from standflow.net.peers import Peers
 from standflow.net.routes import RouteError, RouteWatch, read_routes, zone_of
 from standflow.net.watch_timing import MAX_HEAD_TIMEOUT
+from standflow.route_set import Phase, Route, RouteSet
 from standflow.start_times import StartTimes
 from standflow.tally import MAX_HOPS, Tally
 from tests.test_connections import Recorder
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,7 +17,7 @@
 from lab.shutdown import kill_time
 from standflow.assembly import Ingress
 from standflow.config import read
-from standflow.exchange import Outcome, Phase, Route, RouteSet
+from standflow.messages import Outcome
 from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.client_side import ClientSide
 from standflow.net.loop import IN, Coroutine, Loop
@@ -26,6 +26,7 @@
 from standflow.net.stream import PlainStream, Stream
 from standflow.net.watch_timing import HEAD_TIMEOUT, MAX_BACK_OFF
 from standflow.platform_terms import MAX_PAUSE_SECONDS
+from standflow.route_set import Phase, Route, RouteSet
 from tests.test_connections import Recorder
 from tests.wire import (
     LIMIT,
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -23,7 +23,7 @@
 from lab.faulty_calls import SHORT, VARIABLE
 from lab.shutdown import process_state
 from standflow.counter.client import CallEffect, CallResult, CounterClient
-from standflow.exchange import Outcome, RouteSet
+from standflow.messages import Outcome
 from standflow.net import loop as loop_module
 from standflow.net import transient_errors
 from standflow.net.client_side import ClientSide
@@ -32,6 +32,7 @@
 from standflow.net.routes import RouteWatch
 from standflow.ops.calls import Answer
 from standflow.ops.server import Server
+from standflow.route_set import RouteSet
 from tests.test_adapter import ROOT
 from tests.test_connections import Recorder
 from tests.test_endings import Wired
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -18,12 +18,13 @@
 from lab.authority import server_context
 from lab.box import Box, Mode
 from standflow.config import HandshakeOptions
-from standflow.exchange import Outcome, Phase, Route, RouteSet
 from standflow.handshakes.costs import COST_STEP, MAX_COST_FACTOR, MAX_SAMPLES, Costs
 from standflow.handshakes.limiter import HandshakeLimiter
 from standflow.handshakes.limits import MAX_IN_FLIGHT, Decision, Limits
 from standflow.handshakes.time_slots import TimeSlots, WarmUp, worst_case_share
 from standflow.handshakes.visible_routes import VisibleRoutes
+from standflow.messages import Outcome
+from standflow.route_set import Phase, Route, RouteSet
 from tests.test_tls import CERT, NAME, Rig, options
 from tests.wire import run_until
 
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -9,7 +9,8 @@
 
 from standflow.assembly import Ingress
 from standflow.config import read
-from standflow.exchange import Branch, FinalAnswer, Outcome, Transaction
+from standflow.exchange import Branch, Transaction
+from standflow.messages import FinalAnswer, Outcome
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
 from standflow.net.loop import Loop
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -13,7 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from standflow.exchange import Outcome, Phase, Route, RouteSet
+from standflow.messages import Outcome
 from standflow.net.backend_connection import REPLY_STALL_TIMEOUT
 from standflow.net.client_side import ClientSide
 from standflow.net.flow import MAX_WINDOW, Flow, FlowBudget
@@ -21,6 +21,7 @@
 from standflow.net.nexthop import NextHops
 from standflow.net.resp import Buffer
 from standflow.net.stream import READ_SIZE
+from standflow.route_set import Phase, Route, RouteSet
 from tests.test_connections import Recorder
 from tests.test_ops import VALUE, telemetry, with_ops
 from tests.wire import LIMIT, command, config, listener, member, program, read_until, run_until
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -17,13 +17,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from standflow.exchange import Phase, Route, RouteSet, TransactionCounts
+from standflow.exchange import TransactionCounts
 from standflow.net.client_side import DRAIN_PERIOD
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.nexthop import COOL_DOWN
 from standflow.ops import figures, server
 from standflow.ops.calls import Answer, Calls
 from standflow.ops.overlay import MAX_EXCLUDED, Overlay
+from standflow.route_set import Phase, Route, RouteSet
 from tests.wire import LIMIT, Program, command, config, listener, member, program, read_until, run_until
 
 EVACUATED_SECONDS = 4.0  # after the call, in which every connection has ended (operation/DAYS)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,7 +16,8 @@
 from standflow.config import load
 from standflow.config.model import ConfigError
 from standflow.config.reload import first_missing_key, key_shape
-from standflow.exchange import Branch, InvalidRequestError, Outcome, Request, Result
+from standflow.exchange import Branch
+from standflow.messages import InvalidRequestError, Outcome, Request, Result
 from standflow.net.loop import Loop
 from standflow.net.nexthop import COOL_DOWN
 from standflow.shutdown_schedule import schedule_for
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -24,7 +24,7 @@
 
 from lab.box import Box, Mode
 from lab.shutdown import Client, Send, Shutdown, kill_time, shut_down
-from standflow.exchange import Refused, Request
+from standflow.messages import Refused, Request
 from standflow.net.acceptor import ACCEPT_BATCH
 from standflow.net.client_side import ClientSide
 from standflow.net.loop import LONG_ITERATION
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -23,9 +23,11 @@
 from lab.relay import Relay
 from lab.wire import Wire
 from standflow.config import NameRule, TlsOptions
-from standflow.exchange import Branch, Outcome, Phase, Request, Route, RouteSet
+from standflow.exchange import Branch
+from standflow.messages import Outcome, Request
 from standflow.net import resp
 from standflow.net.nexthop import NextHops
+from standflow.route_set import Phase, Route, RouteSet
 from standflow.tls import material
 from standflow.tls.material import MaterialError
 from standflow.tls.names import name_for
