Next hops: a fault with one of them keeps no other's drain from being applied

Callers would see requests fail at backends that are gone: a fault as one next hop of a list is updated left the rest of it unapplied and the module untold, with each list anew.

Cause: update_routes went through the list bare, and what follows it was skipped with it; an operator's exclusion was then not saved.

Change: each next hop is a step of its own, the module is told and the word saved in any case, and the fault is reported behind that, so that the watch asks for the whole list as before.

Three forms of two tests failed before; the operator's word is by reading.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -479,9 +479,11 @@
         if self.handshake_limiter is not None:
             self.handshake_limiter.update_routes(routes)
             return
-        self.next_hops.update_routes(routes)
-        self.driver.routes_updated(routes)
-        self._ready()
+        try:
+            self.next_hops.update_routes(routes)
+        finally:  # the module hears of the drains also if one of them could not be applied
+            self.driver.routes_updated(routes)
+            self._ready()
 
     def _show_routes(self, routes: RouteSet) -> None:
         """Passes on the routes that the handshake limiter has released."""
--- a/standflow/handshakes/limiter.py
+++ b/standflow/handshakes/limiter.py
@@ -56,7 +56,13 @@
         now, unix_time = self.loop.now(), time.time()
         before = set(self.visible_routes.entries)
         visible = self.visible_routes.update(routes, now + self.offset)
-        self.next_hops.update_routes(routes)
+        try:
+            self.next_hops.update_routes(routes)
+        finally:  # also if a part of it could not be applied
+            self._publish_changes(before, visible, now, unix_time)
+
+    def _publish_changes(self, before: set[str], visible: RouteSet, now: float, unix_time: float) -> None:
+        """Applies a report to the limits and passes on its visible part. `before`: next hops known before."""
         for hop, entry in self.visible_routes.entries.items():
             self.limits.update_hop(hop, entry.route.kind, self._started(entry.route, now, unix_time), now)
         for hop in before - set(self.visible_routes.entries):
--- a/standflow/isolation.py
+++ b/standflow/isolation.py
@@ -26,10 +26,10 @@
     return True
 
 
-def run_for_each(log: Log, items: Iterable[ItemT], step: Callable[[ItemT], object]) -> None:
-    """Runs a step for each item that is there at the beginning; the step may change the table of items.
+def run_for_each(log: Log, items: Iterable[ItemT], step: Callable[[ItemT], object]) -> bool:
+    """Runs a step for each item that is there at the beginning; false if there was an exception in any.
 
-    An earlier step may have ended an item meanwhile, which a step has to allow for.
+    The step may change the table of items. An earlier one may have ended an item, which it has to allow for.
     """
-    for item in list(items):
-        run_isolated(log, step, item)
+    succeeded = [run_isolated(log, step, item) for item in list(items)]
+    return all(succeeded)
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from standflow.exchange import Branch, Exchange
-from standflow.isolation import run_isolated
+from standflow.isolation import run_for_each, run_isolated
 from standflow.messages import Outcome, Result
 from standflow.net import resp
 from standflow.net.backend_connection import (
@@ -41,6 +41,10 @@
 )
 
 
+class RoutesNotAppliedError(Exception):
+    """A route set was applied to some of its next hops only; the log has told why."""
+
+
 class NextHops:
     """Connections to all next hops of the route set; implements exchange.NextHopSide."""
 
@@ -72,13 +76,18 @@
     # The route set.
 
     def update_routes(self, routes: RouteSet) -> None:
-        """Applies routes from discovery. Next hops that are missing from a complete set are gone."""
+        """Applies routes from discovery. Next hops that are missing from a complete set are gone.
+
+        A fault with one next hop must not keep the drains of others from being applied. It is reported as
+        RoutesNotAppliedError after them: the complete set has to be requested again.
+        """
         named = {route.hop for route in routes.routes}
-        for route in routes.routes:
-            self._update_route(route)
+        applied = run_for_each(self.log, routes.routes, self._update_route)
         if routes.complete:
-            for name in [name for name in self.hops if name not in named]:
-                self._end_writes(self.hops[name])
+            gone = [hop for name, hop in self.hops.items() if name not in named]
+            applied = run_for_each(self.log, gone, self._end_writes) and applied
+        if not applied:
+            raise RoutesNotAppliedError
 
     def _update_route(self, route: Route) -> None:
         hop = self.hops.get(route.hop)
--- a/standflow/ops/operations.py
+++ b/standflow/ops/operations.py
@@ -98,8 +98,10 @@
         error = self.overlay.set_excluded(hop, excluded, time.time())
         if not error and was_excluded != excluded:
             self.log(f"ops: next hop {hop} {'out' if excluded else 'back'} by hand")
-            self.override_changed(hop)
-            self.callbacks.state_changed()
+            try:
+                self.override_changed(hop)
+            finally:  # what the operator said holds for other processes and the next start in any case
+                self.callbacks.state_changed()
         return error
 
     def override_changed(self, hop: str) -> None:
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
@@ -14,7 +15,9 @@
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
 from standflow.net.loop import Loop
+from standflow.net.nexthop import RoutesNotAppliedError
 from standflow.net.stream import PlainStream
+from standflow.route_set import Phase, Route, RouteSet
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
@@ -420,3 +423,41 @@
     run_until(loop, lambda: len(clients.recorder.opened) == served)
     assert faults
     clients.close()
+
+
+@pytest.mark.parametrize("complete", [False, True])
+def test_fault_with_one_next_hop_lets_the_others_be_drained(
+    complete: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests to a next hop that is gone, as the one listed before it had a fault."""
+    rig = Rig()
+    address = rig.hop.getsockname()[:2]
+    names = ("s-1", "s-2", "s-3")
+    serving = [Route(name, address, "z1", "std", 0, Phase.SERVING, 1.0, None) for name in names]
+    rig.hops.update_routes(RouteSet(2, True, tuple(serving)))
+    close_idle, faulty = rig.hops._close_idle, rig.hops.hops["s-1"]
+    monkeypatch.setattr(
+        rig.hops, "_close_idle", lambda hop, why: fail() if hop is faulty else close_idle(hop, why)
+    )
+    draining = [replace(route, phase=Phase.DRAINING) for route in serving]
+    with pytest.raises(RoutesNotAppliedError):  # so that the whole list is asked for
+        rig.hops.update_routes(RouteSet(3, complete, () if complete else tuple(draining)))
+    assert [name for name in names if rig.hops.hops[name].writes_end_at is not None] == ["s-2", "s-3"]
+    monkeypatch.undo()
+    rig.close()
+
+
+def test_fault_with_one_next_hop_lets_the_module_hear_of_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests sent to what drains, as the module was not told of a list with a fault."""
+    log: list[str] = []
+    loop = Loop(log.append)
+    ingress = Ingress(read(config(), log.append), loop, log.append)
+    told: list[RouteSet] = []
+    monkeypatch.setattr(ingress.driver, "routes_updated", told.append)
+    monkeypatch.setattr(ingress.next_hops, "_update_route", fail)
+    route = Route("s-1", ("127.0.0.1", 1), "z1", "std", 0, Phase.DRAINING, 1.0, None)
+    with pytest.raises(RoutesNotAppliedError):
+        ingress._routes_updated(RouteSet(2, False, (route,)))
+    assert [routes.revision for routes in told] == [2]
+    ingress.close()
+    loop.epoll.close()
