Program: a fault of the loop itself costs no answer and no state

Callers would see: if the event loop itself fails, every open request's connection closes without an answer; operators: state that was not saved.

Cause: run() closed the ingress behind loop.run(), skipped by an exception.

Change: whatever ends the loop, what is open is answered, the ingress is closed and the log written; the exception still ends the process.

--- a/standflow/program.py
+++ b/standflow/program.py
@@ -9,6 +9,7 @@
 
 from standflow.assembly import Ingress
 from standflow.config import ConfigError, load
+from standflow.isolation import log_fault
 from standflow.log import Log
 from standflow.net.loop import Loop
 from standflow.signals import SignalInbox
@@ -39,8 +40,19 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20000, 20, 100)
-    loop.run()
-    ingress.close()
-    log("stopped")
-    log.flush()
+    serve_until_stopped(loop, ingress, log)
     return 0
+
+
+def serve_until_stopped(loop: Loop, ingress: Ingress, log: Log) -> None:
+    """Serves until the ingress is stopped. If the loop itself fails, what is open is answered first."""
+    try:
+        loop.run()
+    except Exception:
+        log_fault(log, "of the loop; the process ends")
+        ingress.shutdown.answer_all()
+        raise
+    finally:
+        ingress.close()
+        log("stopped")
+        log.flush()
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from collections.abc import Callable
 from dataclasses import replace
@@ -11,12 +12,14 @@
 from standflow.assembly import Ingress
 from standflow.config import read
 from standflow.exchange import Branch, Transaction
+from standflow.log import Log
 from standflow.messages import FinalAnswer, Outcome
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
 from standflow.net.loop import Loop
 from standflow.net.nexthop import RoutesNotAppliedError
 from standflow.net.stream import PlainStream
+from standflow.program import serve_until_stopped
 from standflow.route_set import Phase, Route, RouteSet
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
@@ -461,3 +464,24 @@
     assert [routes.revision for routes in told] == [2]
     ingress.close()
     loop.epoll.close()
+
+
+def test_fault_of_the_loop_itself_costs_no_answer_and_no_state(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a process that ends over open requests and unsaved state, by a traceback alone."""
+    log = Log(os.open(os.devnull, os.O_WRONLY))
+    loop, state = Loop(log), StubState()
+    ingress = Ingress(read(config(), log), loop, log)
+    ingress.store = state  # type: ignore[assignment]
+    ingress.clients.start_serving()
+    client = socket.create_connection(ingress.clients.address, LIMIT)
+    monkeypatch.setattr(ingress.driver, "transaction_opened", lambda transaction: None)  # it stays open
+    client.sendall(command("aa01"))
+    run_until(loop, lambda: ingress.exchange.open_count)
+    monkeypatch.setattr(loop, "run", fail)
+    with pytest.raises(PlantedError):
+        serve_until_stopped(loop, ingress, log)
+    assert read_until(client, b"\r\n").startswith(b"-BUSY")
+    assert state.called == ["closed"]
+    client.close()
+    loop.epoll.close()
+    os.close(log.fd)
