Client side: a fault of one idle connection keeps no room from other clients

Callers would see, at the connection limit: no new client is accepted, no dial made, and discovery's watch isn't opened again, as one idle client has a fault.

Cause: has_room and evict_idle went through the idle connections bare, on behalf of whoever asks for room.

Change: a fault of one counts as no room there, and the next one is asked. _end is called _evict now and has its only reason inside.

The test failed before (not accepted within 20 s), passes now (0.7 s).

--- a/standflow/isolation.py
+++ b/standflow/isolation.py
@@ -26,6 +26,15 @@
     return True
 
 
+def check_isolated(log: Log, check: Callable[[ItemT], bool], item: ItemT) -> bool:
+    """The result of a check on one item of many; an exception in it is logged and counts as false."""
+    try:
+        return check(item)
+    except Exception:
+        log_fault(log, f"of {getattr(check, '__qualname__', 'a check')}")
+        return False
+
+
 def run_for_each(log: Log, items: Iterable[ItemT], step: Callable[[ItemT], object]) -> bool:
     """Runs a step for each item that is there at the beginning; false if there was an exception in any.
 
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from standflow.exchange import Exchange
-from standflow.isolation import run_for_each, run_isolated
+from standflow.isolation import check_isolated, run_for_each, run_isolated
 from standflow.net import resp
 from standflow.net.acceptor import Acceptor
 from standflow.net.arrival import seconds_since_received
@@ -99,7 +99,9 @@
 
     def has_room(self) -> bool:
         """True if another connection may be accepted, possibly in place of an idle one."""
-        return len(self.connections) < self.max_clients or any(map(self._evictable, self.idle))
+        return len(self.connections) < self.max_clients or any(
+            check_isolated(self.log, self._evictable, connection) for connection in self.idle
+        )
 
     def connection_accepted(self, sock: socket.socket) -> None:
         """Serves an accepted connection, at the limit in place of an idle one."""
@@ -137,16 +139,20 @@
         return earliest
 
     def evict_idle(self) -> bool:
-        """Closes the longest idle connection at the limit; one with an open request is never closed."""
+        """Closes the longest idle connection at the limit; one with an open request is never closed.
+
+        A fault of one of them makes room at the next one: whoever asks for room is another client, or the
+        watch of discovery.
+        """
         if self.evicting:  # reading from a candidate may open a request that needs a descriptor, too
             return False
         self.evicting = True
         try:
-            return any(self._end(connection, "cap") for connection in list(self.idle))
+            return any(check_isolated(self.log, self._evict, connection) for connection in list(self.idle))
         finally:
             self.evicting = False
 
-    def _end(self, connection: ClientConnection, reason: str) -> bool:
+    def _evict(self, connection: ClientConnection) -> bool:
         """Ends an idle connection, unless bytes have arrived on it meanwhile: those are read first."""
         if connection.task is None or connection not in self.connections:
             return False
@@ -157,7 +163,7 @@
         if not shut_down_unless_unread(connection.sock):
             self._read_now(connection, connection.task)
             return False
-        connection.reason = reason
+        connection.reason = "cap"
         self.loop.end(connection.task)
         return True
 
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -428,6 +428,27 @@
     clients.close()
 
 
+def test_fault_of_an_idle_connection_at_the_limit_keeps_no_other_client_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against clients and dials that get no room, as one idle client has a fault."""
+    clients = Clients(3)
+    recorder, side = clients.recorder, clients.side
+    side.max_clients = 3
+    for transaction in list(recorder.opened):
+        recorder.exchange.refuse(transaction.name, None)
+    run_until(recorder.loop, lambda: len(side.idle) == 3)
+    monkeypatch.setattr(next(iter(side.idle)).reader, "has_unread_bytes", fail)
+    newcomer = socket.create_connection(side.address, LIMIT)
+    clients.sockets.append(newcomer)
+    newcomer.sendall(command("bb01", d=60_000))
+    run_until(recorder.loop, lambda: len(recorder.opened) == 4)
+    assert clients.logged("end caller cap") == 1
+    assert recorder.loop.free_descriptor()
+    monkeypatch.undo()
+    clients.close()
+
+
 @pytest.mark.parametrize("complete", [False, True])
 def test_fault_with_one_next_hop_lets_the_others_be_drained(
     complete: bool, monkeypatch: pytest.MonkeyPatch
