Exchange: a fault at the backends' side leaves no attempt without an outcome

Callers would see: a long value isn't passed on as giving up the request's other attempt fails; a request gets no second attempt as the first could not be started or given up. The module counts such attempts as in flight for good.

Cause: the exchange called start and give_up bare, and what follows them was skipped.

Change: a fault in give_up counts as a command that may have run. What can't be started ends as MOOT, which ejects no backend.

--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -14,7 +14,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from standflow.isolation import run_for_each
+from standflow.isolation import log_fault, run_for_each
 from standflow.messages import (
     NEVER_RAN,
     Failed,
@@ -293,14 +293,14 @@
             for branch in list(transaction.branches):
                 # The module may have ended it meanwhile, as it was told of an earlier one.
                 if branch.outcome is None and self.next_hops.unsent(branch):
-                    self.next_hops.give_up(branch)
+                    self._give_up(branch)
                     self.branch_ended(branch, Result(Outcome.CANCELLED))
             self._drop_if_done(transaction)
         elif (streaming := transaction.streaming) is not None:
             self.tally("answer.gone")
             self.counts[transaction.request.class_name].gone += 1
             self._release(transaction)
-            self.next_hops.give_up(streaming)
+            self._give_up(streaming)
             self.branch_ended(streaming, Result(Outcome.CANCELLED))
 
     def value_timed_out(self, transaction: Transaction) -> None:
@@ -309,7 +309,7 @@
             self.tally("answer.cut")
             self.counts[transaction.request.class_name].aborted += 1
             self._release(transaction)
-            self.next_hops.give_up(branch)
+            self._give_up(branch)
             self.branch_ended(branch, Result(Outcome.TIMEOUT))
 
     # Called by the driver.
@@ -332,8 +332,13 @@
             self.decisions.branch_ended(branch, Result(Outcome.MOOT), 0.0, not transaction.open)
             return branch
         transaction.running += 1
-        branch.timer = self.loop.call_at(limit, self._branch_timed_out, branch)
-        self.next_hops.start(branch)
+        branch.timer = self.loop.call_at(limit, self._end_unanswered, branch)
+        try:
+            self.next_hops.start(branch)
+        except Exception:
+            log_fault(self.log, f"of an attempt at {hop}")
+            # Later, as no outcome may arrive within this call. It says nothing about the next hop.
+            self.loop.call_later(0.0, self._end_unanswered, branch, Outcome.MOOT)
         return branch
 
     def cancel(self, name: str, number: int) -> None:
@@ -342,7 +347,7 @@
         if transaction is not None and number < len(transaction.branches):
             branch = transaction.branches[number]
             if branch.outcome is None:
-                self.next_hops.give_up(branch)
+                self._give_up(branch)
                 self.branch_ended(branch, Result(Outcome.CANCELLED))
 
     def refuse(self, name: str, retry_after: float | None) -> None:
@@ -404,7 +409,7 @@
         self.decisions.stream_started(branch, branch.first_byte_at - branch.started_at)
         for other in list(transaction.branches):
             if other is not branch and other.outcome is None:
-                self.next_hops.give_up(other)
+                self._give_up(other)
                 self.branch_ended(other, Result(Outcome.CANCELLED))
         transaction.reply(Served(value))
         return True
@@ -433,13 +438,27 @@
         self.decisions.branch_ended(branch, result, latency, not transaction.open)
         self._drop_if_done(transaction)
 
+    def _give_up(self, branch: Branch) -> bool:
+        """Ends a branch at the next-hop side; true if its command may have been written completely.
+
+        A fault there must keep neither the outcome from the module nor the answer from the client.
+        """
+        try:
+            return self.next_hops.give_up(branch)
+        except Exception:
+            log_fault(self.log, f"of an attempt that is given up at {branch.hop}")
+            return True
+
     # Timers.
 
-    def _branch_timed_out(self, branch: Branch) -> None:
-        """A command that was not written completely can't have run, so it counts as a failed connection."""
+    def _end_unanswered(self, branch: Branch, unwritten: Outcome = Outcome.CONNECT_FAILED) -> None:
+        """Ends a branch that has no outcome yet.
+
+        `unwritten`: the outcome of a command that was not written completely, which can't have run.
+        """
         if branch.outcome is None:
-            whole = self.next_hops.give_up(branch)
-            self.branch_ended(branch, Result(Outcome.TIMEOUT if whole else Outcome.CONNECT_FAILED))
+            whole = self._give_up(branch)
+            self.branch_ended(branch, Result(Outcome.TIMEOUT if whole else unwritten))
 
     def _overdue(self, transaction: Transaction) -> None:
         if transaction.open:
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -24,7 +24,7 @@
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
-from tests.test_long import REPLY, PipelinedRig, Rig
+from tests.test_long import LONG, REPLY, PipelinedRig, Rig
 from tests.test_ops import VALUE as SHORT_REPLY
 from tests.wire import LIMIT, command, config, read_until, run_until
 
@@ -340,6 +340,53 @@
     rig.close()
 
 
+def test_fault_as_an_attempt_is_given_up_costs_neither_the_answer_nor_the_outcome(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a value that is not passed on, and attempts that stay in flight for the module."""
+    rig = Rig()
+    backend = rig.ask()
+    exchange, (transaction,) = rig.recorder.exchange, rig.recorder.opened
+    exchange.send(transaction.name, "s-1", None)
+    monkeypatch.setattr(rig.hops, "give_up", fail)
+    backend.sendall(REPLY)
+    rig.until(lambda: rig.got.endswith(LONG[-10:] + b"\r\n"))
+    assert sorted(outcome.value for _, outcome in rig.recorder.ended) == ["cancelled", "ok"]
+    assert exchange.open_count == 0
+    monkeypatch.undo()
+    rig.close()
+
+
+def test_fault_as_an_attempt_is_timed_out_does_not_keep_its_outcome_from_the_module(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that gets no other attempt, as giving up the one before failed."""
+    rig = Rig()
+    rig.client.sendall(command("aa01", d=60_000))
+    rig.until(lambda: rig.recorder.opened)
+    monkeypatch.setattr(rig.hops, "give_up", fail)
+    rig.recorder.exchange.send(rig.recorder.opened[0].name, "s-1", 0.05)
+    rig.until(lambda: rig.recorder.ended)
+    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.TIMEOUT]
+    monkeypatch.undo()
+    rig.close()
+
+
+def test_fault_as_an_attempt_is_started_leaves_time_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that waits for its deadline over an attempt that was never made."""
+    rig = Rig()
+    rig.client.sendall(command("aa01", d=60_000))
+    rig.until(lambda: rig.recorder.opened)
+    monkeypatch.setattr(rig.hops, "make_stream", fail)
+    rig.recorder.exchange.send(rig.recorder.opened[0].name, "s-1", None)
+    assert not rig.recorder.ended
+    rig.until(lambda: rig.recorder.ended)
+    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.MOOT]
+    assert rig.hops.connections == 0
+    monkeypatch.undo()
+    rig.close()
+
+
 class StubState:
     """Stands in for the handover and the store of an ingress, and records what is called on it."""
 
