Next hops: a fault in counting a dial does not keep it from being made

Callers would see: a request waits for its time over a connection that is never dialled; each such connection takes a place of the limit for good.

Cause: the limiter was told between counting the connection and starting the coroutine that cleans it up.

Change: telling it is a step of its own. The test failed before.

--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -242,7 +242,7 @@
         hop.connections.add(connection)
         self.connections += 1
         if self.admission is not None:
-            self.admission.dial_started(hop.route.hop, connection.stream)
+            run_isolated(self.log, self.admission.dial_started, hop.route.hop, connection.stream)
         try:
             connection.task = self.loop.spawn(connection.sock.fileno(), connection.run())
         except OSError as error:
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -387,6 +387,32 @@
     rig.close()
 
 
+class FaultyAdmission:
+    """An admission of dials with a fault in counting them."""
+
+    dial_started = fail
+
+    def refusal(self, hop: str) -> Outcome | None:
+        """See Admission."""
+        return None
+
+    def opened(self, connection: object, reason: str | None) -> None:
+        """See Admission."""
+
+    def closed(self, connection: object) -> None:
+        """See Admission."""
+
+
+def test_fault_as_a_dial_is_counted_does_not_keep_it_from_being_made() -> None:
+    """Guards against connections that count towards the limit for ever and were never dialled."""
+    rig = Rig()
+    rig.hops.admission = FaultyAdmission()  # type: ignore[assignment]
+    rig.ask().sendall(SHORT_REPLY)
+    rig.until(lambda: rig.got.endswith(b"va\r\nl\r\n"))
+    assert sum("PlantedError" in line for line in rig.recorder.log) == 1
+    rig.close()
+
+
 class StubState:
     """Stands in for the handover and the store of an ingress, and records what is called on it."""
 
