Shutdown: what is asked of one connection or request skips no step for the rest

Callers would see: answers in time, but a process that ends by SIGKILL with its state unsaved; or no step of a shutdown at all, its last answers included.

Cause: set_final_deadline ran before the timers of the steps were set; ClientSide.delivering, read by the exit, asked all connections bare; the description of open requests stood before the second reading of commands.

Change: timers first; each connection and request on its own.

Of three new forms of the test two failed before (delivering, final-deadline), description passed: that part is by reading.

--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -90,12 +90,15 @@
         """True if other processes accept from the same listening socket."""
         return self.acceptor.shared
 
-    # Called by the acceptor.
-
     @property
     def delivering(self) -> int:
         """The number of connections on which an answer is on its way."""
-        return sum(connection.delivering for connection in self.connections)
+        return sum(map(self._is_delivering, self.connections))
+
+    def _is_delivering(self, connection: ClientConnection) -> bool:
+        return check_isolated(self.log, lambda one: one.delivering, connection)
+
+    # Called by the acceptor.
 
     def has_room(self) -> bool:
         """True if another connection may be accepted, possibly in place of an idle one."""
@@ -269,13 +272,13 @@
 
     def close_unless_delivering(self) -> None:
         """Ends the connections on which no answer is on its way."""
-        ended = [connection for connection in self.connections if not connection.delivering]
+        ended = [connection for connection in self.connections if not self._is_delivering(connection)]
         run_for_each(self.log, ended, self._close)
 
     def _close(self, connection: ClientConnection) -> None:
         if connection.task is None:
             return
-        if connection.delivering:
+        if self._is_delivering(connection):
             connection.reason = "cut_off"
         run_isolated(self.log, connection.refuse_partial_command)
         self.loop.end(connection.task)
--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from standflow.exchange import Exchange, Transaction
-from standflow.isolation import log_fault, run_isolated
+from standflow.isolation import log_fault, run_for_each, run_isolated
 from standflow.net.client_side import ClientSide
 from standflow.net.loop import Loop, Timer
 from standflow.platform_terms import LATE_REQUEST_SECONDS, MAX_PAUSE_SECONDS
@@ -81,9 +81,8 @@
         self._follow(schedule, self.begun_at)
 
     def _follow(self, schedule: ShutdownSchedule, begun_at: float) -> None:
-        """Sets the timers for the steps of a schedule."""
+        """Sets the timers for the steps of a schedule: first, so that no fault leaves a step out."""
         self.schedule = schedule
-        self.exchange.set_final_deadline(begun_at + schedule.answer_all)
         # A listener that was passed in is served by the next process: this one stops accepting at once.
         stop_accepting = 0.0 if self.clients.shared else schedule.stop_accepting
         stop_serving_at = begun_at + schedule.stop_serving
@@ -92,6 +91,7 @@
             self.loop.call_at(begun_at + schedule.answer_all, self.answer_all),
         ]
         self.exit_timer = self.loop.call_at(begun_at + schedule.exit, self._exit)
+        run_isolated(self.log, self.exchange.set_final_deadline, begun_at + schedule.answer_all)
 
     def _stop_accepting(self, stop_serving_at: float) -> None:
         """Ends accepting. Serving ends at its own moment, however late accepting ends or is ended again."""
@@ -150,8 +150,8 @@
 
     def _describe(self, what: str, transactions: list[Transaction]) -> None:
         """Logs requests, one line each, and the number of those that are left out."""
-        for transaction in transactions[:MAX_DESCRIBED]:
-            self.log(f"shutdown: {what}: {transaction.describe()}")
+        described = transactions[:MAX_DESCRIBED]
+        run_for_each(self.log, described, lambda one: self.log(f"shutdown: {what}: {one.describe()}"))
         if len(transactions) > MAX_DESCRIBED:
             self.log(f"shutdown: {what}: {len(transactions) - MAX_DESCRIBED} more")
 
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -99,6 +99,20 @@
     patch.setattr(clients.first().slots[0].transaction, "reply", fail)
 
 
+def plant_in_description(clients: Clients, patch: pytest.MonkeyPatch) -> None:
+    faulty, describe = clients.first().slots[0].transaction, Transaction.describe
+    patch.setattr(Transaction, "describe", lambda one: fail() if one is faulty else describe(one))
+
+
+def plant_in_delivering(clients: Clients, patch: pytest.MonkeyPatch) -> None:
+    faulty = clients.first()
+    patch.setattr(ClientConnection, "delivering", property(lambda one: fail() if one is faulty else False))
+
+
+def plant_in_final_deadline(clients: Clients, patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(clients.recorder.exchange, "set_final_deadline", fail)
+
+
 def plant_in_decisions(clients: Clients, patch: pytest.MonkeyPatch) -> None:
     patch.setattr(clients.recorder, "transaction_gone", fail)
 
@@ -114,10 +128,13 @@
         plant_in_acceptor,
         plant_in_reply,
         plant_in_decisions,
+        plant_in_description,
+        plant_in_delivering,
+        plant_in_final_deadline,
     ],
     ids=[
         *("late-values", "long-body", "start-drain", "full", "partial-command"),
-        *("acceptor", "reply", "decisions"),
+        *("acceptor", "reply", "decisions", "description", "delivering", "final-deadline"),
     ],
 )
 def test_fault_of_one_connection_in_a_shutdown_costs_no_other_its_answer(
