Shutdown: a reload gives a process that stays for an answer no more time

Operators would see a process that stays for longer than the README's 60 s, as a reload with shorter deadlines comes meanwhile.

Cause: the limit counted from when the exit ran, and a reload repeats it. It counts from when the exit was due now.

--- a/standflow/shutdown.py
+++ b/standflow/shutdown.py
@@ -117,9 +117,7 @@
     def _keep_time_to_flush(self) -> None:
         """Postpones an exit that would follow at once because the last answers were late."""
         earliest = self.loop.now() + FLUSH_SECONDS
-        if self.begun_at is None or self.schedule is None or self.exit_timer is None:
-            return
-        if self.begun_at + self.schedule.exit < earliest:
+        if self.exit_timer is not None and self._exit_due() < earliest:
             self.exit_timer.cancel()
             self.exit_timer = self.loop.call_at(earliest, self._exit)
 
@@ -133,9 +131,16 @@
             self.loop.stop()
             return
         self.log(f"shutdown: stays for {delivering} answers that are on their way")
-        self.exit_timer = self.loop.call_later(MAX_DELIVERY_SECONDS, self._abort_deliveries)
+        abort_at = self._exit_due() + MAX_DELIVERY_SECONDS
+        self.exit_timer = self.loop.call_at(abort_at, self._abort_deliveries)
         run_isolated(self.log, self.save)
 
+    def _exit_due(self) -> float:
+        """When the exit was due, on the loop's clock: the same for each time that a reload repeats it."""
+        if self.begun_at is None or self.schedule is None:
+            return self.loop.now()
+        return self.begun_at + self.schedule.exit
+
     def _abort_deliveries(self) -> None:
         self._log_state("cuts off what is still on its way")
         self.loop.stop()
@@ -157,9 +162,9 @@
 
     def store_time_limit(self) -> float:
         """Seconds that the exit may wait for a slow disk."""
-        if self.begun_at is None or self.schedule is None:
+        if not self.begun:
             return MAX_STORE_SECONDS
-        left = self.begun_at + self.schedule.exit - self.loop.now()
+        left = self._exit_due() - self.loop.now()
         return min(MAX_STORE_SECONDS, max(MIN_STORE_SECONDS, left))
 
     def _stop_when_done(self) -> None:
--- a/tests/test_delivery_at_exit.py
+++ b/tests/test_delivery_at_exit.py
@@ -156,6 +156,27 @@
     rig.close()
 
 
+def test_reload_while_a_process_stays_for_an_answer_does_not_extend_its_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that stays for longer than the operators' page has it, by a reload."""
+    limit = 1.0
+    monkeypatch.setattr("standflow.shutdown.MAX_DELIVERY_SECONDS", limit)
+    rig = Rig()
+    loop = rig.recorder.loop
+    shutdown = Shutdown(loop, rig.recorder.log.append, rig.side, rig.recorder.exchange)
+    backend = rig.ask(command("aa01", d=300))
+    backend.sendall(REPLY[:1000])
+    rig.until(lambda: len(rig.got) > 900)
+    begin = loop.now()
+    shutdown.begin(3.0, begin - schedule_for(3.0).exit)  # the exit is due
+    loop.call_at(begin + 0.3, shutdown.shorten, 0.3)
+    rig.until(lambda: loop.stopped)
+    assert sum("shutdown: stays for 1 answers" in line for line in rig.recorder.log) == 2
+    assert loop.now() - begin < limit
+    rig.close()
+
+
 @pytest.mark.parametrize("late_values", [1, 2, 3])
 def test_values_that_are_late_at_the_exit_cost_no_other_client_its_answer(late_values: int) -> None:
     """Guards against last answers that are skipped as late values are failed (review case 7)."""
