Handshakes: limits that fail for one next hop keep no list from the module

Callers would see, with the block handshakes: requests fail at backends that drain, as a fault in the limits of another kept the list back.

Cause: the loops over next hops ran bare before the list was published.

Change: each next hop on its own, then the list, then the fault is reported so that the whole list is asked for, as for the pools.

--- a/standflow/handshakes/limiter.py
+++ b/standflow/handshakes/limiter.py
@@ -11,7 +11,7 @@
 from standflow.messages import Outcome
 from standflow.net.backend_connection import Connection
 from standflow.net.loop import Loop, Timer
-from standflow.net.nexthop import LOCAL_REASONS, NextHops
+from standflow.net.nexthop import LOCAL_REASONS, NextHops, RoutesNotAppliedError
 from standflow.net.stream import Stream
 from standflow.route_set import Phase, Route, RouteSet
 from standflow.start_times import StartTimes
@@ -62,19 +62,29 @@
             self._publish_changes(before, visible, now, unix_time)
 
     def _publish_changes(self, before: set[str], visible: RouteSet, now: float, unix_time: float) -> None:
-        """Applies a report to the limits and passes on its visible part. `before`: next hops known before."""
-        for hop, entry in self.visible_routes.entries.items():
-            self.limits.update_hop(hop, entry.route.kind, self._started(entry.route, now, unix_time), now)
-        for hop in before - set(self.visible_routes.entries):
-            self.limits.remove(hop)
-            self.starts.forget(hop)
-            self.forget(hop)
-            self.wanted.discard(hop)
+        """Applies a report to the limits and passes on its visible part. `before`: next hops known before.
+
+        A fault with one next hop is reported after the others, as in NextHops.update_routes.
+        """
+        entries, log = self.visible_routes.entries, self.log
+        listed = [entry.route for entry in entries.values()]
+        applied = run_for_each(log, listed, lambda route: self._update_limits(route, now, unix_time))
+        applied = run_for_each(log, before - set(entries), self._forget_hop) and applied
         if visible.routes or visible.complete:
             self.publish(visible)
-        run_for_each(
-            self.log, self.visible_routes.awaiting_connection(), lambda route: self._check(route.hop)
-        )
+        run_for_each(log, self.visible_routes.awaiting_connection(), lambda route: self._check(route.hop))
+        if not applied:
+            raise RoutesNotAppliedError
+
+    def _update_limits(self, route: Route, now: float, unix_time: float) -> None:
+        self.limits.update_hop(route.hop, route.kind, self._started(route, now, unix_time), now)
+
+    def _forget_hop(self, hop: str) -> None:
+        """Drops everything on a next hop that is gone."""
+        self.limits.remove(hop)
+        self.starts.forget(hop)
+        self.forget(hop)
+        self.wanted.discard(hop)
 
     def _started(self, route: Route, now: float, unix_time: float) -> float | None:
         """When a next hop started, of the loop's clock; `unix_time`: Unix time at `now`. None: long ago."""
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -24,6 +24,7 @@
 from standflow.handshakes.time_slots import TimeSlots, WarmUp, worst_case_share
 from standflow.handshakes.visible_routes import VisibleRoutes
 from standflow.messages import Outcome
+from standflow.net.nexthop import RoutesNotAppliedError
 from standflow.route_set import Phase, Route, RouteSet
 from tests.test_tls import CERT, NAME, Rig, options
 from tests.wire import run_until
@@ -539,6 +540,33 @@
     tls_rig.recorder.log[:] = [line for line in tls_rig.recorder.log if line not in planted]
 
 
+@pytest.mark.parametrize("step", ["update_hop", "remove"])
+def test_limits_that_fail_for_one_next_hop_let_the_module_hear_of_the_others(
+    step: str, tls_rig: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests sent to what drains, as the limits of a next hop listed with it had a fault."""
+    limited = LimitedRig(tls_rig)
+    tls_rig.streams.options.names["tt-08"] = NAME
+    listed = [
+        Route(name, tls_rig.address, "room-b", "std", 0, Phase.SERVING, 1.0, None)
+        for name in ("tt-07", "tt-08")
+    ]
+    limited.limiter.update_routes(RouteSet(11, True, tuple(listed)))
+    limited.until(lambda: limited.published and len(limited.published_hops()) == 2)
+
+    def fail_first(hop: str, *details: object) -> None:
+        if hop == "tt-07":
+            raise ZeroDivisionError
+
+    monkeypatch.setattr(limited.limits, step, fail_first)
+    draining = replace(listed[1], phase=Phase.DRAINING)
+    still_listed = (listed[0], draining) if step == "update_hop" else (draining,)
+    with pytest.raises(RoutesNotAppliedError):  # so that the whole list is asked for
+        limited.limiter.update_routes(RouteSet(12, True, still_listed))
+    assert limited.published[-1] == RouteSet(12, True, still_listed)
+    tls_rig.recorder.log[:] = [line for line in tls_rig.recorder.log if "ZeroDivisionError" not in line]
+
+
 def test_a_replacement_is_waited_for_however_long_its_handshake_takes(tls_rig: Any) -> None:
     # During a slow handshake another replacement for the same connection was opened every 50 ms.
     limited = LimitedRig(tls_rig)
