Upgrade: a fault with a next hop taken over keeps no quota from being so

Callers would see quotas spent twice after an upgrade in which one next hop of the older process's list could not be applied.

Cause: the module's state was imported behind the list, and a list that is applied in part raises. The list is a step of its own now.

The test failed before.

--- a/standflow/upgrade/handover.py
+++ b/standflow/upgrade/handover.py
@@ -190,7 +190,7 @@
         predecessor = max(g for g, value in raw.items() if value.get("handed_to") == self.role.generation)
         try:
             # Routes first: the state of next hops is only imported for those that are known.
-            self.callbacks.import_routes(raw[predecessor]["routes"])
+            run_isolated(self.log, self.callbacks.import_routes, raw[predecessor]["routes"])
             self.callbacks.import_state(raw[predecessor]["told"])
             self.took_from = predecessor
             self.log("upgrade: took over the state of the previous process")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -290,6 +290,19 @@
     loop.epoll.close()
 
 
+def test_fault_with_the_next_hops_taken_over_does_not_keep_the_quotas_from_it(tmp_path: Path) -> None:
+    """Guards against quotas that are spent twice after an upgrade, as a next hop of its list had a fault."""
+    events: list[str] = []
+    loop = Loop(events.append)
+    handover_part(loop, events, tmp_path, "old")
+    new = handover_part(loop, events, tmp_path, "new")
+    new.callbacks.import_routes = fail
+    run_until(loop, lambda: "new begins" in events)
+    assert "new imports old" in events
+    assert any("PlantedError" in line for line in events)
+    loop.epoll.close()
+
+
 @pytest.mark.parametrize("told", [[], "text", 7, None, {}, {"known": []}])
 def test_state_of_another_form_does_not_keep_the_new_process_from_serving(told: Any, tmp_path: Path) -> None:
     """Guards against a process that never serves, as another version hands over state of another form."""
