Start: a fault in the saved list or the store keeps no process from serving

Callers would see an ingress that ends at each start: a next hop of its saved list can't be applied, or its store holds a row that is whole but in a form this version doesn't write.

Cause: start() applied both in one bare sequence; reading the store raised on a number out of range, a line too long and a row that is no list.

Change: each is a step of its own, each window too; rows that are never written count as corrupt. The process serves without what it can't use.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -14,7 +14,7 @@
 from standflow.config import Config, ConfigError
 from standflow.driver import Driver
 from standflow.exchange import Exchange
-from standflow.isolation import run_isolated
+from standflow.isolation import run_for_each, run_isolated
 from standflow.net.client_side import ClientSide
 from standflow.net.flow import FlowBudget
 from standflow.net.loop import Loop
@@ -34,7 +34,7 @@
     from standflow.fleet.member import Member
     from standflow.handshakes.limiter import HandshakeLimiter
     from standflow.ops.operations import Operations
-    from standflow.recovery.trust import TrustedState
+    from standflow.recovery.trust import TrustedState, Window
     from standflow.recovery.writer import StateStoreWriter
     from standflow.tls.streams import TlsStreams
     from standflow.upgrade.handover import Handover
@@ -193,7 +193,7 @@
             self.loop, self.log, fleet.name, *position, peers.address, fleet.seeds, rng, callbacks
         )
         if self.restored is not None:
-            member.restore_members(self.restored.members)
+            run_isolated(self.log, member.restore_members, self.restored.members)
         peers.handle_membership, peers.on_received = member.receive, member.note_ring_datagram
         member.is_active = self.sends_to_peers
         return member
@@ -245,11 +245,14 @@
                 }
             )
 
+        def refill(window: Window) -> None:
+            driver.restore_use(
+                [[window.key, window.plan, window.first, window.size, window.own, window.others]]
+            )
+
         callbacks = WriterCallbacks(
             used_windows=driver.used_since,
-            refill_windows=lambda windows: driver.restore_use(
-                [[w.key, w.plan, w.first, w.size, w.own, w.others] for w in windows]
-            ),
+            refill_windows=lambda windows: run_for_each(self.log, windows, refill),
             learned_estimates=driver.learned_estimates,
             restore_learned_estimates=driver.restore_learned_estimates,
             routes=lambda: [write_route(route) for route in self._discovered_routes()],
@@ -277,7 +280,7 @@
             self.clients.evacuate(*restored.evacuation)
         self.restored = restored
         if self.fleet_member is not None:
-            self.fleet_member.restore_members(restored.members)
+            run_isolated(self.log, self.fleet_member.restore_members, restored.members)
         return restored
 
     def _discovered_routes(self) -> list[Route]:
@@ -437,25 +440,31 @@
         if self.handshake_limiter is not None:
             self.driver.start(None)
             if known is not None:
-                self.handshake_limiter.update_routes(known)
+                run_isolated(self.log, self.handshake_limiter.update_routes, known)
         else:
             if known is not None:
-                self.next_hops.update_routes(known)
+                run_isolated(self.log, self.next_hops.update_routes, known)
             self.driver.start(known)
-        if restored is not None and self.store is not None:
-            self.store.callbacks.refill_windows(restored.windows)
-            if restored.learned_estimates is not None:
-                try:
-                    self.store.callbacks.restore_learned_estimates(restored.learned_estimates)
-                except (KeyError, TypeError, ValueError, AttributeError) as error:
-                    self.log(f"store: the learned estimates are ignored: {error!r}")
-            self.store.start(restored)
+        if restored is not None:
+            self._restore_state(restored)
         if self.routes is not None:
             self.routes.connect()
         at_once = self.routes is None and self.handshake_limiter is None
         self.loop.call_later(0.0 if at_once else READY_TIMEOUT_SECONDS, self._ready)
         self.loop.call_later(INTERVAL_SECONDS * random.Random(self.config.seed).random(), self.tally.serve)
 
+    def _restore_state(self, restored: TrustedState) -> None:
+        """Takes over what the store held. What can't be used is logged, and the process serves without."""
+        if self.store is None:
+            return
+        self.store.callbacks.refill_windows(restored.windows)
+        if restored.learned_estimates is not None:
+            try:
+                self.store.callbacks.restore_learned_estimates(restored.learned_estimates)
+            except Exception as error:
+                self.log(f"store: the learned estimates are ignored: {error!r}")
+        run_isolated(self.log, self.store.start, restored)
+
     def _ready(self) -> None:
         if self.handover is not None:
             self.handover.ask(self._begin_serving)
--- a/standflow/recovery/records.py
+++ b/standflow/recovery/records.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 import zlib
 from dataclasses import dataclass
 from typing import Any
@@ -60,17 +61,29 @@
 
 
 def decode(line: bytes, owner: str) -> Record | None:
-    """Decodes a line without its newline; None if it is corrupt."""
+    """Decodes a line without its newline; None if it is corrupt, or in a form that is never written."""
     body = line[9:]
+    if len(body) > MAX_LINE_BYTES:
+        return None
     try:
         # Compared as bytes: parsed as a number, a checksum with upper-case digits would match too, and the
         # bit flip that made them would go unnoticed.
         if line[:9] != b"%08x " % zlib.crc32(body, zlib.crc32(owner.encode())):
             return None
-        kind, name, value, boot_id, uptime = json.loads(body)
-    except (ValueError, RecursionError):
+        kind, name, value, boot_id, uptime = json.loads(
+            body, parse_float=_read_finite, parse_constant=_read_finite
+        )
+        return Record(str(kind), str(name), value, str(boot_id), float(uptime))
+    except (ValueError, TypeError, RecursionError):
         return None
-    return Record(kind, name, value, boot_id, float(uptime))
+
+
+def _read_finite(text: str) -> float:
+    """Reads a number; ValueError for one that can't be written again."""
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"{text} is out of range")
+    return number
 
 
 def read(data: bytes, owner: str) -> Contents:
--- a/standflow/recovery/trust.py
+++ b/standflow/recovery/trust.py
@@ -83,7 +83,7 @@
     for record in candidates:
         try:
             _add_record(state, record, clock, plans, newest or record)
-        except (TypeError, ValueError, KeyError, IndexError):
+        except Exception:
             state.skipped += 1  # undamaged, but in the format of another version
     return state
 
--- a/standflow/recovery/writer.py
+++ b/standflow/recovery/writer.py
@@ -37,7 +37,7 @@
     """The ingress functions that the writer calls."""
 
     used_windows: Callable[[float], list[list[Any]]]  # windows used since a time on the loop's clock
-    refill_windows: Callable[[list[Window]], None]
+    refill_windows: Callable[[list[Window]], object]
     learned_estimates: Callable[[], dict[str, Any]]
     restore_learned_estimates: Callable[[dict[str, Any]], None]
     routes: Callable[[], list[dict[str, Any]]]
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import json
 import os
 import socket
+import zlib
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 
 from standflow.assembly import Ingress
 from standflow.config import read
+from standflow.config.model import StoreOptions
 from standflow.exchange import Branch, Transaction
 from standflow.log import Log
 from standflow.messages import FinalAnswer, Outcome
@@ -20,13 +24,17 @@
 from standflow.net.nexthop import RoutesNotAppliedError
 from standflow.net.stream import PlainStream
 from standflow.program import serve_until_stopped
+from standflow.recovery.records import MAX_LINE_BYTES, header_line, identity
+from standflow.recovery.store import RECORDS_FILE
+from standflow.recovery.trust import LEARNED, MEMBER, USAGE
+from standflow.recovery.writer import read_boot_clock
 from standflow.route_set import Phase, Route, RouteSet
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
 from tests.test_connections import Recorder
 from tests.test_long import LONG, REPLY, PipelinedRig, Rig
 from tests.test_ops import VALUE as SHORT_REPLY
-from tests.wire import LIMIT, command, config, read_until, run_until
+from tests.wire import LIMIT, command, config, member, read_until, run_until
 
 REFUSED = b"-BUSY 250\r\n"
 
@@ -577,6 +585,75 @@
     loop.epoll.close()
 
 
+@pytest.mark.parametrize("limited", [False, True])
+def test_fault_with_a_next_hop_of_the_saved_list_does_not_keep_a_process_from_starting(
+    limited: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that ends at each start, as its saved list holds a next hop with a fault."""
+    log: list[str] = []
+    loop = Loop(log.append)
+    known = {"revision": 1, "complete": True, "members": [member(("127.0.0.1", 1))]}
+    ingress = Ingress(read(config(known=known), log.append), loop, log.append)
+    told: list[RouteSet] = []
+    monkeypatch.setattr(ingress.driver, "routes_updated", lambda routes, saved=False: told.append(routes))
+    monkeypatch.setattr(ingress.next_hops, "_update_route", fail)
+    if limited:
+        ingress.handshake_limiter = FaultyLimiter()  # type: ignore[assignment]
+    ingress.start()
+    run_until(loop, lambda: ingress.clients.ready)
+    assert len(told) == (not limited)
+    ingress.handshake_limiter = None
+    ingress.close()
+    loop.epoll.close()
+
+
+class FaultyLimiter:
+    """A handshake limiter that can't apply a list."""
+
+    update_routes = fail
+
+
+def line_with_checksum(body: bytes, owner: str) -> bytes:
+    """A line of a store, whatever its body is."""
+    return b"%08x %b\n" % (zlib.crc32(body, zlib.crc32(owner.encode())), body)
+
+
+def test_store_with_records_of_another_form_does_not_keep_a_process_from_starting(tmp_path: Path) -> None:
+    """Guards against a process that ends at each start, as another version's records are in its store."""
+    log: list[str] = []
+    loop = Loop(log.append)
+    owner, boot = identity("n0", 0, ""), read_boot_clock()
+    sound = "00000000b4d65521"
+    rows = [
+        (USAGE, "no hexadecimal", '["plain", 0, 1, 9.0, 0.0]'),
+        (USAGE, "a1", '["plain", 1e999, 1, 9.0, 0.0]'),
+        (USAGE, "a2", '["plain", Infinity, 1, 9.0, 0.0]'),
+        (USAGE, "a3", json.dumps(["plain", 0, 1, 9.0, 0.0, "x" * MAX_LINE_BYTES])),
+        (USAGE, sound, '["plain", 0, 1, 9.0, 0.0]'),
+        (LEARNED, "", '{"base": [], "limit": null}'),
+        (MEMBER, "3", '[[], "", 0]'),
+        ([], "", "null"),
+        (USAGE, "a4", "7"),
+    ]
+    body = header_line(owner)
+    for kind, name, value in rows:
+        text = f"[{json.dumps(kind)}, {json.dumps(name)}, {value}, {json.dumps(boot.boot_id)}, {boot.uptime}]"
+        body += line_with_checksum(text.encode(), owner)
+    body += line_with_checksum(b"7", owner)
+    (tmp_path / RECORDS_FILE).write_bytes(body)
+    kept = StoreOptions(tmp_path, 1.0, 1 << 20)
+    raw = config()
+    raw["settings"]["Contracts"][0] |= {"Rate": 0.01}  # nothing drains meanwhile
+    ingress = Ingress(replace(read(raw, log.append), store=kept), loop, log.append)
+    ingress.start()
+    run_until(loop, lambda: ingress.clients.ready)
+    assert [row[0] for row in ingress.driver.used_since(0.0)] == [sound]
+    assert ingress.store is not None
+    assert ingress.store.stage == "holding"
+    ingress.close()
+    loop.epoll.close()
+
+
 def test_fault_of_the_loop_itself_costs_no_answer_and_no_state(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a process that ends over open requests and unsaved state, by a traceback alone."""
     log = Log(os.open(os.devnull, os.O_WRONLY))
