Counter: a fault as one call is begun leaves no other unmade

Callers would see quotas that are reconciled no more: the calls that were due behind the one with the fault stay marked as under way for good.

Cause: the loop over calls that are due ran bare, and add raised.

Change: add reports such a call as uncertain.

--- a/standflow/counter/client.py
+++ b/standflow/counter/client.py
@@ -241,6 +241,11 @@
         """
         call = Call(encode_request(name, amount, ttl, self.address), on_result, self.loop.now())
         call.timer = self.loop.call_later(self.timeout, self._time_out, call)
+        if not run_isolated(self.log, self._begin, call):  # whoever adds has other calls to make
+            self.loop.call_later(0.0, self.settle, call, CallEffect.UNCERTAIN, None)
+
+    def _begin(self, call: Call) -> None:
+        """Hands a call to a connection, and writes as much of it as can be written."""
         connection = self._pick_connection()
         if connection is None:
             self.loop.call_later(0.0, self.settle, call, CallEffect.NOT_ADDED, None)
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -296,6 +296,23 @@
             assert rig.results(rig.add("a"))[0].total == 1.0
 
 
+def test_fault_as_one_call_is_begun_leaves_no_other_unmade(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against registers that are never called again, as the call before theirs had a fault."""
+    with CounterServer(Store()) as server, open_rig(server.address) as rig:
+
+        def fail() -> None:
+            raise ZeroDivisionError
+
+        with monkeypatch.context() as patch:
+            patch.setattr(rig.client, "_pick_connection", fail)
+            faulty = rig.add("a")
+        sound = rig.add("b")
+        assert rig.results(sound)[0].effect is CallEffect.ADDED
+        assert rig.results(faulty)[0].effect is CallEffect.UNCERTAIN
+        (planted,) = [line for line in rig.log if "ZeroDivisionError" in line]
+        rig.log.remove(planted)
+
+
 def test_fault_as_one_call_is_settled_leaves_no_other_without_result() -> None:
     """Guards against requests that wait for the counter in vain, as the result of another was not taken."""
 
