--- a/lab/fleetlog.py
+++ b/lab/fleetlog.py
@@ -154,7 +154,7 @@
 
 
 def hop_totals(fleet: Fleet, width: int = 5) -> pl.DataFrame:
-    """Branches by outcome and open connections of each next hop, in slots of `width` seconds."""
+    """Attempts by outcome and open connections of each next hop, in slots of `width` seconds."""
     counts = fleet.tables["hops"]
     if counts.is_empty():
         return pl.DataFrame()
@@ -276,7 +276,7 @@
     "tally": ("Tally lines, per 5 s, all ingresses:", tally_totals),
     "up": ("Ingresses starting and up:", starting_and_ready),
     "hops": ("Next hops, by number of connections:", connections_per_hop),
-    "hop_seconds": ("Branches and open connections by next hop, per 5 s:", hop_totals),
+    "hop_seconds": ("Attempts and open connections by next hop, per 5 s:", hop_totals),
     "views": ("Periods of differing membership; last sizes by ingress:", membership_differences),
     "suspicions": ("Suspicions; wrong if only one ingress had it and it soon ended:", suspicion_episodes),
 }
--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -75,7 +75,7 @@
             settings.number,
             settings.max_units,
             self.tally,
-            self.tally.branch,
+            self.tally.attempt,
             settings.tick,
         )
         self.tls = self._make_tls()
--- a/standflow/config/directives.py
+++ b/standflow/config/directives.py
@@ -45,7 +45,7 @@
 )
 
 LIMITS = (
-    Directive("attempts", (integer(1, 100),), "Maximum number of branches of a transaction.", "5"),
+    Directive("attempts", (integer(1, 100),), "Maximum number of attempts for a request.", "5"),
     Directive("open", (integer(1, 10**9),), "Maximum number of open transactions.", "20000"),
     Directive(
         "unread",
@@ -66,7 +66,7 @@
         "drain-grace", (time(0, 600),), "New requests to a draining next hop stop within this time.", "500ms"
     ),
     Directive("probes", (SWITCH,), "Whether next hops may be probed with PING.", "on"),
-    Directive("second-copies", (SWITCH,), "Whether a safe request may have two branches at once.", "on"),
+    Directive("second-copies", (SWITCH,), "Whether a safe request may have two attempts at once.", "on"),
     Directive(
         "peer-messages",
         (integer(0, 100000),),
--- a/standflow/counter/client.py
+++ b/standflow/counter/client.py
@@ -2,7 +2,7 @@
 
 I/O only; what a call means is decided by the callers.
 
-As for branches, the effect of a call follows from the bytes exchanged. Until the last byte of the request is
+As for attempts, the effect of a call follows from the bytes exchanged. Until the last byte of the request is
 written, nothing has been added; from then on the amount may have been added, or may be added later, until the
 counter answers. After `timeout` seconds a call is reported as uncertain. Its connection stays open, and an
 answer that arrives later settles the call after all.
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -10,7 +10,7 @@
 
 from hoistfold import interface as i
 from hoistfold.gateway import Gateway
-from standflow.exchange import AbandonReason, Branch, Exchange, Transaction
+from standflow.exchange import AbandonReason, Attempt, Exchange, Transaction
 from standflow.isolation import log_fault
 from standflow.messages import Outcome, Result
 from standflow.net.loop import Loop
@@ -152,16 +152,16 @@
         """Passes RequestCancelled."""
         self.dispatch(i.RequestCancelled(transaction.name))
 
-    def stream_started(self, branch: Branch, latency: float) -> None:
+    def stream_started(self, attempt: Attempt, latency: float) -> None:
         """Passes StreamStarted."""
-        self.dispatch(i.StreamStarted(branch.transaction.name, branch.number, branch.hop, latency))
+        self.dispatch(i.StreamStarted(attempt.transaction.name, attempt.number, attempt.hop, latency))
 
-    def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
+    def attempt_ended(self, attempt: Attempt, result: Result, latency: float, finished: bool) -> None:
         """Passes AttemptEnded, also after the transaction was answered."""
         event = i.AttemptEnded(
-            request=branch.transaction.name,
-            backend=branch.hop,
-            attempt=branch.number,
+            request=attempt.transaction.name,
+            backend=attempt.hop,
+            attempt=attempt.number,
             latency=latency,
             outcome=OUTCOMES[result.outcome],
             finished=finished,
@@ -169,7 +169,7 @@
             used_percent=result.used_percent,
             report=self._report(result),
         )
-        self.dispatch(event, branch.transaction)
+        self.dispatch(event, attempt.transaction)
 
     def routes_updated(self, routes: RouteSet, saved: bool = False) -> None:
         """Passes BackendsListed."""
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -1,4 +1,4 @@
-"""Transactions and branches: where the client side and the next-hop side meet.
+"""Transactions and attempts: where the client side and the next-hop side meet.
 
 Nothing here knows a protocol: a client's command is carried as an opaque message, and so is the value that a
 next hop returned for it. Decisions come from the driver. The exchange enforces what holds whatever is
@@ -59,7 +59,7 @@
         return self.taken - self.succeeded - self.declined - self.aborted - self.gone
 
 
-class Branch:
+class Attempt:
     """One attempt of a transaction at one next hop."""
 
     __slots__ = (
@@ -85,14 +85,14 @@
     @property
     def may_be_followed(self) -> bool:
         """True if another attempt may take the place of this one, whatever becomes of it."""
-        return self.transaction.safe and self.number + 1 < self.transaction.max_branches
+        return self.transaction.safe and self.number + 1 < self.transaction.max_attempts
 
 
 class Transaction:
     """One request and the single final answer that it is owed."""
 
     __slots__ = (
-        "branches", "deadline", "deadline_timer", "max_branches", "name", "open", "reply", "request",
+        "attempts", "deadline", "deadline_timer", "max_attempts", "name", "open", "reply", "request",
         "running", "safe", "streaming",
     )  # fmt: skip
 
@@ -103,39 +103,41 @@
         safe: bool,
         deadline: float,
         reply: Callable[[FinalAnswer], None],
-        max_branches: int,
+        max_attempts: int,
     ) -> None:
-        self.max_branches = max_branches
+        self.max_attempts = max_attempts
         self.name, self.request, self.safe, self.deadline, self.reply = name, request, safe, deadline, reply
-        self.branches: list[Branch] = []
+        self.attempts: list[Attempt] = []
         self.open = True
-        self.running = 0  # branches without an outcome
+        self.running = 0  # attempts without an outcome
         self.deadline_timer: Timer | None = None
-        self.streaming: Branch | None = None  # the branch whose value is the answer and still arriving
+        self.streaming: Attempt | None = None  # the attempt whose value is the answer and still arriving
 
     def describe(self) -> str:
         """For the log: the client's request id, the class, and the state of each attempt."""
         ident = self.request.ident
         name = ident.decode("ascii", "replace") if isinstance(ident, bytes) else ident
-        attempts = [f"{b.hop}:{'out' if b.outcome is None else b.outcome.value}" for b in self.branches]
+        attempts = [
+            f"{one.hop}:{'out' if one.outcome is None else one.outcome.value}" for one in self.attempts
+        ]
         return f"{name} class={self.request.class_name} attempts={','.join(attempts) or 'none'}"
 
     @property
     def may_refuse(self) -> bool:
         """True while a retry by the client would do no harm."""
-        return self.safe or not any(branch.may_have_run for branch in self.branches)
+        return self.safe or not any(attempt.may_have_run for attempt in self.attempts)
 
 
 class NextHopSide(Protocol):
     """The transport towards next hops, as the exchange uses it."""
 
-    def start(self, branch: Branch) -> None:
-        """Sends the branch to its next hop; branch_ended gets the result, never within this call."""
+    def start(self, attempt: Attempt) -> None:
+        """Sends the attempt to its next hop; attempt_ended gets the result, never within this call."""
 
-    def give_up(self, branch: Branch) -> bool:
-        """Ends the branch without a result; true if its command had been written completely."""
+    def give_up(self, attempt: Attempt) -> bool:
+        """Ends the attempt without a result; true if its command had been written completely."""
 
-    def unsent(self, branch: Branch) -> bool:
+    def unsent(self, attempt: Attempt) -> bool:
         """True while the command is not written completely, so that it can still be withdrawn."""
 
 
@@ -148,15 +150,15 @@
     def transaction_gone(self, transaction: Transaction) -> None:
         """A transaction ended without a decision of the module."""
 
-    def stream_started(self, branch: Branch, latency: float) -> None:
-        """The first bytes of a long value arrived, which makes this branch the answer."""
+    def stream_started(self, attempt: Attempt, latency: float) -> None:
+        """The first bytes of a long value arrived, which makes this attempt the answer."""
 
-    def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
-        """A branch has its outcome."""
+    def attempt_ended(self, attempt: Attempt, result: Result, latency: float, finished: bool) -> None:
+        """An attempt has its outcome."""
 
 
 class Exchange:
-    """Opens transactions for the client side and branches at the next-hop side."""
+    """Opens transactions for the client side and attempts at the next-hop side."""
 
     DEADLINE_MARGIN = 0.003  # seconds before its deadline at which an open request is answered here, at most
 
@@ -166,21 +168,21 @@
         log: Callable[[str], None],
         classes: Mapping[str, bool],
         plans: frozenset[str],
-        max_branches: int,
+        max_attempts: int,
         max_open: int,
         default_retry_after: float | None,
         ingresses: int = 1,
         number: int = 0,
         max_units: float = math.inf,
         tally: Callable[[str], None] = lambda name: None,
-        count_branch: Callable[[str, str], None] = lambda hop, outcome: None,
+        count_attempt: Callable[[str, str], None] = lambda hop, outcome: None,
         tick: float = DEADLINE_MARGIN,
     ) -> None:
-        self.loop, self.log, self.tally, self.count_branch = loop, log, tally, count_branch
+        self.loop, self.log, self.tally, self.count_attempt = loop, log, tally, count_attempt
         self.classes, self.plans = dict(classes), plans  # classes: by name, true where safe to repeat
         # Classes from before a reload, accepted until clients know the new ones.
         self.retiring: dict[str, bool] = {}
-        self.max_branches, self.max_open = max_branches, max_open
+        self.max_attempts, self.max_open = max_attempts, max_open
         self.ingresses, self.number, self.max_units = ingresses, number, max_units
         # The module decides two ticks before the deadline: with a short tick a fixed margin would come first.
         self.deadline_margin = min(self.DEADLINE_MARGIN, tick)
@@ -220,7 +222,7 @@
         self.serial += 1
         name = f"{self.serial}"
         deadline = min(received_at + request.timeout, self.final_deadline)
-        transaction = Transaction(name, request, all(flags), deadline, reply, self.max_branches)
+        transaction = Transaction(name, request, all(flags), deadline, reply, self.max_attempts)
         self.open_count += 1
         if self.open_count > self.max_open or self.loop.now() >= self.final_deadline:
             self.transactions[name] = transaction
@@ -241,15 +243,15 @@
         """Whether a class is safe to repeat: one value, two during a reload, none if it is unknown."""
         return {classes[class_name] for classes in (self.classes, self.retiring) if class_name in classes}
 
-    def reconfigure(self, classes: Mapping[str, bool], max_branches: int) -> dict[str, bool]:
-        """Applies other classes and another number of branches to requests that arrive from now on.
+    def reconfigure(self, classes: Mapping[str, bool], max_attempts: int) -> dict[str, bool]:
+        """Applies other classes and another number of attempts to requests that arrive from now on.
 
         Returns the classes that were removed or have another effect. They are accepted with their old
         meaning as well until `finish_reconfigure`. An open request keeps its class, and the smaller number of
-        branches applies to it.
+        attempts applies to it.
         """
         before = self.classes | self.retiring
-        self.classes, self.max_branches = dict(classes), max_branches
+        self.classes, self.max_attempts = dict(classes), max_attempts
         self.retiring = {name: safe for name, safe in before.items() if self.classes.get(name) is not safe}
         for name in classes:
             self.counts.setdefault(name, TransactionCounts())
@@ -282,73 +284,75 @@
         return Failed("no memory for the value")
 
     def client_gone(self, transaction: Transaction) -> None:
-        """The client disconnected: no answer is owed any more. A branch whose command is written continues if
-        the module wants it to; one that still waits for its connection is withdrawn.
+        """The client disconnected: no answer is owed any more.
+
+        An attempt whose command is written continues if the module wants it to; one that still waits for its
+        connection is withdrawn.
         """
         if transaction.open:
             self.tally("answer.gone")
             self.counts[transaction.request.class_name].gone += 1
             self._close(transaction)
             self.decisions.transaction_gone(transaction)
-            for branch in list(transaction.branches):
+            for attempt in list(transaction.attempts):
                 # The module may have ended it meanwhile, as it was told of an earlier one.
-                if branch.outcome is None and self.next_hops.unsent(branch):
-                    self._give_up(branch)
-                    self.branch_ended(branch, Result(Outcome.CANCELLED))
+                if attempt.outcome is None and self.next_hops.unsent(attempt):
+                    self._give_up(attempt)
+                    self.attempt_ended(attempt, Result(Outcome.CANCELLED))
             self._drop_if_done(transaction)
         elif (streaming := transaction.streaming) is not None:
             self.tally("answer.gone")
             self.counts[transaction.request.class_name].gone += 1
             self._release(transaction)
             self._give_up(streaming)
-            self.branch_ended(streaming, Result(Outcome.CANCELLED))
+            self.attempt_ended(streaming, Result(Outcome.CANCELLED))
 
     def value_timed_out(self, transaction: Transaction) -> None:
         """A value that started to arrive is not complete at the deadline of its client."""
-        if (branch := transaction.streaming) is not None:
+        if (attempt := transaction.streaming) is not None:
             self.tally("answer.cut")
             self.counts[transaction.request.class_name].aborted += 1
             self._release(transaction)
-            self._give_up(branch)
-            self.branch_ended(branch, Result(Outcome.TIMEOUT))
+            self._give_up(attempt)
+            self.attempt_ended(attempt, Result(Outcome.TIMEOUT))
 
     # Called by the driver.
 
-    def send(self, name: str, hop: str, timeout: float | None) -> Branch | None:
-        """Starts a branch. One that isn't allowed ends as MOOT, reported like any other outcome."""
+    def send(self, name: str, hop: str, timeout: float | None) -> Attempt | None:
+        """Starts an attempt. One that isn't allowed ends as MOOT, reported like any other outcome."""
         transaction = self.transactions.get(name)
         if transaction is None:
             self.log(f"exchange: a branch for transaction {name}, which is over, was not started")
             return None
         now = self.loop.now()
         limit = transaction.deadline if timeout is None else min(transaction.deadline, now + timeout)
-        branch = Branch(transaction, len(transaction.branches), hop, now, limit)
-        max_branches = min(transaction.max_branches, self.max_branches)
-        may_repeat_effect = not transaction.safe and any(b.may_have_run for b in transaction.branches)
-        transaction.branches.append(branch)
-        if not transaction.open or limit <= now or branch.number >= max_branches or may_repeat_effect:
+        attempt = Attempt(transaction, len(transaction.attempts), hop, now, limit)
+        max_attempts = min(transaction.max_attempts, self.max_attempts)
+        may_repeat_effect = not transaction.safe and any(b.may_have_run for b in transaction.attempts)
+        transaction.attempts.append(attempt)
+        if not transaction.open or limit <= now or attempt.number >= max_attempts or may_repeat_effect:
             # The module has to follow this rule too; it is enforced here since an effect can't be undone.
-            branch.outcome = Outcome.MOOT
-            self.decisions.branch_ended(branch, Result(Outcome.MOOT), 0.0, not transaction.open)
-            return branch
+            attempt.outcome = Outcome.MOOT
+            self.decisions.attempt_ended(attempt, Result(Outcome.MOOT), 0.0, not transaction.open)
+            return attempt
         transaction.running += 1
-        branch.timer = self.loop.call_at(limit, self._end_unanswered, branch)
+        attempt.timer = self.loop.call_at(limit, self._end_unanswered, attempt)
         try:
-            self.next_hops.start(branch)
+            self.next_hops.start(attempt)
         except Exception:
             log_fault(self.log, f"of an attempt at {hop}")
             # Later, as no outcome may arrive within this call. It says nothing about the next hop.
-            self.loop.call_later(0.0, self._end_unanswered, branch, Outcome.MOOT)
-        return branch
+            self.loop.call_later(0.0, self._end_unanswered, attempt, Outcome.MOOT)
+        return attempt
 
     def cancel(self, name: str, number: int) -> None:
-        """Gives up a branch, with the outcome CANCELLED unless it has one already."""
+        """Gives up an attempt, with the outcome CANCELLED unless it has one already."""
         transaction = self.transactions.get(name)
-        if transaction is not None and number < len(transaction.branches):
-            branch = transaction.branches[number]
-            if branch.outcome is None:
-                self._give_up(branch)
-                self.branch_ended(branch, Result(Outcome.CANCELLED))
+        if transaction is not None and number < len(transaction.attempts):
+            attempt = transaction.attempts[number]
+            if attempt.outcome is None:
+                self._give_up(attempt)
+                self.attempt_ended(attempt, Result(Outcome.CANCELLED))
 
     def refuse(self, name: str, retry_after: float | None) -> None:
         """Final answer: refused, or failed if a retry could do harm."""
@@ -393,72 +397,72 @@
 
     # Called by the next-hop side.
 
-    def stream_started(self, branch: Branch, value: Any) -> bool:
+    def stream_started(self, attempt: Attempt, value: Any) -> bool:
         """The first bytes of a long value arrived. If they become the answer, no timer cuts it off any more.
 
         `value` is passed to the client as the start of its answer. False if no client waits for it.
         """
-        transaction = branch.transaction
-        if branch.outcome is not None or not transaction.open:
+        transaction = attempt.transaction
+        if attempt.outcome is not None or not transaction.open:
             return False
-        branch.first_byte_at = self.loop.now()
-        transaction.open, transaction.streaming = False, branch
-        for timer in (branch.timer, transaction.deadline_timer):
+        attempt.first_byte_at = self.loop.now()
+        transaction.open, transaction.streaming = False, attempt
+        for timer in (attempt.timer, transaction.deadline_timer):
             if timer is not None:
                 timer.cancel()
-        self.decisions.stream_started(branch, branch.first_byte_at - branch.started_at)
-        for other in list(transaction.branches):
-            if other is not branch and other.outcome is None:
+        self.decisions.stream_started(attempt, attempt.first_byte_at - attempt.started_at)
+        for other in list(transaction.attempts):
+            if other is not attempt and other.outcome is None:
                 self._give_up(other)
-                self.branch_ended(other, Result(Outcome.CANCELLED))
+                self.attempt_ended(other, Result(Outcome.CANCELLED))
         transaction.reply(Served(value))
         return True
 
-    def branch_ended(self, branch: Branch, result: Result) -> None:
-        """Records the single outcome of a branch; the first OK becomes the client's answer."""
-        if branch.outcome is not None:
+    def attempt_ended(self, attempt: Attempt, result: Result) -> None:
+        """Records the single outcome of an attempt; the first OK becomes the client's answer."""
+        if attempt.outcome is not None:
             return
-        transaction = branch.transaction
-        branch.outcome = result.outcome
-        self.count_branch(branch.hop, result.outcome.value)
-        if branch.timer is not None:
-            branch.timer.cancel()
+        transaction = attempt.transaction
+        attempt.outcome = result.outcome
+        self.count_attempt(attempt.hop, result.outcome.value)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
         transaction.running -= 1
-        branch.context = None
+        attempt.context = None
         if result.outcome is Outcome.OK and transaction.open:
             self._answer(transaction, Served(result.value))
-        elif transaction.streaming is branch:
+        elif transaction.streaming is attempt:
             whole, counts = result.outcome is Outcome.OK, self.counts[transaction.request.class_name]
             self.tally("answer.served" if whole else "answer.cut")
             counts.succeeded, counts.aborted = counts.succeeded + whole, counts.aborted + (not whole)
             self._release(transaction)
         latency = (
-            self.loop.now() if branch.first_byte_at is None else branch.first_byte_at
-        ) - branch.started_at
-        self.decisions.branch_ended(branch, result, latency, not transaction.open)
+            self.loop.now() if attempt.first_byte_at is None else attempt.first_byte_at
+        ) - attempt.started_at
+        self.decisions.attempt_ended(attempt, result, latency, not transaction.open)
         self._drop_if_done(transaction)
 
-    def _give_up(self, branch: Branch) -> bool:
-        """Ends a branch at the next-hop side; true if its command may have been written completely.
+    def _give_up(self, attempt: Attempt) -> bool:
+        """Ends an attempt at the next-hop side; true if its command may have been written completely.
 
         A fault there must keep neither the outcome from the module nor the answer from the client.
         """
         try:
-            return self.next_hops.give_up(branch)
+            return self.next_hops.give_up(attempt)
         except Exception:
-            log_fault(self.log, f"of an attempt that is given up at {branch.hop}")
+            log_fault(self.log, f"of an attempt that is given up at {attempt.hop}")
             return True
 
     # Timers.
 
-    def _end_unanswered(self, branch: Branch, unwritten: Outcome = Outcome.CONNECT_FAILED) -> None:
-        """Ends a branch that has no outcome yet.
+    def _end_unanswered(self, attempt: Attempt, unwritten: Outcome = Outcome.CONNECT_FAILED) -> None:
+        """Ends an attempt that has no outcome yet.
 
         `unwritten`: the outcome of a command that was not written completely, which can't have run.
         """
-        if branch.outcome is None:
-            whole = self._give_up(branch)
-            self.branch_ended(branch, Result(Outcome.TIMEOUT if whole else unwritten))
+        if attempt.outcome is None:
+            whole = self._give_up(attempt)
+            self.attempt_ended(attempt, Result(Outcome.TIMEOUT if whole else unwritten))
 
     def _overdue(self, transaction: Transaction) -> None:
         if transaction.open:
@@ -494,8 +498,8 @@
         self.open_idents.discard(transaction.request.ident)
 
     def _drop_if_done(self, transaction: Transaction) -> None:
-        """Keeps a transaction until it is answered and its last branch has ended."""
+        """Keeps a transaction until it is answered and its last attempt has ended."""
         if not transaction.open and not transaction.running:
             if self.transactions.pop(transaction.name, None) and transaction.request.release is not None:
                 transaction.request.release()
-            transaction.branches = []  # breaks the reference cycle: garbage collection is rare here
+            transaction.attempts = []  # breaks the reference cycle: garbage collection is rare here
--- a/standflow/handshakes/limiter.py
+++ b/standflow/handshakes/limiter.py
@@ -42,7 +42,7 @@
         self.publish, self.min_ready, self.resumable, self.forget = publish, ready, resumable, forget
         self.visible_routes = VisibleRoutes()
         self.starts = StartTimes()
-        self.wanted: set[str] = set()  # next hops for which a branch was refused a connection
+        self.wanted: set[str] = set()  # next hops for which an attempt was refused a connection
         self.timers: dict[str, Timer] = {}
         self.generation = 1
         self.offset = time.time() - time.monotonic()  # fixed for the process run, as in the driver
@@ -95,7 +95,7 @@
     # Admission: called by NextHops before it dials and on events of connections.
 
     def refusal(self, hop: str) -> Outcome | None:
-        """None if a branch may dial now, else its outcome: CONNECT_FAILED during a back-off, or MOOT."""
+        """None if an attempt may dial now, else its outcome: CONNECT_FAILED during a back-off, or MOOT."""
         decision = self._decide(hop)
         if decision is Decision.ALLOW:
             return None
--- a/standflow/messages.py
+++ b/standflow/messages.py
@@ -9,7 +9,7 @@
 
 
 class Outcome(Enum):
-    """How a branch, a probe or a counter call ended."""
+    """How an attempt, a probe or a counter call ended."""
 
     OK = "ok"
     ERROR = "error"
@@ -66,7 +66,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Result:
-    """How a branch or a probe ended, with the load report of the next hop."""
+    """How an attempt or a probe ended, with the load report of the next hop."""
 
     outcome: Outcome
     value: Any = None
--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -60,7 +60,7 @@
         "on_value",
         "write_started",
         "connection",
-        "is_branch",
+        "is_attempt",
         "decode",
         "encode",
         "on_result",
@@ -77,7 +77,7 @@
     ) -> None:
         self.encode, self.decode, self.on_result = encode, decode, on_result
         self.connection: Connection | None = None
-        self.is_branch = False  # as opposed to a probe
+        self.is_attempt = False  # as opposed to a probe
         # Called when a long value begins; returns false if nobody wants it any more.
         self.on_value: Callable[[Flow], bool] | None = None
         # Seconds without another byte after which an incomplete short reply counts as stalled. Short, so that
@@ -92,7 +92,7 @@
     """Limits the opening of connections and is notified of their progress."""
 
     def refusal(self, hop: str) -> Outcome | None:
-        """Returns None if a branch may dial now, otherwise the outcome that the branch ends with."""
+        """Returns None if an attempt may dial now, otherwise the outcome that the attempt ends with."""
 
     def dial_started(self, hop: str, stream: Stream) -> None:
         """A connection is being dialled."""
@@ -101,7 +101,7 @@
         """Dialling ended: `reason` is empty on success, the failure's code, or None if it was given up."""
 
     def idle_ahead(self, connection: Connection) -> None:
-        """A connection that was opened ahead of any branch is idle."""
+        """A connection that was opened ahead of any attempt is idle."""
 
     def closed(self, connection: Connection) -> None:
         """An established connection has ended, for its `reason`."""
@@ -115,7 +115,7 @@
     flows: FlowBudget
     dial_timeout: float
     admission: Admission | None
-    forwards: int  # branches whose command was fully written
+    forwards: int  # attempts whose command was fully written
 
     def release(self, connection: Connection) -> None:
         """Returns a connection that has carried its command to the pool."""
@@ -387,7 +387,7 @@
                 stream.write(*pending.encode())
             if not stream.unsent:
                 pending.fully_written = True
-                self.owner.forwards += pending.is_branch
+                self.owner.forwards += pending.is_attempt
         self._update_mask()
 
     def _update_mask(self) -> None:
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -1,6 +1,6 @@
-"""Next-hop side: connection pools, dialling, branches and probes.
+"""Next-hop side: connection pools, dialling, attempts and probes.
 
-A connection carries one command (of a branch or a probe) at a time; see backend_connection.py.
+A connection carries one command (of an attempt or a probe) at a time; see backend_connection.py.
 """
 
 from __future__ import annotations
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import Callable
 
-from standflow.exchange import Branch, Exchange
+from standflow.exchange import Attempt, Exchange
 from standflow.isolation import run_for_each, run_isolated
 from standflow.messages import Outcome, Result
 from standflow.net import resp
@@ -70,7 +70,7 @@
         self.admission: Admission | None = None
         self.hops: dict[str, Hop] = {}
         self.connections = 0
-        self.forwards = 0  # branches whose command was fully written
+        self.forwards = 0  # attempts whose command was fully written
         loop.every(1.0, self._sweep)
 
     # The route set.
@@ -128,36 +128,36 @@
 
     # Commands.
 
-    def start(self, branch: Branch) -> None:
-        """Sends a branch to its next hop; see exchange.NextHopSide."""
-        message = branch.transaction.request.message
+    def start(self, attempt: Attempt) -> None:
+        """Sends an attempt to its next hop; see exchange.NextHopSide."""
+        message = attempt.transaction.request.message
 
         def encode() -> tuple[bytes, ...]:
-            return resp.encode_ask(message, branch.deadline - self.loop.now())
+            return resp.encode_ask(message, attempt.deadline - self.loop.now())
 
         def ended(result: Result) -> None:
-            self.exchange.branch_ended(branch, result)
-
-        branch.context = PendingCommand(encode, read_answer, ended)
-        branch.context.is_branch = True
-        branch.context.deadline = branch.deadline
-        if not branch.may_be_followed:
-            branch.context.rest_timeout = PAUSE_STALL_TIMEOUT
-        branch.context.on_value = lambda flow: self.exchange.stream_started(branch, flow)
-        self._dispatch(branch.hop, branch.context)
-
-    def give_up(self, branch: Branch) -> bool:
-        """Closes the branch's connection; see exchange.NextHopSide."""
-        pending: PendingCommand = branch.context
+            self.exchange.attempt_ended(attempt, result)
+
+        attempt.context = PendingCommand(encode, read_answer, ended)
+        attempt.context.is_attempt = True
+        attempt.context.deadline = attempt.deadline
+        if not attempt.may_be_followed:
+            attempt.context.rest_timeout = PAUSE_STALL_TIMEOUT
+        attempt.context.on_value = lambda flow: self.exchange.stream_started(attempt, flow)
+        self._dispatch(attempt.hop, attempt.context)
+
+    def give_up(self, attempt: Attempt) -> bool:
+        """Closes the attempt's connection; see exchange.NextHopSide."""
+        pending: PendingCommand = attempt.context
         connection = pending.connection
         if connection is not None and connection.pending is pending:
             connection.pending = None
             self._end(connection, "given_up")
         return pending.fully_written
 
-    def unsent(self, branch: Branch) -> bool:
+    def unsent(self, attempt: Attempt) -> bool:
         """See exchange.NextHopSide."""
-        return not branch.context.fully_written
+        return not attempt.context.fully_written
 
     def probe(self, name: str, ended: Callable[[Result], None]) -> None:
         """Sends PING on a pooled connection, with a time limit of twice the dial timeout."""
@@ -217,14 +217,14 @@
         return None
 
     def open_ahead(self, name: str) -> bool:
-        """Opens a connection ahead of any branch. Returns false if the limit or a drain doesn't allow it."""
+        """Opens a connection ahead of any attempt. Returns false if the limit or a drain doesn't allow it."""
         hop = self.hops.get(name)
         if hop is None or hop.writes_end_at is not None or self.connections >= self.max_connections:
             return False
         return self._dial(hop, None)
 
     def has_idle(self, name: str, number: int) -> bool:
-        """True if at least `number` connections to a next hop are idle or being opened ahead of a branch."""
+        """True if at least `number` connections to a next hop are idle, or being opened in advance."""
         hop = self.hops.get(name)
         return hop is not None and sum(one.pending is None for one in hop.connections) >= number
 
@@ -326,7 +326,7 @@
 
 
 def read_answer(reply: resp.Reply) -> Result:
-    """Converts a reply to the result of a branch."""
+    """Converts a reply to the result of an attempt."""
     answer = resp.decode_answer(reply)
     if isinstance(answer, resp.Value):
         return Result(Outcome.OK, answer.value, answer.used_percent, answer.report)
--- a/standflow/tally.py
+++ b/standflow/tally.py
@@ -16,15 +16,15 @@
     def __init__(self, loop: Loop, log: Callable[[str], None]) -> None:
         self.loop, self.log = loop, log
         self.counts: dict[str, int] = {}
-        self.hops: dict[str, dict[str, int]] = {}  # branches, by next hop and outcome
+        self.hops: dict[str, dict[str, int]] = {}  # attempts, by next hop and outcome
         self.open: Callable[[], Mapping[str, int]] = dict  # established connections, by next hop
 
     def __call__(self, name: str) -> None:
         """Counts an event."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
-    def branch(self, hop: str, outcome: str) -> None:
-        """Counts a branch that ended."""
+    def attempt(self, hop: str, outcome: str) -> None:
+        """Counts an attempt that ended."""
         ended = self.hops.setdefault(hop, {})
         ended[outcome] = ended.get(outcome, 0) + 1
 
--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -12,7 +12,7 @@
 
 from standflow.assembly import Ingress
 from standflow.config import read
-from standflow.exchange import Branch, Transaction
+from standflow.exchange import Attempt, Transaction
 from standflow.messages import Result
 from standflow.net import resp
 from standflow.net.client_connection import MAX_PIPELINED
@@ -82,10 +82,10 @@
     def transaction_gone(self, transaction: Transaction) -> None:
         """Ignored."""
 
-    def stream_started(self, branch: Branch, latency: float) -> None:
+    def stream_started(self, attempt: Attempt, latency: float) -> None:
         """Ignored."""
 
-    def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
+    def attempt_ended(self, attempt: Attempt, result: Result, latency: float, finished: bool) -> None:
         """Ignored."""
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from standflow.exchange import Branch, Exchange, Transaction
+from standflow.exchange import Attempt, Exchange, Transaction
 from standflow.messages import Failed, Outcome, Refused, Request, Result
 from standflow.net import resp
 from standflow.net.acceptor import ACCEPT_BATCH
@@ -51,8 +51,8 @@
         self.exchange.decisions = self
         self.opened: list[Transaction] = []
         self.gone: list[Transaction] = []
-        self.began: list[Branch] = []
-        self.ended: list[tuple[Branch, Outcome]] = []
+        self.began: list[Attempt] = []
+        self.ended: list[tuple[Attempt, Outcome]] = []
 
     def transaction_opened(self, transaction: Transaction) -> None:
         self.opened.append(transaction)
@@ -60,11 +60,11 @@
     def transaction_gone(self, transaction: Transaction) -> None:
         self.gone.append(transaction)
 
-    def stream_started(self, branch: Branch, latency: float) -> None:
-        self.began.append(branch)
+    def stream_started(self, attempt: Attempt, latency: float) -> None:
+        self.began.append(attempt)
 
-    def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
-        self.ended.append((branch, result.outcome))
+    def attempt_ended(self, attempt: Attempt, result: Result, latency: float, finished: bool) -> None:
+        self.ended.append((attempt, result.outcome))
 
     def close(self) -> None:
         for task in list(self.loop.tasks.values()):
@@ -186,7 +186,7 @@
 
 
 class NextHopModel(RuleBasedStateMachine):
-    """A connection is busy, idle or ended; the model tracks this and the expected outcome of each branch."""
+    """A connection is busy, idle or ended; the model tracks this and the expected outcome of each attempt."""
 
     @initialize()
     def start(self) -> None:
@@ -195,9 +195,9 @@
         self.side = self.make_side()
         self.recorder.exchange.next_hops = self.side
         self.set_phase(Phase.SERVING)
-        self.busy: list[tuple[Branch, Any]] = []
+        self.busy: list[tuple[Attempt, Any]] = []
         self.idle: list[Any] = []  # the next hop's sockets, most recently used last
-        self.expected: dict[Branch, Outcome] = {}
+        self.expected: dict[Attempt, Outcome] = {}
         self.ends = 0
 
     def make_side(self) -> NextHops:
@@ -214,25 +214,25 @@
         self.side.update_routes(RouteSet(1, True, (route,)))
         self.serving = phase is Phase.SERVING
 
-    def send(self) -> Branch:
+    def send(self) -> Attempt:
         request = Request("look", "plain", "7", 600.0, 1.0, 1, 0, ASK)
         transaction = self.recorder.exchange.open(request, self.recorder.loop.now(), lambda final: None)
         sent = self.recorder.exchange.send(transaction.name, "s-1", None)
-        assert isinstance(sent, Branch)
+        assert isinstance(sent, Attempt)
         return sent
 
     @precondition(lambda self: self.serving and len(self.busy) < 8)
     @rule()
     def begin(self) -> None:
-        branch = self.send()
+        attempt = self.send()
         if self.idle:
             sock = self.idle.pop()  # the most recently used one is reused
         else:
             sock = self.accepted()
             sock.settimeout(20)
-        run_until(self.recorder.loop, lambda: branch.context.fully_written)
+        run_until(self.recorder.loop, lambda: attempt.context.fully_written)
         read_until(sock, b"units=1\r\n")
-        self.busy.append((branch, sock))
+        self.busy.append((attempt, sock))
 
     @precondition(lambda self: self.busy)
     @rule(
@@ -242,7 +242,7 @@
                 (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", Outcome.OK, True),
                 (b"-BUSY\r\n", Outcome.FULL, True),
                 (b"-ERR failed\r\n", Outcome.ERROR, True),
-                (b"*0\r\n", Outcome.ERROR, False),  # unreadable: the branch fails and its connection ends
+                (b"*0\r\n", Outcome.ERROR, False),  # unreadable: the attempt fails and its connection ends
                 (b":5\r\n", Outcome.ERROR, False),
                 (b"what\r\n", Outcome.ERROR, False),
                 (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n*3\r\n$1\r\n", Outcome.OK, False),
@@ -252,7 +252,7 @@
         ),
     )
     def answer(self, which: int, answer: tuple[bytes, Outcome, bool]) -> None:
-        branch, sock = self.busy.pop(which % len(self.busy))
+        attempt, sock = self.busy.pop(which % len(self.busy))
         text, outcome, whole = answer
         sock.sendall(text)
         if whole and self.serving:
@@ -260,18 +260,18 @@
         else:
             sock.close()
             self.ends += 1
-        self.expected[branch] = outcome
-        run_until(self.recorder.loop, lambda: branch.outcome is not None)
+        self.expected[attempt] = outcome
+        run_until(self.recorder.loop, lambda: attempt.outcome is not None)
 
     @precondition(lambda self: self.busy)
     @rule(which=st.integers(0, 1000))
     def cancel(self, which: int) -> None:
-        branch, sock = self.busy.pop(which % len(self.busy))
-        self.recorder.exchange.cancel(branch.transaction.name, branch.number)
+        attempt, sock = self.busy.pop(which % len(self.busy))
+        self.recorder.exchange.cancel(attempt.transaction.name, attempt.number)
         assert sock.recv(1) == b""  # closed, so that the next hop can stop working
         sock.close()
         self.ends += 1
-        self.expected[branch] = Outcome.CANCELLED
+        self.expected[attempt] = Outcome.CANCELLED
 
     @precondition(lambda self: self.idle)
     @rule(noticed=st.booleans())
@@ -330,7 +330,7 @@
     transaction = recorder.exchange.open(request, recorder.loop.now(), finals.append)
     for name in ("s-1", "s-unheard"):
         recorder.exchange.send(transaction.name, name, None)
-    assert recorder.ended == []  # an outcome is never reported within the call that sent the branch
+    assert recorder.ended == []  # an outcome is never reported within the call that sent the attempt
     run_until(recorder.loop, lambda: len(recorder.ended) == 2)
     assert [outcome for _, outcome in recorder.ended] == [Outcome.CONNECT_FAILED] * 2
     recorder.exchange.refuse(transaction.name, None)
@@ -338,7 +338,7 @@
     recorder.close()
 
 
-def test_unsent_branch_ends_with_the_drain_grace() -> None:
+def test_unsent_attempt_ends_with_the_drain_grace() -> None:
     recorder = Recorder()
     with socket.socket() as hop:
         hop.bind(("127.0.0.1", 0))
@@ -371,8 +371,8 @@
         request = Request(kind, "plain", "7", 0.05, 1.0, 1, 0, None)
         transaction = recorder.exchange.open(request, recorder.loop.now(), got.append)
         if ran:
-            branch = Branch(transaction, 0, "s-1", 0.0, 0.0)
-            transaction.branches.append(branch)
+            attempt = Attempt(transaction, 0, "s-1", 0.0, 0.0)
+            transaction.attempts.append(attempt)
             transaction.running += 1
         run_until(recorder.loop, lambda: got)  # noqa: B023
         assert recorder.loop.now() >= transaction.deadline - Exchange.DEADLINE_MARGIN
@@ -380,8 +380,8 @@
         recorder.exchange.refuse(transaction.name, 1.0)
         recorder.exchange.fail(transaction.name)
         if ran:
-            recorder.exchange.branch_ended(branch, Result(Outcome.OK, b"late"))
-            assert recorder.ended[-1] == (branch, Outcome.OK)  # the module gets the late result as well
+            recorder.exchange.attempt_ended(attempt, Result(Outcome.OK, b"late"))
+            assert recorder.ended[-1] == (attempt, Outcome.OK)  # the module gets the late result as well
     refused = [Refused(0.25)]
     assert finals == {"look True": refused, "change False": refused, "change True": [Failed("failed")]}
     assert not recorder.exchange.transactions
@@ -396,15 +396,15 @@
     route = Route("s-1", hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
     side.update_routes(RouteSet(1, True, (route,)))
     request = Request("look", "plain", "7", 600.0, 1.0, 1, 0, ASK)
-    branch = recorder.exchange.send(
+    attempt = recorder.exchange.send(
         recorder.exchange.open(request, recorder.loop.now(), lambda final: None).name, "s-1", None
     )
     with hop.accept()[0] as sock:
-        assert branch is not None
-        run_until(recorder.loop, lambda: branch.context.fully_written)
+        assert attempt is not None
+        run_until(recorder.loop, lambda: attempt.context.fully_written)
         sock.sendall(b"*3\r\n$900\r\nvalue\r\n$-1\r\n$-1\r\n")
         run_until(recorder.loop, lambda: recorder.ended)
-    assert recorder.ended == [(branch, Outcome.ERROR)]
+    assert recorder.ended == [(attempt, Outcome.ERROR)]
     assert any("end nexthop s-1 stalled" in line for line in recorder.log)
     hop.close()
     recorder.close()
@@ -417,25 +417,25 @@
     recorder, hop = Recorder(), listener()
     side = NextHops(recorder.loop, recorder.log.append, recorder.exchange, 60.0, 600.0, 60.0, 10)
     recorder.exchange.next_hops = side
-    recorder.exchange.max_branches = 1 if kind == "last attempt" else 2
+    recorder.exchange.max_attempts = 1 if kind == "last attempt" else 2
     route = Route("s-1", hop.getsockname()[:2], "z1", "std", 0, Phase.SERVING, 1.0, None)
     side.update_routes(RouteSet(1, True, (route,)))
     request = Request("change" if kind == "unsafe" else "look", "plain", "7", 600.0, 1.0, 1, 0, ASK)
     transaction = recorder.exchange.open(request, recorder.loop.now(), lambda final: None)
-    branch = recorder.exchange.send(transaction.name, "s-1", None)
+    attempt = recorder.exchange.send(transaction.name, "s-1", None)
     answer = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
     with hop.accept()[0] as sock:
-        assert branch is not None
-        run_until(recorder.loop, lambda: branch.context.fully_written)
+        assert attempt is not None
+        run_until(recorder.loop, lambda: attempt.context.fully_written)
         sock.sendall(answer[:cut])
         end = recorder.loop.now() + 3 * REPLY_STALL_TIMEOUT
         run_until(recorder.loop, lambda: recorder.loop.now() > end)
         followed = kind == "another may follow"
-        assert recorder.ended == ([(branch, Outcome.ERROR)] if followed else [])
+        assert recorder.ended == ([(attempt, Outcome.ERROR)] if followed else [])
         if not followed:
             sock.sendall(answer[cut:])
             run_until(recorder.loop, lambda: recorder.ended)
-            assert recorder.ended == [(branch, Outcome.OK)]
+            assert recorder.ended == [(attempt, Outcome.OK)]
     hop.close()
     recorder.close()
 
@@ -445,8 +445,8 @@
     finals: list[object] = []
     request = Request("change", "plain", "7", 60.0, 1.0, 1, 0, None)
     transaction = recorder.exchange.open(request, recorder.loop.now(), finals.append)
-    branch = Branch(transaction, 0, "s-1", 0.0, 60.0)
-    transaction.branches.append(branch)
+    attempt = Attempt(transaction, 0, "s-1", 0.0, 60.0)
+    transaction.attempts.append(attempt)
     transaction.running += 1
     sent = recorder.exchange.send(transaction.name, "s-1", None)
     assert sent is not None
@@ -456,8 +456,8 @@
     recorder.close()
 
 
-def test_connection_closed_while_reporting_its_outcome_gets_no_further_branch() -> None:
-    """The connection ends only when its coroutine yields; a branch written before that would be reset."""
+def test_connection_closed_while_reporting_its_outcome_gets_no_further_attempt() -> None:
+    """The connection ends only when its coroutine yields; an attempt written before that would be reset."""
     recorder, hop = Recorder(), listener()
     side = NextHops(recorder.loop, recorder.log.append, recorder.exchange, 60.0, 600.0, 60.0, 10)
     recorder.exchange.next_hops = side
@@ -465,25 +465,25 @@
     side.update_routes(RouteSet(1, True, (route,)))
     request = Request("look", "plain", "7", 60.0, 1.0, 1, 0, ASK)
     names = [recorder.exchange.open(request, recorder.loop.now(), lambda final: None).name for _ in range(2)]
-    told = recorder.branch_ended
+    told = recorder.attempt_ended
 
-    def branch_ended(branch: Branch, result: Result, latency: float, finished: bool) -> None:
-        told(branch, result, latency, finished)
-        if branch.transaction.name == names[0]:
+    def attempt_ended(attempt: Attempt, result: Result, latency: float, finished: bool) -> None:
+        told(attempt, result, latency, finished)
+        if attempt.transaction.name == names[0]:
             side.close_idle("s-1")
             recorder.exchange.send(names[1], "s-1", None)
 
-    recorder.branch_ended = branch_ended  # type: ignore[method-assign]
+    recorder.attempt_ended = attempt_ended  # type: ignore[method-assign]
     recorder.exchange.send(names[0], "s-1", None)
     first, _ = hop.accept()
     run_until(
-        recorder.loop, lambda: recorder.exchange.transactions[names[0]].branches[0].context.fully_written
+        recorder.loop, lambda: recorder.exchange.transactions[names[0]].attempts[0].context.fully_written
     )
     first.sendall(b"-BUSY\r\n")
     run_until(recorder.loop, lambda: recorder.ended)
     second, _ = hop.accept()
     run_until(
-        recorder.loop, lambda: recorder.exchange.transactions[names[1]].branches[0].context.fully_written
+        recorder.loop, lambda: recorder.exchange.transactions[names[1]].attempts[0].context.fully_written
     )
     second.sendall(b"-BUSY\r\n")
     run_until(recorder.loop, lambda: len(recorder.ended) == 2)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -191,7 +191,7 @@
     recorder = Recorder()
     tally = Tally(recorder.loop, recorder.log.append)
     tally("taken")
-    tally.branch("s-1", "ok")
+    tally.attempt("s-1", "ok")
     tally.open = lambda: {"s-1": 2}
     tally.flush()
     tally.flush()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -372,7 +372,7 @@
         wired.recorder.close()
 
 
-def test_late_loop_starts_no_branch_after_its_deadline() -> None:
+def test_late_loop_starts_no_attempt_after_its_deadline() -> None:
     with listener() as hop:
         wired = Wired(hop.getsockname())
         client = wired.ask("aa01")
--- a/tests/test_handshakes.py
+++ b/tests/test_handshakes.py
@@ -419,7 +419,7 @@
         rig.close()
 
 
-def test_a_next_hop_is_published_when_a_connection_is_ready_and_the_first_branch_uses_it(
+def test_a_next_hop_is_published_when_a_connection_is_ready_and_the_first_attempt_uses_it(
     tls_rig: Any,
 ) -> None:
     limited = LimitedRig(tls_rig)
@@ -430,7 +430,7 @@
     assert tls_rig.box.counts.connections == 1
 
 
-def test_a_cold_next_hop_is_published_after_its_slot_and_excess_branches_are_moot(tls_rig: Any) -> None:
+def test_a_cold_next_hop_is_published_after_its_slot_and_excess_attempts_are_moot(tls_rig: Any) -> None:
     limited = LimitedRig(tls_rig, ingresses=40)
     unix_time = limited.rig.recorder.loop.now() + limited.limiter.offset
     limited.report(up=unix_time - 0.001)
@@ -443,7 +443,7 @@
     limited.until(lambda: first.outcome is not None)
     assert first.outcome is Outcome.OK
     assert limited.limiter.denied == 1
-    # the refused branch makes the limiter open another one at its next slot, well after the first
+    # the refused attempt makes the limiter open another one at its next slot, well after the first
     limited.until(lambda: tls_rig.box.counts.connections == 2)
     assert limited.rig.recorder.loop.now() - began > 20 * OPTIONS.cost / OPTIONS.cold_share
     assert not tls_rig.recorder.gone
@@ -484,9 +484,9 @@
     limited.report()
     limited.until(lambda: tls_rig.ends().count("cut_off") == 4)
     assert limited.published_hops() == []
-    branch = tls_rig.send()
-    limited.until(lambda: branch.outcome is not None)
-    assert branch.outcome is Outcome.CONNECT_FAILED
+    attempt = tls_rig.send()
+    limited.until(lambda: attempt.outcome is not None)
+    assert attempt.outcome is Outcome.CONNECT_FAILED
     tls_rig.box.mode = Mode()
     limited.until(lambda: limited.published_hops() == ["tt-07"])
 
@@ -593,9 +593,9 @@
     tls_rig.box.cut_all()
     limited.until(lambda: not tls_rig.side.hops["tt-07"].connections)
     assert limited.limits.is_restart_suspected("tt-07", limited.rig.recorder.loop.now())
-    branch = tls_rig.send()
-    limited.until(lambda: branch.outcome is not None)
-    assert branch.outcome in (Outcome.MOOT, Outcome.OK)  # depends on the current slot
+    attempt = tls_rig.send()
+    limited.until(lambda: attempt.outcome is not None)
+    assert attempt.outcome in (Outcome.MOOT, Outcome.OK)  # depends on the current slot
     limited.until(lambda: tls_rig.streams.resumed + tls_rig.streams.full > done)
     if tls_rig.streams.resumed > before:  # a resumed session shows that it was no restart
         assert not limited.limits.is_restart_suspected("tt-07", limited.rig.recorder.loop.now())
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -15,7 +15,7 @@
 from standflow.assembly import Ingress
 from standflow.config import read
 from standflow.config.model import StoreOptions
-from standflow.exchange import Branch, Transaction
+from standflow.exchange import Attempt, Transaction
 from standflow.log import Log
 from standflow.messages import FinalAnswer, Outcome
 from standflow.net.client_connection import ClientConnection
@@ -472,7 +472,7 @@
     loop.epoll.close()
 
 
-def test_branch_that_the_module_ends_while_its_client_leaves_is_ended_once(
+def test_attempt_that_the_module_ends_while_its_client_leaves_is_ended_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a client's end that stops halfway, as the module ended another of its attempts."""
@@ -485,11 +485,11 @@
         exchange.send(transaction.name, "s-1", None)
     ended: list[tuple[str, int]] = []
 
-    def cancel_the_other(branch: Branch, *details: object) -> None:
-        ended.append((branch.transaction.name, branch.number))
-        exchange.cancel(branch.transaction.name, 1 - branch.number)
+    def cancel_the_other(attempt: Attempt, *details: object) -> None:
+        ended.append((attempt.transaction.name, attempt.number))
+        exchange.cancel(attempt.transaction.name, 1 - attempt.number)
 
-    monkeypatch.setattr(rig.recorder, "branch_ended", cancel_the_other)
+    monkeypatch.setattr(rig.recorder, "attempt_ended", cancel_the_other)
     rig.side.close()
     assert sorted(ended) == [(first.name, 0), (first.name, 1), (second.name, 0)]
     assert not exchange.transactions
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -493,7 +493,7 @@
     rig.close()
 
 
-def test_slow_client_pauses_reading_from_the_backend_and_its_close_cancels_the_branch() -> None:
+def test_slow_client_pauses_reading_from_the_backend_and_its_close_cancels_the_attempt() -> None:
     rig = Rig()
     hop = rig.ask()
     size = 4 * 1024 * 1024
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -389,7 +389,7 @@
     ingress.clients.ready = True
     with socket.create_connection(ingress.clients.address) as connection:
         connection.settimeout(LIMIT)
-        # Nothing listens there: every branch fails, and one answer is given.
+        # Nothing listens there: every attempt fails, and one answer is given.
         connection.sendall(command("00000000000000aa"))
         run_until(loop, lambda: any("connect_failed" in line for line in log))
         run_until(loop, lambda: ingress.tally.counts.get("answer.refused", 0) == 1)
--- a/tests/test_random_shutdowns.py
+++ b/tests/test_random_shutdowns.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from standflow.exchange import Branch, Transaction
+from standflow.exchange import Attempt, Transaction
 from standflow.messages import Result
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import ClientSide
@@ -49,13 +49,13 @@
         if transaction.open:
             self.exchange.send(transaction.name, "s-1", self.rng.choice((None, None, 0.2)))
 
-    def branch_ended(self, branch: Branch, result: Result, latency: float, finished: bool) -> None:
+    def attempt_ended(self, attempt: Attempt, result: Result, latency: float, finished: bool) -> None:
         if not finished:
             choice = self.rng.choice((self.exchange.fail, self.send, None))
             if choice == self.send:
-                self.loop.call_later(0.0, self.send, branch.transaction)
+                self.loop.call_later(0.0, self.send, attempt.transaction)
             elif choice is not None:
-                self.loop.call_later(0.0, self.exchange.fail, branch.transaction.name)
+                self.loop.call_later(0.0, self.exchange.fail, attempt.transaction.name)
 
 
 class Backends:
@@ -284,7 +284,7 @@
         run_until(loop, lambda: loop.stopped)
         self.side.close()
         for transaction in list(self.module.exchange.transactions.values()):
-            for number in range(len(transaction.branches)):
+            for number in range(len(transaction.attempts)):
                 self.module.exchange.cancel(transaction.name, number)
         self.hops.close()
         end = loop.now() + READING_SECONDS
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -16,7 +16,7 @@
 from standflow.config import load
 from standflow.config.model import ConfigError
 from standflow.config.reload import first_missing_key, key_shape
-from standflow.exchange import Branch
+from standflow.exchange import Attempt
 from standflow.messages import InvalidRequestError, Outcome, Request, Result
 from standflow.net.loop import Loop
 from standflow.net.nexthop import COOL_DOWN
@@ -86,14 +86,14 @@
 
 
 class Silent:
-    """A next-hop side that accepts branches and never reports on them."""
+    """A next-hop side that accepts attempts and never reports on them."""
 
-    def start(self, branch: Branch) -> None: ...
+    def start(self, attempt: Attempt) -> None: ...
 
-    def give_up(self, branch: Branch) -> bool:
+    def give_up(self, attempt: Attempt) -> bool:
         return True
 
-    def unsent(self, branch: Branch) -> bool:
+    def unsent(self, attempt: Attempt) -> bool:
         return False
 
 
@@ -123,11 +123,11 @@
         ask(recorder, "change", finals)
     for transaction, sent in ((safe, 3), (unsafe, 1)):
         for _ in range(5):
-            branch = recorder.exchange.send(transaction.name, "s-1", None)
-            assert branch is not None
-            if branch.outcome is None:
-                recorder.exchange.branch_ended(branch, Result(Outcome.TIMEOUT))
-        assert sum(b.outcome is Outcome.TIMEOUT for b in transaction.branches) == sent
+            attempt = recorder.exchange.send(transaction.name, "s-1", None)
+            assert attempt is not None
+            if attempt.outcome is None:
+                recorder.exchange.attempt_ended(attempt, Result(Outcome.TIMEOUT))
+        assert sum(b.outcome is Outcome.TIMEOUT for b in transaction.attempts) == sent
     recorder.close()
 
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -23,7 +23,7 @@
 from lab.relay import Relay
 from lab.wire import Wire
 from standflow.config import NameRule, TlsOptions
-from standflow.exchange import Branch
+from standflow.exchange import Attempt
 from standflow.messages import Outcome, Request
 from standflow.net import resp
 from standflow.net.nexthop import NextHops
@@ -92,7 +92,7 @@
         route = Route("tt-07", self.address, zone, "std", 0, phase, 1.0, up_since)
         self.side.update_routes(RouteSet(self.revision, True, (route,)))
 
-    def send(self, kind: str = "change", body: bytes | None = None) -> Branch:
+    def send(self, kind: str = "change", body: bytes | None = None) -> Attempt:
         self.serial += 1
         word = b"Q.DO" if kind == "change" else b"Q.ASK"
         head = [word, b"%016x" % 7, b"id%d" % self.serial, b"c=%b,t=plain,d=600000" % kind.encode()]
@@ -104,10 +104,10 @@
         return sent
 
     def ask(self, kind: str = "change", body: bytes | None = None) -> Outcome:
-        branch = self.send(kind, body)
-        run_until(self.recorder.loop, lambda: branch.outcome is not None)
-        assert branch.outcome is not None
-        return branch.outcome
+        attempt = self.send(kind, body)
+        run_until(self.recorder.loop, lambda: attempt.outcome is not None)
+        assert attempt.outcome is not None
+        return attempt.outcome
 
     def ends(self) -> list[str]:
         return [line.split()[3] for line in self.recorder.log if line.startswith("end nexthop")]
@@ -329,16 +329,16 @@
             return make(route, sock)
 
         tls_rig.side.make_stream = small
-        branch = tls_rig.send(body=b"b" * 65000)
-        run_until(tls_rig.recorder.loop, lambda: branch.context.write_started)
+        attempt = tls_rig.send(body=b"b" * 65000)
+        run_until(tls_rig.recorder.loop, lambda: attempt.context.write_started)
         iterations = tls_rig.recorder.loop.iteration + 20
         run_until(tls_rig.recorder.loop, lambda: tls_rig.recorder.loop.iteration >= iterations)
-        assert not branch.context.fully_written
+        assert not attempt.context.fully_written
         thread.join(LIMIT)
         held[0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         held[0].sock.close()
-        run_until(tls_rig.recorder.loop, lambda: branch.outcome is not None)
-        assert branch.outcome is Outcome.CONNECT_FAILED
+        run_until(tls_rig.recorder.loop, lambda: attempt.outcome is not None)
+        assert attempt.outcome is Outcome.CONNECT_FAILED
 
 
 def test_long_body_is_kept_in_memory_only_once_and_arrives_complete(tmp_path: Path) -> None:
@@ -363,17 +363,17 @@
     with listener, rig(listener.getsockname(), options(tmp_path)) as tls_rig:
         tracemalloc.start()
         try:
-            branch = tls_rig.send(body=body)
-            run_until(tls_rig.recorder.loop, lambda: branch.context.write_started)
-            assert not branch.context.fully_written
+            attempt = tls_rig.send(body=body)
+            run_until(tls_rig.recorder.loop, lambda: attempt.context.write_started)
+            assert not attempt.context.fully_written
             go.set()
-            run_until(tls_rig.recorder.loop, lambda: branch.outcome is not None)
+            run_until(tls_rig.recorder.loop, lambda: attempt.outcome is not None)
             peak = tracemalloc.get_traced_memory()[1] - sum(map(len, held))
         finally:
             tracemalloc.stop()
             go.set()
             thread.join(LIMIT)
-        assert branch.outcome is Outcome.OK
+        assert attempt.outcome is Outcome.OK
         assert body in b"".join(held)
         assert peak < len(body) // 4
 
@@ -396,8 +396,8 @@
         run_until(tls_rig.recorder.loop, lambda: not thread.is_alive())
         return RecordWriter.of(self.log)
 
-    def command(self, tls_rig: Rig, branch: Branch) -> bytes:
-        run_until(tls_rig.recorder.loop, lambda: branch.context is None or branch.context.fully_written)
+    def command(self, tls_rig: Rig, attempt: Attempt) -> bytes:
+        run_until(tls_rig.recorder.loop, lambda: attempt.context is None or attempt.context.fully_written)
         return self.wire.read()
 
     def __enter__(self) -> ScriptedHop:
@@ -414,17 +414,17 @@
 @pytest.mark.parametrize("requested", [False, True])
 def test_key_updates_around_answers_are_handled(tmp_path: Path, requested: bool) -> None:
     with ScriptedHop(tmp_path, 0) as hop, rig(hop.listener.getsockname(), options(tmp_path)) as tls_rig:
-        branch = tls_rig.send()
+        attempt = tls_rig.send()
         writer = hop.met(tls_rig)
         for serial in range(4):
-            assert b"id%d" % (serial + 1) in hop.command(tls_rig, branch)  # also with the updated keys
+            assert b"id%d" % (serial + 1) in hop.command(tls_rig, attempt)  # also with the updated keys
             before = writer.update(requested) if serial % 2 else b""
             hop.wire.write_raw(before + writer.record(DATA, VALUE[:4]) + writer.update(requested))
             hop.wire.write_raw(writer.record(DATA, VALUE[4:]) + writer.update(requested))
-            run_until(tls_rig.recorder.loop, lambda branch=branch: branch.outcome is not None)  # type: ignore[misc]
-            assert branch.outcome is Outcome.OK
+            run_until(tls_rig.recorder.loop, lambda attempt=attempt: attempt.outcome is not None)  # type: ignore[misc]
+            assert attempt.outcome is Outcome.OK
             hop.wire.write_raw(writer.update(requested))  # unread when the next command is written
-            branch = tls_rig.send()
+            attempt = tls_rig.send()
         assert not tls_rig.ends()
 
 
@@ -453,10 +453,10 @@
 def test_bytes_sent_by_openssl_itself_do_not_count_as_the_command(tmp_path: Path) -> None:
     """An alert follows a partly written command, which is fully written once its own last byte is sent."""
     with ScriptedHop(tmp_path, 0) as hop, rig(hop.listener.getsockname(), options(tmp_path)) as tls_rig:
-        branch = tls_rig.send()
+        attempt = tls_rig.send()
         hop.met(tls_rig)
-        hop.command(tls_rig, branch)
-        stream: Any = branch.context.connection.stream
+        hop.command(tls_rig, attempt)
+        stream: Any = attempt.context.connection.stream
         socket_before, room, sent = stream.sock, [0], []
 
         class LimitedSocket:
