Peers: a fault over one datagram delays none behind it

Callers would see quotas by old totals: a member whose datagrams meet a fault keeps all others' reports to one in 50 ms, and the rest are lost.

Cause: a fault ended the receiving coroutine, which pauses before it is begun anew. Each datagram is a step of its own now.

The new test failed before. test_datagrams_are_received_after_an_exception planted its fault where it no longer ends the coroutine; it plants it in the receiving itself now and asks the same of the log and the next datagram.

--- a/standflow/net/peers.py
+++ b/standflow/net/peers.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Callable
 
+from standflow.isolation import run_isolated
 from standflow.net.listening import udp_socket
 from standflow.net.loop import IN, Coroutine, Loop
 from standflow.net.transient_errors import retry_at_startup
 
-MAX_DATAGRAM = 256
+MAX_DATAGRAM = 256  # bytes
+MAX_READS = 64  # datagrams in one iteration of the loop
 
 Address = tuple[str, int]
 
@@ -57,26 +59,28 @@
     def _receive(self) -> Coroutine[None]:
         while True:
             yield IN
-            for _ in range(64):
+            for _ in range(MAX_READS):
                 try:
                     content, sender = self.sock.recvfrom(MAX_DATAGRAM + 1)
                 except OSError:
                     break
-                number = self.member_ids.get(sender)
-                known = number is not None or self.accept_unlisted
-                fits = known and len(content) <= MAX_DATAGRAM
-                if fits and self.handle_membership is not None and self.handle_membership(content, sender):
-                    self.tally("peers.view")
-                    continue
-                # Anyone can send here: datagrams that are oversized, our own or from unknown senders are
-                # dropped.
-                if number is None or number == self.own_id or len(content) > MAX_DATAGRAM:
-                    self.tally("peers.dropped")
-                    self.log(f"peers: dropped {len(content)} bytes from {sender[0]}:{sender[1]}")
-                    continue
-                self.tally("peers.in")
-                self.on_received(number)
-                self.on_message(number, content)
+                run_isolated(self.log, self._handle, content, sender)  # others wait behind it
+
+    def _handle(self, content: bytes, sender: Address) -> None:
+        """Passes on one datagram. Anyone can send here: oversized, own and unknown ones are dropped."""
+        number = self.member_ids.get(sender)
+        known = number is not None or self.accept_unlisted
+        fits = known and len(content) <= MAX_DATAGRAM
+        if fits and self.handle_membership is not None and self.handle_membership(content, sender):
+            self.tally("peers.view")
+            return
+        if number is None or number == self.own_id or len(content) > MAX_DATAGRAM:
+            self.tally("peers.dropped")
+            self.log(f"peers: dropped {len(content)} bytes from {sender[0]}:{sender[1]}")
+            return
+        self.tally("peers.in")
+        self.on_received(number)
+        self.on_message(number, content)
 
     def assign_address(self, number: int, address: Address) -> None:
         """Sets the address of a member."""
--- a/tests/test_faulty_calls.py
+++ b/tests/test_faulty_calls.py
@@ -14,6 +14,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -241,6 +242,36 @@
     log, heard = list[str](), list[bytes]()
     loop = Loop(log.append)
 
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind(("127.0.0.1", 0))
+        members = (("0.0.0.0", 0), other.getsockname())
+
+        def told(number: int, content: bytes) -> None:
+            heard.append(content)
+
+        peers = Peers(loop, log.append, ("127.0.0.1", 0), members, None, 0, told)
+        sock = peers.sock
+
+        def receive_first(size: int) -> None:
+            peers.sock = sock
+            sock.recvfrom(size)
+            raise ZeroDivisionError
+
+        peers.sock = SimpleNamespace(recvfrom=receive_first)  # type: ignore[assignment]
+        for content in (b"bad", b"good"):
+            other.sendto(content, peers.address)
+        run_until(loop, lambda: heard)
+        assert heard == [b"good"]
+        assert "fault of a coroutine, begun anew" in log[0]
+    loop.epoll.close()
+    peers.sock.close()
+
+
+def test_fault_over_one_datagram_delays_none_behind_it() -> None:
+    """Guards against reports of all members that wait, or are lost, behind datagrams with a fault."""
+    log, heard = list[str](), list[bytes]()
+    loop = Loop(log.append)
+
     def told(number: int, content: bytes) -> None:
         if content == b"bad":
             raise ZeroDivisionError
@@ -248,13 +279,14 @@
 
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
         other.bind(("127.0.0.1", 0))
-        nowhere = ("0.0.0.0", 0)
-        peers = Peers(loop, log.append, ("127.0.0.1", 0), (nowhere, other.getsockname()), None, 0, told)
-        for content in (b"bad", b"good"):
-            other.sendto(content, peers.address)
+        members = (("0.0.0.0", 0), other.getsockname())
+        peers = Peers(loop, log.append, ("127.0.0.1", 0), members, None, 0, told)
+        for _ in range(5):
+            other.sendto(b"bad", peers.address)
+            other.sendto(b"good", peers.address)
         run_until(loop, lambda: heard)
-        assert heard == [b"good"]
-        assert "fault of a coroutine, begun anew" in log[0]
+        assert heard == [b"good"] * 5
+        assert sum("ZeroDivisionError" in line for line in log) == 5
     loop.epoll.close()
     peers.sock.close()
 
