Client connection: taking one command and refusing it are functions of their own

_take_commands held the loop over the buffer, the drain, the long body, each reason to refuse and the opening in one nested function of 40 lines. Nothing else changes.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -282,30 +282,45 @@
                 if self.buffer.body > resp.MAX_VALUE:
                     self._read_long_body()
                 return
-            reserved, dropped = self._end_long_body()
-            self.host.idle.pop(self, None)
-            if self.host.drain_expired:
-                self.start_drain()
-            slot = self._new_slot()
-            try:
-                command = resp.decode_command(parts)
-                if isinstance(command, resp.Ping):
-                    slot.answer = self.host.pong()
-                elif self.host.refuse_unopened or self.refusing:
-                    self.host.exchange.tally("refused.leaving")
-                    slot.answer = encode_final(Refused(self.host.exchange.default_retry_after))
-                elif self.client_closed:
-                    # The client has closed: no request is opened, the connection ends next.
-                    self.host.exchange.tally("left.unread")
-                elif dropped or not self._admits(command, reserved):
-                    slot.answer = encode_final(self.host.exchange.refuse_unopened(command.class_name))
-                else:
-                    self._open(slot, command, reserved)
-                    reserved = 0  # the exchange releases it
-            except (resp.CommandError, InvalidRequestError) as error:
-                slot.answer = resp.error(str(error))
-            if reserved:
-                self.host.body_budget.release(reserved)
+            self._take_command(parts)
+
+    def _take_command(self, parts: list[bytes]) -> None:
+        """Answers a complete command at once, or opens a request for it."""
+        reserved, dropped = self._end_long_body()
+        self.host.idle.pop(self, None)
+        if self.host.drain_expired:
+            self.start_drain()
+        slot = self._new_slot()
+        opened = False
+        try:
+            command = resp.decode_command(parts)
+            if isinstance(command, resp.Ping):
+                slot.answer = self.host.pong()
+            elif not self._refuse_at_once(slot, command, dropped, reserved):
+                self._open(slot, command, reserved)
+                opened = True
+        except (resp.CommandError, InvalidRequestError) as error:
+            slot.answer = resp.error(str(error))
+        if reserved and not opened:  # the exchange releases it otherwise
+            self.host.body_budget.release(reserved)
+
+    def _refuse_at_once(self, slot: AnswerSlot, ask: resp.Ask, dropped: bool, reserved: int) -> bool:
+        """Refuses a command for which no request may be opened; returns false if one may.
+
+        A client that has closed is owed no answer.
+        """
+        exchange = self.host.exchange
+        if self.host.refuse_unopened or self.refusing:
+            exchange.tally("refused.leaving")
+            slot.answer = encode_final(Refused(exchange.default_retry_after))
+            return True
+        if self.client_closed:  # the connection ends next
+            exchange.tally("left.unread")
+            return True
+        if dropped or not self._admits(ask, reserved):
+            slot.answer = encode_final(exchange.refuse_unopened(ask.class_name))
+            return True
+        return False
 
     def _admits(self, ask: resp.Ask, reserved: int) -> bool:
         """True if there is memory for a request that was just read, beside what is reserved for its body.
