--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -14,7 +14,7 @@
 from standflow.config import Config, ConfigError
 from standflow.driver import Driver
 from standflow.exchange import Exchange
-from standflow.isolation import run_for_each, run_isolated
+from standflow.isolation import run_isolated
 from standflow.net.client_side import ClientSide
 from standflow.net.flow import FlowBudget
 from standflow.net.loop import Loop
@@ -34,7 +34,8 @@
     from standflow.fleet.member import Member
     from standflow.handshakes.limiter import HandshakeLimiter
     from standflow.ops.operations import Operations
-    from standflow.recovery.trust import TrustedState, Window
+    from standflow.recovery.ingress_state import StoredParts
+    from standflow.recovery.trust import TrustedState
     from standflow.recovery.writer import StateStoreWriter
     from standflow.tls.streams import TlsStreams
     from standflow.upgrade.handover import Handover
@@ -224,61 +225,30 @@
 
     def _make_store(self) -> StateStoreWriter | None:
         """The writer of state that survives a power loss, if the operator's file sets a folder for it."""
-        config = self.config
-        if config.store is None:
+        if self.config.store is None:
             return None
-        from standflow.recovery.records import identity
-        from standflow.recovery.store import Store
-        from standflow.recovery.writer import StateStoreWriter, WriterCallbacks
+        from standflow.recovery.ingress_state import make_writer
 
-        driver, clients, ops = self.driver, self.clients, self.ops
-        fleet = "" if config.fleet is None else config.fleet.name
-        owner = identity(config.name, config.settings.number, fleet)
-
-        def overrides() -> dict[str, list[Any]] | None:
-            return (
-                None
-                if ops is None
-                else {
-                    hop: [override.excluded, override.at, override.excluded_at]
-                    for hop, override in ops.overlay.overrides.items()
-                }
-            )
+        return make_writer(self.loop, self.log, self.config, self.config.store, self._stored_parts())
 
-        def refill(window: Window) -> None:
-            driver.restore_use(
-                [[window.key, window.plan, window.first, window.size, window.own, window.others]]
-            )
+    def _stored_parts(self) -> StoredParts:
+        from standflow.recovery.ingress_state import StoredParts
 
-        callbacks = WriterCallbacks(
-            used_windows=driver.used_since,
-            refill_windows=lambda windows: run_for_each(self.log, windows, refill),
-            learned_estimates=driver.learned_estimates,
-            restore_learned_estimates=driver.restore_learned_estimates,
+        return StoredParts(
+            driver=self.driver,
+            clients=self.clients,
+            overlay=None if self.ops is None else self.ops.overlay,
             routes=lambda: [write_route(route) for route in self._discovered_routes()],
-            operator_overrides=overrides,
-            evacuation=lambda: (clients.evacuated, clients.evacuated_at),
             members=lambda: None if self.fleet_member is None else self.fleet_member.counted_members(),
         )
-        store = Store(config.store.folder, owner, config.store.max_bytes)
-        return StateStoreWriter(self.loop, self.log, store, config.store.write_interval, callbacks)
 
     def _load_store(self) -> TrustedState | None:
         """Loads the store, and applies the operators' overrides and the evacuation found in it."""
         if self.store is None:
             return None
-        from standflow.recovery.trust import Plan
-
-        plans = {plan.name: Plan(plan.burst, plan.rate) for plan in self.config.settings.plans}
-        restored = self.store.load(plans)
-        if self.ops is not None:
-            from standflow.ops.overlay import Override
+        from standflow.recovery.ingress_state import load_state
 
-            for hop, (excluded, at, excluded_at) in restored.operator_overrides.items():
-                self.ops.overlay.merge(hop, Override(excluded, at, excluded_at))
-        if restored.evacuation is not None:
-            self.clients.evacuate(*restored.evacuation)
-        self.restored = restored
+        self.restored = restored = load_state(self.store, self.config, self._stored_parts())
         if self.fleet_member is not None:
             run_isolated(self.log, self.fleet_member.restore_members, restored.members)
         return restored
@@ -445,26 +415,16 @@
             if known is not None:
                 run_isolated(self.log, self.next_hops.update_routes, known)
             self.driver.start(known)
-        if restored is not None:
-            self._restore_state(restored)
+        if restored is not None and self.store is not None:
+            from standflow.recovery.ingress_state import restore_state
+
+            restore_state(self.store, restored)
         if self.routes is not None:
             self.routes.connect()
         at_once = self.routes is None and self.handshake_limiter is None
         self.loop.call_later(0.0 if at_once else READY_TIMEOUT_SECONDS, self._ready)
         self.loop.call_later(INTERVAL_SECONDS * random.Random(self.config.seed).random(), self.tally.serve)
 
-    def _restore_state(self, restored: TrustedState) -> None:
-        """Takes over what the store held. What can't be used is logged, and the process serves without."""
-        if self.store is None:
-            return
-        self.store.callbacks.refill_windows(restored.windows)
-        if restored.learned_estimates is not None:
-            try:
-                self.store.callbacks.restore_learned_estimates(restored.learned_estimates)
-            except Exception as error:
-                self.log(f"store: the learned estimates are ignored: {error!r}")
-        run_isolated(self.log, self.store.start, restored)
-
     def _ready(self) -> None:
         if self.handover is not None:
             self.handover.ask(self._begin_serving)
