Next hops: a fault as one connection is ended keeps none of the others open

Callers would see requests fail at a backend that is gone: a fault as one of its idle connections is ended kept it from being drained, and the other connections open.

Each is a step of its own now; at the end of the grace each is still asked as its turn comes.

Three forms of the test failed before; the grace's end is by reading.

--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from standflow.exchange import Attempt, Exchange
 from standflow.isolation import run_for_each, run_isolated
@@ -116,12 +116,14 @@
     def _grace_over(self, hop: Hop) -> None:
         if hop.writes_end_at is None or self.loop.now() < hop.writes_end_at:
             return  # the next hop serves again
-        for connection in list(hop.connections):
-            # A command that is being written goes on: what counts is the time of its first byte.
-            if connection.pending is not None and not connection.pending.write_started:
-                self._end(connection, "drained")
+        run_for_each(self.log, hop.connections, self._end_unwritten)
         self._remove_closed(hop)
 
+    def _end_unwritten(self, connection: Connection) -> None:
+        """Ends a connection to what drains, unless a command is being written: its first byte was in time."""
+        if connection.pending is not None and not connection.pending.write_started:
+            self._end(connection, "drained")
+
     def _remove_closed(self, hop: Hop) -> None:
         if hop.writes_end_at is not None and not hop.connections and self.hops.get(hop.route.hop) is hop:
             del self.hops[hop.route.hop]
@@ -258,9 +260,10 @@
 
     def close(self) -> None:
         """Ends every connection at once, without reporting results."""
-        for connection in [c for hop in self.hops.values() for c in hop.connections]:
+        connections = [connection for hop in self.hops.values() for connection in hop.connections]
+        for connection in connections:
             connection.pending = None
-            self._end(connection, "shutdown")
+        self._end_all(connections, "shutdown")
 
     # Connections.
 
@@ -303,8 +306,11 @@
             self.loop.end(connection.task)
 
     def _close_idle(self, hop: Hop, reason: str) -> None:
-        for connection in list(hop.idle):
-            self._end(connection, reason)
+        self._end_all(hop.idle, reason)
+
+    def _end_all(self, connections: Iterable[Connection], reason: str) -> None:
+        """Ends several connections; a fault with one of them keeps none of the others."""
+        run_for_each(self.log, connections, lambda connection: self._end(connection, reason))
 
     def _evict_idle(self) -> bool:
         """Closes the connection that has been idle longest, to stay within the limit."""
@@ -316,9 +322,13 @@
     def _sweep(self) -> None:
         """Closes idle connections before the next hop's own idle timeout would close them."""
         limit = self.loop.now() - self.idle_limit
-        for hop in list(self.hops.values()):
-            for connection in [c for c in hop.idle if c.idle_since < limit]:
-                self._end(connection, "idle")
+        idle = [
+            connection
+            for hop in self.hops.values()
+            for connection in hop.idle
+            if connection.idle_since < limit
+        ]
+        self._end_all(idle, "idle")
 
 
 def _idle_since(connection: Connection) -> float:
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -569,6 +569,33 @@
     rig.close()
 
 
+@pytest.mark.parametrize("reason", ["drained", "idle", "shutdown"])
+def test_fault_with_one_idle_connection_lets_the_others_be_ended(
+    reason: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections to what drains that stay, as ending the one before them failed."""
+    rig = Rig()
+    backends = [rig.ask(command(f"aa{number:02}", d=60_000)) for number in range(3)]
+    for number, backend in enumerate(backends):
+        backend.sendall(SHORT_REPLY)
+        rig.until(lambda answered=number + 1: len(rig.recorder.ended) == answered)
+    hop, end = rig.hops.hops["s-1"], rig.hops._end
+    faulty = hop.idle[0]
+    monkeypatch.setattr(rig.hops, "_end", lambda one, why: fail() if one is faulty else end(one, why))
+    if reason == "drained":
+        rig.hops.update_routes(RouteSet(2, True, (replace(hop.route, phase=Phase.DRAINING),)))
+        assert hop.writes_end_at is not None
+    elif reason == "idle":
+        rig.hops.idle_limit = 0.0
+        rig.hops._sweep()
+    else:
+        rig.hops.close()
+    assert hop.connections == {faulty}
+    assert sum(f"end nexthop s-1 {reason}" in line for line in rig.recorder.log) == 2
+    monkeypatch.undo()
+    rig.close()
+
+
 def test_fault_with_one_next_hop_lets_the_module_hear_of_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against requests sent to what drains, as the module was not told of a list with a fault."""
     log: list[str] = []
