Soak: a process whose first call to discovery meets an outage is not notified

Trace: drain at 5.439 s, n1's process begins at 5.609, the outage (calls refused) at 5.857; its first call to discovery is at 6.040 and refused, so no list was ever written to it. Where discovery isn't pushed a change is told once discovery has written it, 6 s after it could be reached at the latest (PROTOCOL, STANDING). The check took it as told at its start.

Change: the record has each process's first call, from its log; one that lies in an outage moves the notification behind it. Nothing else is let pass: with a first call before the outage the bound is as it was.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -191,9 +191,15 @@
 
 
 def _notified_by(table: pl.DataFrame, at: float, member: int, run_number: int) -> float:
-    """The latest time at which an ingress counts as notified of a change."""
-    begins = _rows(table, "life").filter((pl.col("member") == member) & (pl.col("life") == run_number))["t"]
-    known = max(at, float(begins[0]))
+    """The latest time at which an ingress counts as notified of a change.
+
+    A process hears of an earlier change by its first call to discovery, which an outage may meet.
+    """
+    process_run = (pl.col("member") == member) & (pl.col("life") == run_number)
+    known = max(at, float(_rows(table, "life").filter(process_run)["t"][0]))
+    first_call = _rows(table, "discovery").filter(process_run)["t"].min()
+    if isinstance(first_call, float) and _in_outage(table, member, first_call):
+        known = max(known, first_call)
     for silence in _rows(table, "silence").filter(pl.col("member") == member).iter_rows(named=True):
         if silence["t"] <= known < silence["until"]:
             refused = silence["detail"] == "refused"
@@ -201,6 +207,12 @@
     return known
 
 
+def _in_outage(table: pl.DataFrame, member: int, at: float) -> bool:
+    """True if an ingress could not reach discovery at that time."""
+    covers = (pl.col("member") == member) & (pl.col("t") <= at) & (pl.col("until") > at)
+    return not _rows(table, "silence").filter(covers).is_empty()
+
+
 def _exit_statuses(table: pl.DataFrame) -> list[str]:
     return [
         f"n{row['member']} life {row['life']} ended with {row['end']} ({row['detail']})"
--- a/lab/soak/play.py
+++ b/lab/soak/play.py
@@ -46,6 +46,7 @@
 SOCKETS = 1024
 # A log line, with its time.
 SHUTDOWN_STEP = re.compile(r"([\d.]+) ((?:stopping|stopped|shutdown: |loop: ).*)")
+DISCOVERY_CALL_END = re.compile(r"([\d.]+) end routes (\S+) age=([\d.]+)")
 # Lines of the tracebacks that a killed process writes: the first of a thread, and file, line and function.
 STACK_BEGIN = re.compile(r"(Current t|T)hread 0x")
 STACK_FRAME = re.compile(r'  File ".*?([^/"]+)", line (\d+) in (\S+)')
@@ -126,6 +127,7 @@
             self._record_process_run(member, number, started, ready, ended, status)
             self._record_scheduling(member, number, ended)
             self._record_steps(member, number, list(ingress.log))
+            self._record_discovery_call(member, number, list(ingress.log))
             self._record_stack(member, number, list(ingress.log))
             self.logs += [f"n{member} life {number} {line}" for line in list(ingress.log)]
 
@@ -303,6 +305,17 @@
                 at = float(match[1]) - offset
                 self.rows.append(Row(what="step", t=at, member=member, life=number, detail=match[2]))
 
+    def _record_discovery_call(self, member: int, number: int, log: list[str]) -> None:
+        """Records the first call to discovery: before it a process can't have heard of anything."""
+        offset = time.time() - self.now()
+        match = next(filter(None, map(DISCOVERY_CALL_END.match, log)), None)
+        if match is not None:
+            until = float(match[1]) - offset
+            begin, reason = until - float(match[3]), match[2]
+            self.rows.append(
+                Row(what="discovery", t=begin, until=until, member=member, life=number, detail=reason)
+            )
+
     def _record_stack(self, member: int, number: int, log: list[str]) -> None:
         """Records the stacks of a process that was killed, each with its innermost function first."""
         stacks: list[list[str]] = [[]]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -236,6 +236,34 @@
     assert faults(*rows, asked("a", at, 0.2), came("a", at + 0.05, backend=1)) == []
 
 
+REFUSED = Row(what="silence", t=2.0, until=3.0, member=0, detail="refused")
+STARTED_AT = 1.9
+
+
+@pytest.mark.parametrize(
+    ("first_call", "outage", "notified"),
+    [
+        (None, REFUSED, STARTED_AT),
+        (1.95, REFUSED, STARTED_AT),  # answered before the outage
+        (2.1, replace(REFUSED, member=1), STARTED_AT),
+        (2.1, REFUSED, 3.0 + DISCOVERY_RECOVERY_SECONDS),
+        (2.1, replace(REFUSED, detail="silent"), 3.0),
+        (3.1, REFUSED, STARTED_AT),
+    ],
+)
+def test_process_whose_first_call_meets_an_outage_is_notified_after_it(
+    first_call: float | None, outage: Row, notified: float
+) -> None:
+    """Guards against a verdict on an ingress that could not have heard of a drain from before its start."""
+    at = notified + DRAIN_GRACE_SECONDS
+    drain = [Row(what="drain", t=1.0, backend=0), Row(what="back", t=at + 5, backend=0)]
+    rows = [process_run_row(t=STARTED_AT), connection(until=60.0), *drain, outage]
+    if first_call is not None:
+        rows.append(Row(what="discovery", t=first_call, until=first_call + 0.01, member=0, life=0))
+    for come, count in ((at - 0.05, 0), (at + 0.05, 1)):
+        assert len(faults(*rows, asked("a", come - 0.01, 0.1), came("a", come))) == count
+
+
 def test_a_killed_failed_or_late_process_run_is_found() -> None:
     assert len(faults(process_run_row(end="killed", until=None))) == 1
     assert len(faults(process_run_row(end="-11"))) == 1
