Tests: planted faults by side, in three files of a size to read

test_isolated_faults.py had 702 lines on clients, backends, the start and the state. Clients and shutdown stay there, the others have files of their own; what plants a fault is one module, which test_upgrade.py had again.

--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -1,53 +1,27 @@
-"""A fault of one connection, request or step costs no other its answer."""
+"""A fault of one client, request or step of a shutdown costs no other its answer."""
 
 from __future__ import annotations
 
-import json
-import os
 import socket
-import zlib
 from collections.abc import Callable
-from dataclasses import replace
-from pathlib import Path
 
 import pytest
 
-from standflow.assembly import Ingress
-from standflow.config import read
-from standflow.config.model import StoreOptions
-from standflow.exchange import Attempt, Transaction
-from standflow.log import Log
+from standflow.exchange import Transaction
 from standflow.messages import FinalAnswer, Outcome
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_side import SWEEP_INTERVAL, ClientSide
-from standflow.net.loop import Loop
-from standflow.net.nexthop import RoutesNotAppliedError
-from standflow.net.stream import PlainStream
-from standflow.program import serve_until_stopped
-from standflow.recovery.records import MAX_LINE_BYTES, header_line, identity
-from standflow.recovery.store import RECORDS_FILE
-from standflow.recovery.trust import LEARNED, MEMBER, USAGE
-from standflow.recovery.writer import read_boot_clock
-from standflow.route_set import Phase, Route, RouteSet
 from standflow.shutdown import Shutdown
 from standflow.shutdown_schedule import schedule_for
+from tests.planted_faults import PlantedError, fail
 from tests.test_connections import Recorder
-from tests.test_long import LONG, REPLY, PipelinedRig, Rig
+from tests.test_long import REPLY, PipelinedRig, Rig
 from tests.test_ops import VALUE as SHORT_REPLY
-from tests.wire import LIMIT, command, config, member, read_until, run_until
+from tests.wire import LIMIT, command, read_until, run_until
 
 REFUSED = b"-BUSY 250\r\n"
 
 
-class PlantedError(Exception):
-    """The fault that a test plants."""
-
-
-def fail(*arguments: object) -> None:
-    """Takes the place of a step that has a fault."""
-    raise PlantedError
-
-
 class Clients:
     """A client side and its clients, each with one open request."""
 
@@ -351,152 +325,6 @@
     rig.close()
 
 
-def test_fault_as_a_backend_connection_is_cleaned_up_leaves_no_request_without_outcome(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against a request that waits for its deadline, as the end of its connection failed."""
-    rig = Rig()
-    backend = rig.ask()
-    monkeypatch.setattr(PlainStream, "close", fail)
-    backend.close()
-    rig.until(lambda: rig.recorder.ended)
-    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.RESET]
-    assert rig.hops.connections == 0
-    rig.close()
-
-
-def test_fault_as_an_attempt_is_given_up_costs_neither_the_answer_nor_the_outcome(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against a value that is not passed on, and attempts that stay in flight for the module."""
-    rig = Rig()
-    backend = rig.ask()
-    exchange, (transaction,) = rig.recorder.exchange, rig.recorder.opened
-    exchange.send(transaction.name, "s-1", None)
-    monkeypatch.setattr(rig.hops, "give_up", fail)
-    backend.sendall(REPLY)
-    rig.until(lambda: rig.got.endswith(LONG[-10:] + b"\r\n"))
-    assert sorted(outcome.value for _, outcome in rig.recorder.ended) == ["cancelled", "ok"]
-    assert exchange.open_count == 0
-    monkeypatch.undo()
-    rig.close()
-
-
-def test_fault_as_an_attempt_is_timed_out_does_not_keep_its_outcome_from_the_module(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against a request that gets no other attempt, as giving up the one before failed."""
-    rig = Rig()
-    rig.client.sendall(command("aa01", d=60_000))
-    rig.until(lambda: rig.recorder.opened)
-    monkeypatch.setattr(rig.hops, "give_up", fail)
-    rig.recorder.exchange.send(rig.recorder.opened[0].name, "s-1", 0.05)
-    rig.until(lambda: rig.recorder.ended)
-    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.TIMEOUT]
-    monkeypatch.undo()
-    rig.close()
-
-
-def test_fault_as_an_attempt_is_started_leaves_time_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a request that waits for its deadline over an attempt that was never made."""
-    rig = Rig()
-    rig.client.sendall(command("aa01", d=60_000))
-    rig.until(lambda: rig.recorder.opened)
-    monkeypatch.setattr(rig.hops, "make_stream", fail)
-    rig.recorder.exchange.send(rig.recorder.opened[0].name, "s-1", None)
-    assert not rig.recorder.ended
-    rig.until(lambda: rig.recorder.ended)
-    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.MOOT]
-    assert rig.hops.connections == 0
-    monkeypatch.undo()
-    rig.close()
-
-
-class FaultyAdmission:
-    """An admission of dials with a fault in counting them."""
-
-    dial_started = fail
-
-    def refusal(self, hop: str) -> Outcome | None:
-        """See Admission."""
-        return None
-
-    def opened(self, connection: object, reason: str | None) -> None:
-        """See Admission."""
-
-    def closed(self, connection: object) -> None:
-        """See Admission."""
-
-
-def test_fault_as_a_dial_is_counted_does_not_keep_it_from_being_made() -> None:
-    """Guards against connections that count towards the limit for ever and were never dialled."""
-    rig = Rig()
-    rig.hops.admission = FaultyAdmission()  # type: ignore[assignment]
-    rig.ask().sendall(SHORT_REPLY)
-    rig.until(lambda: rig.got.endswith(b"va\r\nl\r\n"))
-    assert sum("PlantedError" in line for line in rig.recorder.log) == 1
-    rig.close()
-
-
-class StubState:
-    """Stands in for the handover and the store of an ingress, and records what is called on it."""
-
-    def __init__(self) -> None:
-        self.called: list[str] = []
-
-    def write_operator_records(self) -> None:
-        """See StateStoreWriter."""
-        self.called.append("operator records")
-
-    def close(self, limit: float) -> None:
-        """See StateStoreWriter."""
-        self.called.append("closed")
-
-    write = fail
-
-
-@pytest.mark.parametrize(
-    ("step", "called"), [("_operator_state_changed", "operator records"), ("_save", "closed")]
-)
-def test_fault_as_state_is_handed_over_does_not_keep_it_from_the_store(step: str, called: str) -> None:
-    """Guards against operators' words that a power loss takes along, as writing them elsewhere failed."""
-    log: list[str] = []
-    loop, state = Loop(log.append), StubState()
-    ingress = Ingress(read(config(), log.append), loop, log.append)
-    ingress.handover = ingress.store = state  # type: ignore[assignment]
-    getattr(ingress, step)()
-    assert state.called == [called]
-    assert sum("PlantedError" in line for line in log) == 1
-    ingress.handover = ingress.store = None
-    ingress.close()
-    loop.epoll.close()
-
-
-def test_attempt_that_the_module_ends_while_its_client_leaves_is_ended_once(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against a client's end that stops halfway, as the module ended another of its attempts."""
-    rig = Rig()
-    rig.client.sendall(command("aa01") + command("aa02"))
-    rig.until(lambda: len(rig.recorder.opened) == 2)
-    exchange = rig.recorder.exchange
-    first, second = rig.recorder.opened
-    for transaction in (first, first, second):
-        exchange.send(transaction.name, "s-1", None)
-    ended: list[tuple[str, int]] = []
-
-    def cancel_the_other(attempt: Attempt, *details: object) -> None:
-        ended.append((attempt.transaction.name, attempt.number))
-        exchange.cancel(attempt.transaction.name, 1 - attempt.number)
-
-    monkeypatch.setattr(rig.recorder, "attempt_ended", cancel_the_other)
-    rig.side.close()
-    assert sorted(ended) == [(first.name, 0), (first.name, 1), (second.name, 0)]
-    assert not exchange.transactions
-    assert not any("fault" in line for line in rig.recorder.log)
-    rig.close()
-
-
 @pytest.mark.parametrize("step", ["has_room", "connection_accepted"])
 def test_fault_at_the_end_of_accepting_keeps_no_client_waiting(
     step: str, monkeypatch: pytest.MonkeyPatch
@@ -545,158 +373,3 @@
     assert recorder.loop.free_descriptor()
     monkeypatch.undo()
     clients.close()
-
-
-@pytest.mark.parametrize("complete", [False, True])
-def test_fault_with_one_next_hop_lets_the_others_be_drained(
-    complete: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against requests to a next hop that is gone, as the one listed before it had a fault."""
-    rig = Rig()
-    address = rig.hop.getsockname()[:2]
-    names = ("s-1", "s-2", "s-3")
-    serving = [Route(name, address, "z1", "std", 0, Phase.SERVING, 1.0, None) for name in names]
-    rig.hops.update_routes(RouteSet(2, True, tuple(serving)))
-    close_idle, faulty = rig.hops._close_idle, rig.hops.hops["s-1"]
-    monkeypatch.setattr(
-        rig.hops, "_close_idle", lambda hop, why: fail() if hop is faulty else close_idle(hop, why)
-    )
-    draining = [replace(route, phase=Phase.DRAINING) for route in serving]
-    with pytest.raises(RoutesNotAppliedError):  # so that the whole list is asked for
-        rig.hops.update_routes(RouteSet(3, complete, () if complete else tuple(draining)))
-    assert [name for name in names if rig.hops.hops[name].writes_end_at is not None] == ["s-2", "s-3"]
-    monkeypatch.undo()
-    rig.close()
-
-
-@pytest.mark.parametrize("reason", ["drained", "idle", "shutdown"])
-def test_fault_with_one_idle_connection_lets_the_others_be_ended(
-    reason: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against connections to what drains that stay, as ending the one before them failed."""
-    rig = Rig()
-    backends = [rig.ask(command(f"aa{number:02}", d=60_000)) for number in range(3)]
-    for number, backend in enumerate(backends):
-        backend.sendall(SHORT_REPLY)
-        rig.until(lambda answered=number + 1: len(rig.recorder.ended) == answered)
-    hop, end = rig.hops.hops["s-1"], rig.hops._end
-    faulty = hop.idle[0]
-    monkeypatch.setattr(rig.hops, "_end", lambda one, why: fail() if one is faulty else end(one, why))
-    if reason == "drained":
-        rig.hops.update_routes(RouteSet(2, True, (replace(hop.route, phase=Phase.DRAINING),)))
-        assert hop.writes_end_at is not None
-    elif reason == "idle":
-        rig.hops.idle_limit = 0.0
-        rig.hops._sweep()
-    else:
-        rig.hops.close()
-    assert hop.connections == {faulty}
-    assert sum(f"end nexthop s-1 {reason}" in line for line in rig.recorder.log) == 2
-    monkeypatch.undo()
-    rig.close()
-
-
-def test_fault_with_one_next_hop_lets_the_module_hear_of_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against requests sent to what drains, as the module was not told of a list with a fault."""
-    log: list[str] = []
-    loop = Loop(log.append)
-    ingress = Ingress(read(config(), log.append), loop, log.append)
-    told: list[RouteSet] = []
-    monkeypatch.setattr(ingress.driver, "routes_updated", told.append)
-    monkeypatch.setattr(ingress.next_hops, "_update_route", fail)
-    route = Route("s-1", ("127.0.0.1", 1), "z1", "std", 0, Phase.DRAINING, 1.0, None)
-    with pytest.raises(RoutesNotAppliedError):
-        ingress._routes_updated(RouteSet(2, False, (route,)))
-    assert [routes.revision for routes in told] == [2]
-    ingress.close()
-    loop.epoll.close()
-
-
-@pytest.mark.parametrize("limited", [False, True])
-def test_fault_with_a_next_hop_of_the_saved_list_does_not_keep_a_process_from_starting(
-    limited: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against a process that ends at each start, as its saved list holds a next hop with a fault."""
-    log: list[str] = []
-    loop = Loop(log.append)
-    known = {"revision": 1, "complete": True, "members": [member(("127.0.0.1", 1))]}
-    ingress = Ingress(read(config(known=known), log.append), loop, log.append)
-    told: list[RouteSet] = []
-    monkeypatch.setattr(ingress.driver, "routes_updated", lambda routes, saved=False: told.append(routes))
-    monkeypatch.setattr(ingress.next_hops, "_update_route", fail)
-    if limited:
-        ingress.handshake_limiter = FaultyLimiter()  # type: ignore[assignment]
-    ingress.start()
-    run_until(loop, lambda: ingress.clients.ready)
-    assert len(told) == (not limited)
-    ingress.handshake_limiter = None
-    ingress.close()
-    loop.epoll.close()
-
-
-class FaultyLimiter:
-    """A handshake limiter that can't apply a list."""
-
-    update_routes = fail
-
-
-def line_with_checksum(body: bytes, owner: str) -> bytes:
-    """A line of a store, whatever its body is."""
-    return b"%08x %b\n" % (zlib.crc32(body, zlib.crc32(owner.encode())), body)
-
-
-def test_store_with_records_of_another_form_does_not_keep_a_process_from_starting(tmp_path: Path) -> None:
-    """Guards against a process that ends at each start, as another version's records are in its store."""
-    log: list[str] = []
-    loop = Loop(log.append)
-    owner, boot = identity("n0", 0, ""), read_boot_clock()
-    sound = "00000000b4d65521"
-    rows = [
-        (USAGE, "no hexadecimal", '["plain", 0, 1, 9.0, 0.0]'),
-        (USAGE, "a1", '["plain", 1e999, 1, 9.0, 0.0]'),
-        (USAGE, "a2", '["plain", Infinity, 1, 9.0, 0.0]'),
-        (USAGE, "a3", json.dumps(["plain", 0, 1, 9.0, 0.0, "x" * MAX_LINE_BYTES])),
-        (USAGE, sound, '["plain", 0, 1, 9.0, 0.0]'),
-        (LEARNED, "", '{"base": [], "limit": null}'),
-        (MEMBER, "3", '[[], "", 0]'),
-        ([], "", "null"),
-        (USAGE, "a4", "7"),
-    ]
-    body = header_line(owner)
-    for kind, name, value in rows:
-        text = f"[{json.dumps(kind)}, {json.dumps(name)}, {value}, {json.dumps(boot.boot_id)}, {boot.uptime}]"
-        body += line_with_checksum(text.encode(), owner)
-    body += line_with_checksum(b"7", owner)
-    (tmp_path / RECORDS_FILE).write_bytes(body)
-    kept = StoreOptions(tmp_path, 1.0, 1 << 20)
-    raw = config()
-    raw["settings"]["Contracts"][0] |= {"Rate": 0.01}  # nothing drains meanwhile
-    ingress = Ingress(replace(read(raw, log.append), store=kept), loop, log.append)
-    ingress.start()
-    run_until(loop, lambda: ingress.clients.ready)
-    assert [row[0] for row in ingress.driver.used_since(0.0)] == [sound]
-    assert ingress.store is not None
-    assert ingress.store.stage == "holding"
-    ingress.close()
-    loop.epoll.close()
-
-
-def test_fault_of_the_loop_itself_costs_no_answer_and_no_state(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a process that ends over open requests and unsaved state, by a traceback alone."""
-    log = Log(os.open(os.devnull, os.O_WRONLY))
-    loop, state = Loop(log), StubState()
-    ingress = Ingress(read(config(), log), loop, log)
-    ingress.store = state  # type: ignore[assignment]
-    ingress.clients.start_serving()
-    client = socket.create_connection(ingress.clients.address, LIMIT)
-    monkeypatch.setattr(ingress.driver, "transaction_opened", lambda transaction: None)  # it stays open
-    client.sendall(command("aa01"))
-    run_until(loop, lambda: ingress.exchange.open_count)
-    monkeypatch.setattr(loop, "run", fail)
-    with pytest.raises(PlantedError):
-        serve_until_stopped(loop, ingress, log)
-    assert read_until(client, b"\r\n").startswith(b"-BUSY")
-    assert state.called == ["closed"]
-    client.close()
-    loop.epoll.close()
-    os.close(log.fd)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -36,6 +36,7 @@
 from standflow.upgrade.files import MAX_FILE_BYTES, StateFiles, next_generation, pack, unpack
 from standflow.upgrade.handover import HEARTBEAT_SECONDS, Handover, HandoverCallbacks
 from standflow.upgrade.roles import LIVENESS_SECONDS, STATE_TIMEOUT_SECONDS, ProcessStatus, Role, Stage
+from tests.planted_faults import fail
 from tests.test_driver import ScriptedDriver
 from tests.test_ops import PING, VALUE, ask, with_ops
 from tests.wire import LIMIT, Program, command, config, member, program, read_until, run_until
@@ -263,15 +264,6 @@
     loop.epoll.close()
 
 
-class PlantedError(Exception):
-    """The fault that a test plants."""
-
-
-def fail(*arguments: object) -> None:
-    """Takes the place of a callback that has a fault."""
-    raise PlantedError
-
-
 @pytest.mark.parametrize("callback", ["import_routes", "import_state", "add"])
 def test_fault_in_a_step_of_a_handover_does_not_keep_the_new_process_from_serving(
     callback: str, tmp_path: Path
