Client connection: a fault over a command gives its body's memory back

Callers would see: after some such faults no long body of any client finds memory any more, and is refused.

Cause: the bytes reserved for a long body were taken over from it, and given back behind the steps that can fail.

Change: a Reservation gives memory back once, however often it is asked to; whatever fails, the connection asks. The test failed before.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -31,7 +31,7 @@
     Task,
     error_reason,
 )
-from standflow.net.memory_budget import MemoryBudget
+from standflow.net.memory_budget import MemoryBudget, Reservation
 from standflow.net.timed_reader import TimedReader
 
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
@@ -287,24 +287,32 @@
     def _take_command(self, parts: list[bytes]) -> None:
         """Answers a complete command at once, or opens a request for it."""
         reserved, dropped = self._end_long_body()
+        body = Reservation(partial(self.host.body_budget.release, reserved)) if reserved else None
+        opened = False
+        try:
+            opened = self._open_or_answer(parts, body, dropped)
+        finally:
+            if body is not None and not opened:  # the exchange releases it otherwise
+                body.release()
+
+    def _open_or_answer(self, parts: list[bytes], body: Reservation | None, dropped: bool) -> bool:
+        """Takes a complete command; true if a request was opened for it, which keeps its body's memory."""
         self.host.idle.pop(self, None)
         if self.host.drain_expired:
             self.start_drain()
         slot = self._new_slot()
-        opened = False
         try:
             command = resp.decode_command(parts)
             if isinstance(command, resp.Ping):
                 slot.answer = self.host.pong()
-            elif not self._refuse_at_once(slot, command, dropped, reserved):
-                self._open(slot, command, reserved)
-                opened = True
+            elif not self._refuse_at_once(slot, command, dropped, body is not None):
+                self._open(slot, command, body)
+                return True
         except (resp.CommandError, InvalidRequestError) as error:
             slot.answer = resp.error(str(error))
-        if reserved and not opened:  # the exchange releases it otherwise
-            self.host.body_budget.release(reserved)
+        return False
 
-    def _refuse_at_once(self, slot: AnswerSlot, ask: resp.Ask, dropped: bool, reserved: int) -> bool:
+    def _refuse_at_once(self, slot: AnswerSlot, ask: resp.Ask, dropped: bool, reserved: bool) -> bool:
         """Refuses a command for which no request may be opened; returns false if one may.
 
         A client that has closed is owed no answer.
@@ -322,8 +330,8 @@
             return True
         return False
 
-    def _admits(self, ask: resp.Ask, reserved: int) -> bool:
-        """True if there is memory for a request that was just read, beside what is reserved for its body.
+    def _admits(self, ask: resp.Ask, reserved: bool) -> bool:
+        """True if there is memory for a request that was just read, beside what may be reserved for its body.
 
         Under strain a connection has one request at a time. Others are refused rather than left unread: their
         time is running.
@@ -386,11 +394,12 @@
         if self.long_body is not None:
             self.long_body.drop()
 
-    def _open(self, slot: AnswerSlot, ask: resp.Ask, reserved: int) -> None:
+    def _open(self, slot: AnswerSlot, ask: resp.Ask, body: Reservation | None) -> None:
+        """Opens a request. `body`: the memory that is reserved for its body, if it is long."""
         exchange = self.host.exchange
         if (effects := exchange.safe_flags(ask.class_name)) and ask.safe not in effects:
             raise resp.CommandError("the class goes with the other command")
-        release = self._body_release(ask, reserved)
+        body = body or self._count_body(ask)
         request = Request(
             ask.class_name,
             ask.plan,
@@ -401,15 +410,15 @@
             ask.first,
             ask,
             ask.ident,
-            release,
+            None if body is None else body.release,
         )
 
         reply = partial(self._isolate, self._reply, slot)
         try:
             transaction = exchange.open(request, self.reader.received_at, reply)
-        except InvalidRequestError:
-            if release is not None and not reserved:
-                release()
+        except Exception:
+            if body is not None:
+                body.release()
             raise
         if slot.answer is None:
             slot.transaction = transaction
@@ -425,15 +434,13 @@
         elif self.task is not None and not self.task.running:
             self._answered()
 
-    def _body_release(self, ask: resp.Ask, reserved: int) -> Callable[[], None] | None:
-        """Counts the body of a request that is opened; returns what ends that."""
-        if reserved:
-            return partial(self.host.body_budget.release, reserved)
+    def _count_body(self, ask: resp.Ask) -> Reservation | None:
+        """Counts the short body of a request that is opened."""
         if not ask.body:
             return None
         bodies, size = self.host.client_memory.bodies, len(ask.body)
         bodies.change(size)
-        return partial(bodies.change, -size)
+        return Reservation(partial(bodies.change, -size))
 
     def _fit(self, final: FinalAnswer, slot: AnswerSlot) -> FinalAnswer:
         """Returns what may wait here until the answers before it are sent: the answer, if there is memory.
--- a/standflow/net/memory_budget.py
+++ b/standflow/net/memory_budget.py
@@ -61,3 +61,18 @@
             del self.waiting[owner]
             self.used += size
             run_isolated(self.log, granted)
+
+
+class Reservation:
+    """Reserved memory that is given back once, however often that is asked for."""
+
+    __slots__ = ("_give_back",)
+
+    def __init__(self, give_back: Callable[[], None]) -> None:
+        self._give_back: Callable[[], None] | None = give_back
+
+    def release(self) -> None:
+        """Gives the memory back."""
+        give_back, self._give_back = self._give_back, None
+        if give_back is not None:
+            give_back()
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -304,6 +304,21 @@
     rig.close()
 
 
+def test_fault_over_a_command_gives_the_memory_of_its_body_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against memory for long bodies that runs out for all, as each fault over one keeps some."""
+    rig = Rig()
+    run_until(rig.recorder.loop, lambda: rig.side.connections)
+    (connection,) = rig.side.connections
+    monkeypatch.setattr(connection, "_new_slot", fail)
+    rig.client.setblocking(True)
+    rig.client.sendall(command("aa01", "Q.DO", "change", b"x" * 100_000))
+    rig.client.setblocking(False)
+    rig.until(lambda: rig.closed)
+    assert any(line.startswith("end caller fault") for line in rig.recorder.log)
+    assert rig.side.body_budget.used == 0
+    rig.close()
+
+
 def test_fault_as_a_connection_is_cleaned_up_leaves_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against requests and memory that stay taken, as one step of the end of their client failed."""
     rig = PipelinedRig(2)
