Client side: a connection that ends as its drain begins is not resumed

Operators would see a second fault in the log, over a connection that had just ended; no other client was concerned.

Cause: beginning a drain drops a half-written long body, which can end the connection; it was resumed by what it was before.

The test failed before.

--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -249,7 +249,8 @@
         """Ends a connection after the answers to the commands that have arrived; no more are served."""
         if not connection.ending and connection.task is not None:
             self._start_drain(connection)
-            self.loop.resume(connection.task, NO_EVENT)
+            if connection.task is not None:  # it may have ended as its long body was dropped
+                self.loop.resume(connection.task, NO_EVENT)
 
     def pong(self) -> bytes:
         """Answer to the health check of a load balancer."""
--- a/tests/test_isolated_faults.py
+++ b/tests/test_isolated_faults.py
@@ -319,6 +319,21 @@
     rig.close()
 
 
+def test_connection_that_ends_as_its_body_is_dropped_is_not_resumed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a second fault, in the step of a drain, over a connection that has just ended."""
+    clients = Clients(0)
+    loop, side = clients.recorder.loop, clients.side
+    client = socket.create_connection(side.address, LIMIT)
+    clients.sockets.append(client)
+    monkeypatch.setattr(ClientConnection, "_memory_changed", fail)
+    client.sendall(command("aa01", "Q.DO", "change", b"x" * 100_000)[:70_000])
+    run_until(loop, lambda: side.body_budget.used)
+    side._drain_connection(clients.first())
+    assert not side.connections
+    assert clients.logged("PlantedError") == 1
+    clients.close()
+
+
 def test_fault_as_a_connection_is_cleaned_up_leaves_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against requests and memory that stay taken, as one step of the end of their client failed."""
     rig = PipelinedRig(2)
