Next hops: an attempt that was never begun counts as not run

Callers would see a request fail that could have been sent again, after a fault before anything of its attempt was set up.

Cause: such an attempt is ended by giving it up, which read what the start had not set; the fault in that counted as a command that may have run.

The test failed before.

--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -150,7 +150,9 @@
 
     def give_up(self, attempt: Attempt) -> bool:
         """Closes the attempt's connection; see exchange.NextHopSide."""
-        pending: PendingCommand = attempt.context
+        pending: PendingCommand | None = attempt.context
+        if pending is None:  # the attempt could not be started
+            return False
         connection = pending.connection
         if connection is not None and connection.pending is pending:
             connection.pending = None
@@ -159,7 +161,7 @@
 
     def unsent(self, attempt: Attempt) -> bool:
         """See exchange.NextHopSide."""
-        return not attempt.context.fully_written
+        return attempt.context is None or not attempt.context.fully_written
 
     def probe(self, name: str, ended: Callable[[Result], None]) -> None:
         """Sends PING on a pooled connection, with a time limit of twice the dial timeout."""
--- a/tests/test_isolated_backend_faults.py
+++ b/tests/test_isolated_backend_faults.py
@@ -78,6 +78,20 @@
     rig.close()
 
 
+def test_attempt_that_was_never_begun_counts_as_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that fails, and a backend that is avoided, over a command never written."""
+    rig = Rig()
+    rig.client.sendall(command("aa01", d=60_000))
+    rig.until(lambda: rig.recorder.opened)
+    monkeypatch.setattr(rig.hops, "start", fail)
+    rig.recorder.exchange.send(rig.recorder.opened[0].name, "s-1", None)
+    rig.until(lambda: rig.recorder.ended)
+    assert [outcome for _, outcome in rig.recorder.ended] == [Outcome.MOOT]
+    assert sum(line.startswith("fault") for line in rig.recorder.log) == 1
+    monkeypatch.undo()
+    rig.close()
+
+
 class FaultyAdmission:
     """An admission of dials with a fault in counting them."""
 
