Backend connection: a value goes on where its client reads as a pause ends

Callers would see a long value cut off, and what they pipelined behind it unanswered, as they read on in the iteration in which a pause of 5 s ends.

Cause: while a client takes nothing, its backend's connection waits in pauses of 5 s. The pause's timer fires before the one that resumes reading; room without an event was returned as no event, which means stalled.

Change: room that is found at the end of a pause is a reason to read.

The test, in which the pause always ends first, failed before (stalled, the value cut off) and passed three times.

--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -245,8 +245,10 @@
             ready = yield from self.owner.loop.wait(self.mask & ~IN, LOGGED_PAUSE_SECONDS)
             if ready == NO_EVENT:
                 self._log_pause(self.flow)
-            if ready & ERROR_EVENTS or self.flow is None or self.flow.capacity:
+            if ready & ERROR_EVENTS or self.flow is None:
                 return ready
+            if self.flow.capacity:  # possibly just as the pause ended, before reading was resumed
+                return ready or IN
         return (yield from self.owner.loop.wait(self.mask, self._stall_timeout()))
 
     def _log_pause(self, flow: Flow) -> None:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from standflow.messages import Outcome
-from standflow.net.backend_connection import REPLY_STALL_TIMEOUT
+from standflow.net.backend_connection import REPLY_STALL_TIMEOUT, Connection
 from standflow.net.client_side import ClientSide
 from standflow.net.flow import MAX_WINDOW, Flow, FlowBudget
 from standflow.net.memory_budget import MemoryBudget
@@ -94,6 +94,23 @@
     rig.close()
 
 
+def test_value_whose_client_reads_on_as_a_pause_ends_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a value cut off as stalled, as its reader's pause ended before it was resumed."""
+    monkeypatch.setattr("standflow.net.backend_connection.LOGGED_PAUSE_SECONDS", 0.05)
+    monkeypatch.setattr(Connection, "_resume_reading", lambda connection: None)  # the pause ends first
+    rig = Rig()
+    rig.use_small_socket_buffers()
+    hop, size = rig.ask(), 300_000
+    writer = threading.Thread(target=lambda: _send(hop, b"*1\r\n$%d\r\n%b\r\n" % (size, bytes(size))))
+    writer.start()
+    run_until(rig.recorder.loop, lambda: rig.hops.flows.waiting)  # the client has not begun to read
+    answer = b"$%d\r\n%b\r\n" % (size, bytes(size))
+    rig.until(lambda: len(rig.got) == len(answer) or rig.closed)
+    assert bytes(rig.got) == answer
+    writer.join(LIMIT)
+    rig.close()
+
+
 def test_value_whose_client_takes_nothing_is_told_in_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against values that wait for their clients, or for ever, without a trace."""
     monkeypatch.setattr("standflow.net.backend_connection.LOGGED_PAUSE_SECONDS", 0.05)
