Backend connection: a fault as it reads on does not end the client

Callers would see their connection ended, with all that was pipelined, by a fault at the connection of a backend; or other values that stop.

Cause: a value's pipe calls the backend's connection within the client's work, or within the end of another value, bare.

The fault is logged and goes no further now; reading goes on as the pause ends. The test failed before (the value cut off).

--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -264,6 +264,13 @@
             return STALL_TIMEOUTS[self._awaited]
         return REPLY_STALL_TIMEOUT if self.pending is None else self.pending.rest_timeout
 
+    def _capacity_available(self) -> None:
+        """Called by the client's side, or as another value ends: a fault here is none of theirs.
+
+        Reading goes on at the end of the pause in any case.
+        """
+        run_isolated(self.owner.log, self._resume_reading)
+
     def _resume_reading(self) -> None:
         """Continues reading after the client took some bytes; the stream itself may hold buffered data."""
         if self.task is not None and not self.task.running:
@@ -271,7 +278,7 @@
 
     def _begin_value(self, parts: int, size: int) -> str:
         """Starts forwarding a long value as it arrives."""
-        pending, flow = self.pending, Flow(self.owner.flows, size, self._resume_reading)
+        pending, flow = self.pending, Flow(self.owner.flows, size, self._capacity_available)
         assert pending is not None
         self.flow, self.reply_parts = flow, parts
         if pending.on_value is None or not pending.on_value(flow):
--- a/tests/test_isolated_backend_faults.py
+++ b/tests/test_isolated_backend_faults.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import threading
 from dataclasses import replace
 
 import pytest
 
 from standflow.exchange import Attempt
 from standflow.messages import Outcome
+from standflow.net.backend_connection import Connection
 from standflow.net.nexthop import RoutesNotAppliedError
 from standflow.net.stream import PlainStream
 from standflow.route_set import Phase, Route, RouteSet
 from tests.planted_faults import fail
 from tests.test_long import LONG, REPLY, Rig
 from tests.test_ops import VALUE as SHORT_REPLY
-from tests.wire import command
+from tests.wire import LIMIT, command, run_until, write_slowly
 
 
 def test_fault_as_a_backend_connection_is_cleaned_up_leaves_no_request_without_outcome(
@@ -92,6 +94,27 @@
     rig.close()
 
 
+def test_fault_as_a_value_is_resumed_costs_neither_its_client_nor_other_values(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a client that is ended, or values that stop, as a backend's connection had a fault."""
+    monkeypatch.setattr("standflow.net.backend_connection.LOGGED_PAUSE_SECONDS", 0.05)
+    monkeypatch.setattr(Connection, "_resume_reading", fail)
+    rig = Rig()
+    rig.use_small_socket_buffers()
+    backend, size = rig.ask(), 300_000
+    reply = b"*1\r\n$%d\r\n%b\r\n" % (size, bytes(size))
+    writer = threading.Thread(target=write_slowly, args=(backend, reply, 0.0), daemon=True)
+    writer.start()
+    run_until(rig.recorder.loop, lambda: rig.hops.flows.waiting)  # the client has not begun to read
+    answer = b"$%d\r\n%b\r\n" % (size, bytes(size))
+    rig.until(lambda: len(rig.got) == len(answer) or rig.closed)
+    assert bytes(rig.got) == answer
+    assert any("PlantedError" in line for line in rig.recorder.log)
+    writer.join(LIMIT)
+    rig.close()
+
+
 class FaultyAdmission:
     """An admission of dials with a fault in counting them."""
 
