Tests: faults planted at random at the backends' side, in shutdowns

One to three methods of the pools, a backend's connection or its stream fail always or now and then, in the plays of test_random_shutdowns.py: all clients get their answers, the exit comes, and no other fault follows.

--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -1,4 +1,4 @@
-"""Faults planted at random in one client's connection: no other client loses an answer, and nothing leaks."""
+"""Faults planted at random in a client's connection or at the backends' side: no other loses its answer."""
 
 from __future__ import annotations
 
@@ -7,6 +7,9 @@
 
 import pytest
 
+from standflow.net.backend_connection import Connection
+from standflow.net.nexthop import NextHops
+from standflow.net.stream import PlainStream
 from tests.planted_faults import PlantedError
 from tests.test_random_shutdowns import Play
 
@@ -19,6 +22,14 @@
     "refuse_partial_command",
 )
 READER_METHODS = ("read", "pause", "note_arrivals", "has_unread_bytes")
+BACKEND_METHODS: tuple[tuple[type, str], ...] = (
+    *((NextHops, name) for name in ("start", "give_up", "unsent", "_dispatch", "_take_idle", "_dial")),
+    *((NextHops, name) for name in ("release", "closed", "_end", "_evict_idle", "_remove_closed")),
+    *((Connection, name) for name in ("_begin_value", "_forward_value", "_handle_events", "begin")),
+    *((Connection, name) for name in ("_write", "_update_mask", "_resume_reading", "_report_opened")),
+    *((Connection, name) for name in ("_expiry_reason", "_stall_timeout", "_wait_for_rest")),
+    *((PlainStream, name) for name in ("read", "write", "flush", "close", "usable", "log_suffix")),
+)
 
 
 class FaultyPlay(Play):
@@ -67,3 +78,33 @@
     assert not play.unanswered(besides=play.faulty)
     assert not any(play.held())
     assert any("shutdown: ends" in line for line in play.module.log) or not play.side.connections
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_random_faults_at_the_backends_side_cost_no_client_an_answer(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a fault at a backend's connection that reaches clients, or keeps the exit back."""
+    rng, play = random.Random(seed), Play(seed)
+    share = rng.choice((0.02, 0.1, 0.3, 1.0))
+
+    def plant() -> None:
+        for owner, name in rng.sample(BACKEND_METHODS, rng.choice((1, 1, 2, 3))):
+            original: Callable[..., object] = getattr(owner, name)
+
+            def faulty(*arguments: object, original: Callable[..., object] = original) -> object:
+                if rng.random() < share:
+                    raise PlantedError
+                return original(*arguments)
+
+            monkeypatch.setattr(owner, name, faulty)
+
+    play.module.loop.call_later(0.3 * rng.random(), plant)
+    play.run()
+    monkeypatch.undo()
+    play.close()
+    faults = [line for line in play.module.log if line.startswith(("fault", "end caller fault"))]
+    assert not [line for line in faults if "PlantedError" not in line]
+    assert not play.unanswered()
+    assert play.module.exchange.open_count == 0
+    assert any("shutdown: ends" in line for line in play.module.log) or not play.side.connections
