--- a/lab/bench_ops.py
+++ b/lab/bench_ops.py
@@ -35,20 +35,30 @@
 class IngressSetup:
     """The configuration of an ingress, with the listening socket that its processes share."""
 
-    def __init__(self, folder: Path, boxes: list[BoxProcess], passed: bool, ops: bool = True) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        boxes: list[BoxProcess],
+        passed: bool,
+        ops: bool = True,
+        memory_mb: int = MEMORY_LIMIT_MB,
+        longest_deadline: float = 10.0,
+    ) -> None:
         self.folder, self.ops = folder, ops
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=1024) if passed else None
         raw: dict[str, Any] = json.loads((ROOT / "deploy" / "example.json").read_text())
         settings = raw["settings"]
         for kind, name in zip(settings["Classes"], ("look", "change"), strict=True):
-            kind |= {"Name": name, "DeadlineUs": 10_000_000, "AimUs": 5_000_000}
+            microseconds = round(longest_deadline * 1e6)
+            kind |= {"Name": name, "DeadlineUs": microseconds, "AimUs": microseconds // 2}
         settings["Contracts"] = [settings["Contracts"][0] | {"Name": "plain", "Rate": 1e5, "PeakUnits": 1e5}]
         member = raw["known"]["members"][0]
         raw["known"]["members"] = [
             member | {"id": f"s-{n}", "host_port": "{}:{}".format(*box.address)}
             for n, box in enumerate(boxes)
         ]
-        raw |= {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "limits": {"memory_mb": MEMORY_LIMIT_MB}}
+        limits = {"memory_mb": memory_mb, "sockets": 1024}
+        raw |= {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "limits": limits}
         (folder / "config.json").write_text(json.dumps(raw))
 
     def start(self) -> Ingress:
--- a/lab/box.py
+++ b/lab/box.py
@@ -105,6 +105,7 @@
         self.context, self.mode = context, mode or Mode()
         self.delay = delay
         self.value = 0  # minimum size of a value, bytes
+        self.tenant_values: dict[int, int] = {}  # minimum size of their values, by tenant, bytes
         self.hung_tenants: frozenset[int] = frozenset()  # their requests are read and never answered
         self.work, self.cores, self.cold_from, self.cold_time = work, cores, cold_from, cold_time
         self.started = 0.0  # Unix time; 0: warm from the beginning
@@ -275,7 +276,8 @@
             self._use_cpu("request", self.work)
         if self.delay:
             time.sleep(self.delay)
-        value = (b"ran " + parts[2]).ljust(self.value, b".")
+        size = self.tenant_values.get(int(parts[1], 16), self.value)
+        value = (b"ran " + parts[2]).ljust(size, b".")
         return b"*3\r\n$%d\r\n%b\r\n" % (len(value), value) + NOTHING + NOTHING
 
 
@@ -340,6 +342,10 @@
         for name in ("work", "delay", "value", "cores", "cold_from", "cold_time", "started"):
             if name in asked:
                 setattr(box, name, asked[name])
+        if "tenant_values" in asked:
+            box.tenant_values = {int(tenant): size for tenant, size in asked["tenant_values"]}
+        if "hung_tenants" in asked:
+            box.hung_tenants = frozenset(asked["hung_tenants"])
     if what == "cut":
         box.cut_all()
     if what == "stats":
