Log: resident memory of the process against its limit

Resident memory is read every 50 ms and its peak logged every 5 s from 0.6 of memory_mb on: at rest, now, limit. The module also tells what is free, for the mends that follow; nothing asks it yet.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -22,6 +22,7 @@
 from standflow.net.peers import Peers
 from standflow.net.routes import RouteWatch, read_routes, write_route
 from standflow.net.watch_timing import MAX_BACK_OFF
+from standflow.process_memory import MEASURE_SECONDS, REPORT_SECONDS, ProcessMemory
 from standflow.reloading import ReloadCallbacks, Reloading
 from standflow.route_set import Route, RouteSet
 from standflow.shutdown import Shutdown, close_all
@@ -61,6 +62,7 @@
         self.config, self.loop, self.log = config, loop, log
         settings = config.settings
         self.tally = Tally(loop, log)
+        self.memory = ProcessMemory(config.memory, loop.now, log)
         default_retry_after = (
             min(DEFAULT_RETRY_AFTER_SECONDS, settings.max_retry_after) if settings.retry_after else None
         )
@@ -436,6 +438,9 @@
         if not self.clients.ready:
             if self.config.passed_fd is not None:
                 run_isolated(self.log, self._listen_to_peers)  # the ring works without this ingress
+            self.memory.serving_begins()
+            self.loop.every(MEASURE_SECONDS, self.memory.tick)
+            self.loop.every(REPORT_SECONDS, self.memory.report)
             self.clients.start_serving()
             self.log(f"ready {self.config.name} on {self.clients.address[0]}:{self.clients.address[1]}")
 
