Client connection: an ended one keeps no buffers until a collection

Callers saw a process killed over its limit as more clients wrote half of a long body than there was room for. An ended connection stayed in reference cycles (connection, long body and its callback; slot, transaction and its reply), with all that it had read, until 20,000 further objects started a collection. Evidence: of 1,149 connections known to the collector 526 were open; a collection freed 63 MB. The connection drops its buffers as it ends, and a transaction keeps the reply to its connection only until it is answered or its client has left.

--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -113,6 +113,11 @@
         self.deadline_timer: Timer | None = None
         self.streaming: Attempt | None = None  # the attempt whose value is the answer and still arriving
 
+    def answer(self, final: FinalAnswer) -> None:
+        """Passes the final answer to the client's connection, which is not kept any longer than that."""
+        reply, self.reply = self.reply, _ignore_answer
+        reply(final)
+
     def describe(self) -> str:
         """For the log: the client's request id, the class, and the state of each attempt."""
         ident = self.request.ident
@@ -128,6 +133,10 @@
         return self.safe or not any(attempt.may_have_run for attempt in self.attempts)
 
 
+def _ignore_answer(final: FinalAnswer) -> None:
+    """In place of a client that has its answer, or has left."""
+
+
 class NextHopSide(Protocol):
     """The transport towards next hops, as the exchange uses it."""
 
@@ -289,6 +298,7 @@
         An attempt whose command is written continues if the module wants it to; one that still waits for its
         connection is withdrawn.
         """
+        transaction.reply = _ignore_answer
         if transaction.open:
             self.tally("answer.gone")
             self.counts[transaction.request.class_name].gone += 1
@@ -415,7 +425,7 @@
             if other is not attempt and other.outcome is None:
                 self._give_up(other)
                 self.attempt_ended(other, Result(Outcome.CANCELLED))
-        transaction.reply(Served(value))
+        transaction.answer(Served(value))
         return True
 
     def attempt_ended(self, attempt: Attempt, result: Result) -> None:
@@ -481,7 +491,7 @@
         else:
             counts.aborted += 1
         try:
-            transaction.reply(answer)
+            transaction.answer(answer)
         finally:
             self._drop_if_done(transaction)
 
--- a/standflow/net/answer_slot.py
+++ b/standflow/net/answer_slot.py
@@ -114,6 +114,11 @@
             self.memory.release(self.reserved)
             self.reserved = 0
 
+    def discard(self) -> None:
+        """The connection has ended: frees the answer and everything that refers back to the connection."""
+        self._detach_value()
+        self.answer, self.flow, self.transaction, self.timer = None, None, None, None
+
     def _detach_value(self) -> None:
         if self.flow is not None:
             self.flow.on_change = _ignore
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -144,6 +144,13 @@
         run_for_each(log, self.slots, AnswerSlot.release_memory)
         run_for_each(log, self.slots, self._give_up)
         self.held.release()
+        self._drop_buffers()
+
+    def _drop_buffers(self) -> None:
+        """Frees what was received and not sent, and breaks reference cycles: garbage collection is rare."""
+        self.buffer, self.unsent, self.long_body = resp.Buffer(), bytearray(), None
+        for slot in self.slots:
+            slot.discard()
 
     def _give_up(self, slot: AnswerSlot) -> None:
         if slot.transaction is not None:
