Allocator: what is freed goes back to the system

By default its threshold for blocks of their own grows with each that is freed, up to 32 MB, and freed buffers then lie between others. Young garbage is collected after 5,000 objects in place of 20,000.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -11,6 +11,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
+from standflow.allocator import Allocator
 from standflow.config import Config, ConfigError
 from standflow.driver import Driver
 from standflow.exchange import Exchange
@@ -62,7 +63,7 @@
         self.config, self.loop, self.log = config, loop, log
         settings = config.settings
         self.tally = Tally(loop, log)
-        self.memory = ProcessMemory(config.memory, loop.now, log)
+        self.memory = ProcessMemory(config.memory, loop.now, log, trim=Allocator().trim)
         default_retry_after = (
             min(DEFAULT_RETRY_AFTER_SECONDS, settings.max_retry_after) if settings.retry_after else None
         )
--- a/standflow/program.py
+++ b/standflow/program.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 
+from standflow.allocator import Allocator
 from standflow.assembly import Ingress
 from standflow.config import ConfigError, load
 from standflow.isolation import log_fault
@@ -15,9 +16,13 @@
 from standflow.signals import SignalInbox
 
 
+GARBAGE_OBJECTS = 5000  # newly created ones at which young garbage is collected
+
+
 def run(inbox: SignalInbox) -> int:
     """Returns the exit status: 2 if the configuration is invalid."""
     log = Log()
+    Allocator().configure()
     try:
         config = load(os.environ, log)
         log(f"starting {config.name}")
@@ -39,7 +44,7 @@
     # The objects of the startup live until the exit; collections during service cover only newer ones.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(20000, 20, 100)
+    gc.set_threshold(GARBAGE_OBJECTS, 20, 100)
     serve_until_stopped(loop, ingress, log)
     return 0
 
