Memory: what clients may write is bounded by what the process has free

Callers saw processes killed over memory_mb beside hundreds of clients that wrote slowly, stopped half way through long bodies, or sent options of very many short fields.

Change: each account asks what is free of the process, by measurement and by what was taken or promised since, so that nothing can be missing in it. Reads are 64, 16 or 4 KiB. A command of more than 4 KiB is read into memory reserved for it, like a long body, and is refused when there is none in time; where its options have not come, its connection ends behind the refusal. A long body is taken out of its buffer without a copy. Below 0.05 slow and waiting bodies are dropped, then the largest connections that are owed no answer end (`ended.memory`). At the limit of connections those go first that have had no answer, also where they wait for memory; a close reads up to a whole long body that is left over, as a reset would take the refusal along.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -145,6 +145,7 @@
                 config.passed_fd,
                 config.max_body_bytes,
                 config.max_value_bytes,
+                self.memory,
             )
         self.shutdown = Shutdown(loop, log, self.clients, self.exchange, self._save)
         self.reloading = self._make_reloading()
@@ -279,7 +280,9 @@
         config, processes = self.config, 2 if shared else 1
         self.next_hops.max_connections = config.max_connections // processes
         self.next_hops.flows.resize(config.max_flow_bytes // processes)
+        self.memory.resize(config.memory // processes)
         self.clients.client_memory.resize(config.max_client_bytes // processes)
+        self.clients.command_budget.resize(config.max_value_bytes // processes)
         self.clients.body_budget.resize(config.max_body_bytes // processes)
         self.clients.value_budget.resize(config.max_value_bytes // processes)
 
--- a/standflow/net/arrival.py
+++ b/standflow/net/arrival.py
@@ -77,17 +77,16 @@
         else:
             last.size += size
 
-    @property
-    def next_read_size(self) -> int:
+    def next_read_size(self, limit: int = READ_SIZE) -> int:
         """Bytes that the next read may take, so that the same time holds for all of them."""
-        return min(READ_SIZE, self.spans[0].size) if self.spans else READ_SIZE
+        return min(limit, self.spans[0].size) if self.spans else limit
 
-    def bytes_read(self, size: int, earliest_arrival: float) -> float:
-        """Returns the earliest time at which the bytes of a read of `next_read_size` can have arrived.
+    def bytes_read(self, size: int, asked: int, earliest_arrival: float) -> float:
+        """Returns the earliest time at which the bytes of a read can have arrived.
 
-        Fewer bytes than that mean that none are left.
+        `asked`: the `next_read_size` of that read. Fewer bytes than that mean that none are left.
         """
-        all_read = size < self.next_read_size
+        all_read = size < asked
         if self.spans:
             first = self.spans[0]
             earliest_arrival = first.earliest_arrival
--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -71,7 +71,7 @@
 
     def __init__(
         self,
-        encode: Callable[[], tuple[bytes, ...]],
+        encode: Callable[[], tuple[resp.Part, ...]],
         decode: Callable[[resp.Reply], Result],
         on_result: Callable[[Result], None],
     ) -> None:
--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -33,7 +33,13 @@
 )
 from standflow.net.memory_budget import MemoryBudget, Reservation
 from standflow.net.timed_reader import TimedReader
+from standflow.process_memory import ProcessMemory, Use
 
+# Bytes of one read while no long command is being read and the process is short of memory: less so, and more.
+# What a connection holds of a command beyond the shortest read is reserved.
+MEDIUM_READ_BYTES, SHORT_READ_BYTES = 16 * 1024, 4 * 1024
+USUAL_OPTIONS_BYTES = 256
+HEAD_TIME_SECONDS = 1.0  # in place of a time limit for a command whose options have not come
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
 # Bytes of a long value in a connection's send buffer, at most.
@@ -47,7 +53,9 @@
     loop: Loop
     log: Callable[[str], None]
     exchange: Exchange
+    memory: ProcessMemory
     body_budget: BodyBudget  # for long bodies that are being read
+    command_budget: BodyBudget  # for shorter commands of more than a few KiB that are being read
     value_budget: MemoryBudget  # for long values that are buffered as a whole
     ready: bool  # clients are served
     drain_expired: bool  # each connection gets at most one more command served
@@ -87,7 +95,8 @@
         self.created_at = host.loop.now()
         self.reader = TimedReader(host.loop, host.log, sock)
         self.progress_at = self.created_at  # when bytes were last read, or a body was granted memory
-        self.long_body: LongBody | None = None  # the body that is being read, with its memory
+        # The memory of the long body, or of the command of more than a few KiB, that is being read.
+        self.long_body: LongBody | None = None
         self.client_closed = False  # the client has closed: nobody waits for answers to what is read now
         self.task: Task | None = None
 
@@ -98,7 +107,7 @@
 
     @property
     def awaiting_memory(self) -> bool:
-        """True while nothing is read, as there is no memory for a long body."""
+        """True while nothing is read, as there is no memory for a command."""
         return self.long_body is not None and self.long_body.waiting
 
     @property
@@ -126,7 +135,7 @@
         """Serves commands until the connection ends, and cleans up."""
         try:
             self.reason = yield from self._serve()
-            if self.reason in ("bad_framing", "drained"):
+            if self.reason in ("bad_framing", "drained", "memory"):
                 yield from self._linger()
         except Exception:
             self.reason = "fault"
@@ -197,7 +206,7 @@
 
     def _read(self) -> bool:
         """Reads what has arrived; returns false at the end of the stream."""
-        data = self.reader.read()
+        data = self.reader.read(self._read_size())
         if not data:
             return False
         self.buffer.feed(data)
@@ -206,9 +215,28 @@
         self.progress_at = self.reader.read_at
         return True
 
+    def _read_size(self) -> int:
+        """Bytes that may be read now. Beyond a few KiB a command is read only into memory reserved for it."""
+        body = self.long_body
+        if self.draining or self.host.refuse_unopened:  # what is refused needs no memory, and time is short
+            return READ_SIZE
+        if body is None:
+            return self._unreserved_read_size()
+        if body.dropped:
+            return READ_SIZE
+        reserved = body.reserved - len(self.buffer.data)
+        return min(READ_SIZE, max(0, reserved) + SHORT_READ_BYTES)
+
+    def _unreserved_read_size(self) -> int:
+        memory = self.host.memory
+        if memory.fits(READ_SIZE, Use.LONG):
+            return READ_SIZE
+        return MEDIUM_READ_BYTES if memory.fits(MEDIUM_READ_BYTES, Use.REQUEST) else SHORT_READ_BYTES
+
     def _count_received(self) -> None:
-        """Counts what was read and not taken; a long body counts against the budget of bodies."""
-        received = 0 if self.long_body is not None else len(self.buffer.data)
+        """Counts what was read and not taken, without what is reserved for it."""
+        reserved = 0 if self.long_body is None else self.long_body.reserved
+        received = max(0, len(self.buffer.data) - reserved)
         if received != self.received:
             self.held.change(received - self.received)
             self.received = received
@@ -286,23 +314,22 @@
                 self.framing_lost, self.reason = True, "bad_framing"
                 return
             if parts is None:
-                if self.buffer.body > resp.MAX_VALUE:
-                    self._read_long_body()
+                self._reserve_for_command()
                 return
             self._take_command(parts)
 
-    def _take_command(self, parts: list[bytes]) -> None:
+    def _take_command(self, parts: list[resp.Part]) -> None:
         """Answers a complete command at once, or opens a request for it."""
-        reserved, dropped = self._end_long_body()
-        body = Reservation(partial(self.host.body_budget.release, reserved)) if reserved else None
+        memory, dropped = self._end_long_body()
+        body = memory if len(parts[-1]) > resp.MAX_VALUE else None
         opened = False
         try:
             opened = self._open_or_answer(parts, body, dropped)
         finally:
-            if body is not None and not opened:  # the exchange releases it otherwise
-                body.release()
+            if memory is not None and not (body and opened):  # the exchange releases it otherwise
+                memory.release()
 
-    def _open_or_answer(self, parts: list[bytes], body: Reservation | None, dropped: bool) -> bool:
+    def _open_or_answer(self, parts: list[resp.Part], body: Reservation | None, dropped: bool) -> bool:
         """Takes a complete command; true if a request was opened for it, which keeps its body's memory."""
         self.host.idle.pop(self, None)
         if self.host.drain_expired:
@@ -346,7 +373,7 @@
         memory = self.host.client_memory
         if memory.strained and (len(self.slots) > 1 or self.unsent):
             return False
-        return memory.admits(0 if reserved or ask.body is None else len(ask.body))
+        return memory.admits(0 if reserved else _counted_size(ask))
 
     def _new_slot(self) -> AnswerSlot:
         """The place of the next command's answer."""
@@ -354,35 +381,59 @@
         self.slots.append(slot)
         return slot
 
-    def _read_long_body(self) -> None:
-        """Reserves memory for a long body that has begun to arrive; reading pauses while there is none.
-
-        The body of a command that is refused in any case needs no memory.
-        """
+    def _reserve_for_command(self) -> None:
+        """Reserves memory for a command that has not arrived whole; reading pauses while there is none."""
+        if self.buffer.dropping is not None:
+            return
+        if self.buffer.body > resp.MAX_VALUE:
+            self._reserve(self.host.body_budget, self.buffer.body)
+        elif self.buffer.command_size > SHORT_READ_BYTES:
+            self._reserve(self.host.command_budget, self.buffer.command_size)
+
+    def _reserve(self, budget: BodyBudget, size: int) -> None:
+        """The body of a command that is refused in any case needs no memory."""
+        if self.long_body is not None and (self.long_body.budget, self.long_body.size) != (budget, size):
+            self.long_body.abandon()
+            self.long_body = None
         if self.long_body is None:
-            time_limit = resp.time_limit(self.buffer.parts_before_body)
-            self.long_body = LongBody(
-                self.host.body_budget,
-                self.buffer.body,
-                time_limit,
-                partial(self._isolate, self._memory_changed),
-            )
+            known = bool(self.buffer.body)
+            time_limit = resp.time_limit(self.buffer.parts_before_body) if known else HEAD_TIME_SECONDS
+            changed = partial(self._isolate, self._memory_changed)
+            self.long_body = LongBody(budget, size, time_limit, changed)
         if self.host.refuse_unopened or self.refusing or self.client_closed:
             self.long_body.drop()
         self.long_body.bytes_received(len(self.buffer.data))
 
     def _memory_changed(self) -> None:
-        """Continues reading a long body for which memory was granted, or which was dropped."""
+        """Continues reading a command for which memory was granted, or whose body was dropped."""
         if self.long_body is not None and self.long_body.dropped:
-            self.buffer.drop_body()
+            if self.buffer.body:
+                self.buffer.drop_body()
+            else:
+                self._refuse_head()
+        self._count_received()
         self.progress_at = self.host.loop.now()
         if self.task is not None and not self.task.running:
             self.host.loop.watch(self.task, self.mask())
 
-    def _end_long_body(self) -> tuple[int, bool]:
-        """A command is complete: returns the bytes reserved for its body, and whether that was dropped."""
+    def _refuse_head(self) -> None:
+        """Refuses a command whose options have not come: where it ends is unknown, so the connection ends."""
+        if self.framing_lost:
+            return
+        self.buffer = resp.Buffer()
+        self._new_slot().answer = encode_final(self.host.exchange.refuse_unopened(""))
+        self.framing_lost, self.reason = True, "memory"
+        if self.task is not None and not self.task.running:
+            self.host.loop.resume(self.task, NO_EVENT)
+
+    def _end_long_body(self) -> tuple[Reservation | None, bool]:
+        """A command is complete: returns the memory reserved for it, and whether its body was dropped."""
         body, self.long_body = self.long_body, None
-        return (0, False) if body is None else (body.whole(), body.dropped)
+        if body is None:
+            return None, False
+        reserved = body.whole()
+        memory = Reservation(partial(body.budget.release, reserved)) if reserved else None
+        return memory, body.dropped
 
     def refuse_partial_command(self) -> None:
         """Answers a command that has not arrived whole, as the connection is about to be closed.
@@ -443,9 +494,10 @@
 
     def _count_body(self, ask: resp.Ask) -> Reservation | None:
         """Counts the short body of a request that is opened."""
-        if not ask.body:
+        size = _counted_size(ask)
+        if not size:
             return None
-        bodies, size = self.host.client_memory.bodies, len(ask.body)
+        bodies = self.host.client_memory.bodies
         bodies.change(size)
         return Reservation(partial(bodies.change, -size))
 
@@ -582,3 +634,9 @@
                 and len(self.unsent) <= self._value_chunk // 2
             ):
                 self._flush()
+
+
+def _counted_size(ask: resp.Ask) -> int:
+    """Bytes that an open request keeps, besides what each request needs: its body, and unusual options."""
+    options = len(ask.options_before) + len(ask.options_after)
+    return len(ask.body or b"") + (options if options > USUAL_OPTIONS_BYTES else 0)
--- a/standflow/net/client_memory.py
+++ b/standflow/net/client_memory.py
@@ -12,6 +12,8 @@
 
 from collections.abc import Callable
 
+from standflow.process_memory import ProcessMemory, Use, unlimited
+
 STRAINED_SHARE = 0.5  # of the limit, from which less is taken in
 LOGGED_SHARE = 0.25  # of the limit; a peak below it is not worth a log line
 
@@ -19,8 +21,14 @@
 class ClientMemory:
     """What all connections hold together, in bytes."""
 
-    def __init__(self, limit: int, log: Callable[[str], None] = lambda text: None) -> None:
-        self.log = log
+    def __init__(
+        self,
+        limit: int,
+        log: Callable[[str], None] = lambda text: None,
+        process: ProcessMemory | None = None,
+    ) -> None:
+        """`process`: the memory of the whole process, which may be short before this account is full."""
+        self.log, self.process = log, process or unlimited()
         self.resize(limit)
         self.used = 0
         self.holders = 0  # connections that hold something
@@ -36,11 +44,11 @@
     @property
     def strained(self) -> bool:
         """True if each connection may have only one request at a time."""
-        return self.used >= self.strained_from
+        return self.used >= self.strained_from or not self.process.fits(0, Use.REQUEST)
 
     def admits(self, size: int) -> bool:
         """True if a request with a body of `size` bytes may be opened."""
-        return self.used + size < self.limit
+        return self.used + size < self.limit and self.process.fits(size, Use.NEW)
 
     def report(self) -> None:
         """Logs the most that was held since the last report. To be called now and then."""
@@ -64,6 +72,8 @@
     def has_room(self, size: int) -> bool:
         """True if an answer may wait here."""
         memory = self.memory
+        if not memory.process.fits(size, Use.ANSWER):
+            return False
         if memory.used + size <= memory.strained_from:
             return True
         share = memory.strained_from / (memory.holders + (not self.size))
@@ -74,6 +84,7 @@
         memory, held_before = self.memory, self.size
         self.size += size
         memory.used += size
+        memory.process.take(size)
         memory.holders += bool(self.size) - bool(held_before)
         if memory.used > memory.peak:
             memory.peak = memory.used
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -22,10 +22,13 @@
 from standflow.net.transient_errors import (
     disable_nagle,
 )
+from standflow.process_memory import ProcessMemory, Use, unlimited
 
 MAX_BODIES = 16 * 1024 * 1024  # default limit for long bodies, in bytes
 MAX_VALUES = 8 * 1024 * 1024  # default limit for buffered long values, in bytes
 MAX_HELD = 32 * 1024 * 1024  # default limit of what is held for clients in other buffers, in bytes
+CONNECTION_BYTES = 8 * 1024  # that a connection without a command needs, about
+MIN_SHED_BYTES = 2 * 1024  # of a connection that is ended for its memory
 SWEEP_INTERVAL = 0.25  # seconds
 REPORT_INTERVAL = 5.0  # seconds
 MAX_WRITE_STALLS = 80  # consecutive sweeps without a byte sent after which a slow reader is disconnected
@@ -53,15 +56,22 @@
         inherited_fd: int | None = None,
         max_bodies: int = MAX_BODIES,
         max_values: int = MAX_VALUES,
+        memory: ProcessMemory | None = None,
     ) -> None:
         """`inherited_fd` is a listening socket shared with other processes; it accepts only when `ready`.
 
         Raises OSError if the address or the descriptor can't be used for listening.
         """
         self.loop, self.log, self.exchange, self.max_clients = loop, log, exchange, max_clients
-        self.client_memory = ClientMemory(max_held, log)  # for what is held in other buffers
-        self.body_budget = BodyBudget(max_bodies, loop, log, exchange.tally)
-        self.value_budget = MemoryBudget(max_values, log)  # for long values that are buffered as a whole
+        self.memory = memory = unlimited() if memory is None else memory
+        self.client_memory = ClientMemory(max_held, log, memory)  # for what is held in other buffers
+        self.body_budget = BodyBudget(max_bodies, loop, log, exchange.tally, memory)
+        self.command_budget = BodyBudget(max_values, loop, log, exchange.tally, memory, Use.REQUEST)
+        # For long values that are buffered as a whole.
+        self.value_budget = MemoryBudget(max_values, log, memory)
+        memory.ran_short = self.free_memory
+        for budget in (self.body_budget, self.command_budget, self.value_budget):
+            memory.room_found.append(budget.room_found)
         self.ready = False
         self.draining = False  # each connection ends when it has no open request
         self.drain_expired = False  # each connection gets at most one more command served
@@ -102,14 +112,16 @@
 
     def has_room(self) -> bool:
         """True if another connection may be accepted, possibly in place of an idle one."""
-        return len(self.connections) < self.max_clients or any(
-            check_isolated(self.log, self._evictable, connection) for connection in self.idle
-        )
+        below_limit = len(self.connections) < self.max_clients
+        if below_limit and self.memory.fits(CONNECTION_BYTES, Use.NEW):
+            return True
+        return any(check_isolated(self.log, self._may_be_replaced, connection) for connection in self.idle)
 
     def connection_accepted(self, sock: socket.socket) -> None:
         """Serves an accepted connection, at the limit in place of an idle one."""
-        if len(self.connections) >= self.max_clients:
+        if len(self.connections) >= self.max_clients or not self.memory.fits(CONNECTION_BYTES, Use.NEW):
             self.evict_idle()
+        self.memory.take(CONNECTION_BYTES)
         self._start_connection(sock)
 
     def _start_connection(self, sock: socket.socket) -> None:
@@ -141,17 +153,48 @@
             earliest = min(earliest, self.loop.now() - seconds_since_received(sock))
         return earliest
 
+    def free_memory(self, missing: int) -> None:
+        """The process is about to pass its limit: ends what holds most and is owed no answer yet.
+
+        First the bodies whose clients write slowly, then those that wait for memory, then connections in the
+        middle of a command, then those whose clients read slowly. `missing`: bytes.
+        """
+        freed = 0
+        for budget in (self.body_budget, self.command_budget):
+            for body in budget.droppable():
+                if freed >= missing:
+                    return
+                freed += body.received
+                self.exchange.tally("body.shed")
+                body.drop()
+        largest = sorted(self.connections, key=_shedding_order)
+        for connection in largest:
+            size = len(connection.buffer.data) + len(connection.unsent)
+            if freed >= missing or size < MIN_SHED_BYTES:
+                return
+            freed += size
+            run_isolated(self.log, self._shed, connection)
+
+    def _shed(self, connection: ClientConnection) -> None:
+        if connection.task is not None:
+            self.exchange.tally("ended.memory")
+            connection.reason = "memory"
+            connection.refuse_partial_command()
+            self.loop.end(connection.task)
+
     def evict_idle(self) -> bool:
         """Closes the longest idle connection at the limit; one with an open request is never closed.
 
-        A fault of one of them makes room at the next one: whoever asks for room is another client, or the
-        watch of discovery.
+        Those that have had no answer come first: they are in the middle of a command, or wait for memory. A
+        fault of one of them makes room at the next one: whoever asks for room is another client, or the watch
+        of discovery.
         """
         if self.evicting:  # reading from a candidate may open a request that needs a descriptor, too
             return False
         self.evicting = True
         try:
-            return any(check_isolated(self.log, self._evict, connection) for connection in list(self.idle))
+            candidates = sorted(self.idle, key=lambda connection: bool(connection.answered))
+            return any(check_isolated(self.log, self._evict, connection) for connection in candidates)
         finally:
             self.evicting = False
 
@@ -159,6 +202,11 @@
         """Ends an idle connection, unless bytes have arrived on it meanwhile: those are read first."""
         if connection.task is None or connection not in self.connections:
             return False
+        if self._waits_for_memory(connection):
+            connection.reason = "cap"
+            connection.refuse_partial_command()
+            self.loop.end(connection.task)
+            return True
         if not self._evictable(connection):
             if self._has_unread(connection):
                 self._read_now(connection, connection.task)
@@ -174,6 +222,9 @@
         """Makes a connection read at once. Current events tell it whether the client has closed, too."""
         self.loop.resume(task, READABLE | self.loop.ready(connection.sock.fileno(), IN))
 
+    def _may_be_replaced(self, connection: ClientConnection) -> bool:
+        return self._waits_for_memory(connection) or self._evictable(connection)
+
     def _evictable(self, connection: ClientConnection) -> bool:
         """True for an idle connection on which no request seems to be under way."""
         age = self.loop.now() - connection.created_at
@@ -185,6 +236,13 @@
             and (abandoned or not connection.buffer.holds_part)
         )
 
+    def _waits_for_memory(self, connection: ClientConnection) -> bool:
+        """True for a new connection whose first command has waited for memory for some time."""
+        body, now = connection.long_body, self.loop.now()
+        if body is None or body.waiting_since is None or connection.answered or connection.slots:
+            return False
+        return now - body.waiting_since > PARTIAL_COMMAND_GRACE
+
     def _has_unread(self, connection: ClientConnection) -> bool:
         """True if there are unread bytes; closing now would reset the connection and lose its last answer."""
         return connection.buffer.holds_part or self.has_pending_bytes(connection)
@@ -363,6 +421,11 @@
         self._serve_last_command(connection)
 
 
+def _shedding_order(connection: ClientConnection) -> tuple[bool, int]:
+    """Sort key: connections without an answer on its way first, and of those the largest."""
+    return connection.delivering, -len(connection.buffer.data) - len(connection.unsent)
+
+
 def _stuck_reason(connection: ClientConnection, now: float) -> str:
     """Reason code if a connection has to be ended at this sweep, or an empty string."""
     late = now - connection.created_at > FIRST_COMMAND_TIMEOUT
--- a/standflow/net/closing.py
+++ b/standflow/net/closing.py
@@ -10,7 +10,10 @@
 
 READ_SIZE = 65536
 NO_BYTES = struct.pack("i", 0)  # as FIONREAD tells the number of unread bytes
-MAX_READS = 16  # reads of leftover data before a close; a peer that sends more is flooding
+MAX_READS = 16  # reads of commands that have arrived, before the last one is served
+MAX_CLOSING_READS = (
+    80  # reads of leftover data before a close: a whole long body; a peer that sends more is flooding
+)
 
 
 def close_gracefully(sock: socket.socket) -> None:
@@ -21,7 +24,7 @@
     """
     with contextlib.suppress(OSError):  # not connected or already broken: nothing to preserve
         sock.shutdown(socket.SHUT_WR)
-        for _ in range(MAX_READS):
+        for _ in range(MAX_CLOSING_READS):
             if not sock.recv(READ_SIZE):
                 break
     sock.close()
--- a/standflow/net/long_body.py
+++ b/standflow/net/long_body.py
@@ -16,6 +16,7 @@
 from standflow.net.arrival import READ_SIZE
 from standflow.net.loop import Loop, Timer
 from standflow.net.memory_budget import MemoryBudget
+from standflow.process_memory import ProcessMemory, Use
 
 PROMPT_SECONDS = 0.25  # after its reservation; a body that has not arrived by then is slow
 # Parts of a request's time limit. A refusal within half of it leaves the client time to try again.
@@ -33,8 +34,10 @@
         loop: Loop,
         log: Callable[[str], None] = lambda text: None,
         tally: Callable[[str], None] = lambda name: None,
+        process: ProcessMemory | None = None,
+        use: Use = Use.LONG,
     ) -> None:
-        super().__init__(budget, log)
+        super().__init__(budget, log, process, use)
         self.loop, self.tally = loop, tally
         self.growing: OrderedDict[LongBody, int] = OrderedDict()  # bodies that wait for more bytes
         self.slow: OrderedDict[LongBody, None] = OrderedDict()  # slow bodies, the oldest first
@@ -49,7 +52,8 @@
 
     def _may_grow(self, body: LongBody, size: int) -> bool:
         """A body larger than the whole budget grows while nothing else is reserved."""
-        return self.used <= body.reserved or self.used + size <= self.budget
+        within_budget = self.used <= body.reserved or self.used + size <= self.budget
+        return within_budget and self.process.fits(size, self.use)
 
     def _grant(self) -> None:
         while self.growing:
@@ -66,6 +70,11 @@
         self.growing.pop(body, None)
         self.cancel(body)
 
+    def droppable(self) -> list[LongBody]:
+        """Bodies to drop for their memory, in order: slow ones, then waiting ones, the youngest first."""
+        waiting = [body for body in reversed(self.waiting) if isinstance(body, LongBody)]
+        return [*reversed(self.slow), *(body for body in waiting if body not in self.slow)]
+
     def youngest_slow(self, than: LongBody) -> LongBody | None:
         """The slow body that makes room for another one: the youngest, if it is younger than that one.
 
@@ -83,6 +92,7 @@
         self.budget, self.size, self.time_limit, self.changed = budget, size, time_limit, changed
         self.reserved = 0  # bytes
         self.received = 0  # bytes
+        self.promised = 0  # bytes that are reserved and have not arrived
         self.dropped = False
         self.slow = False
         self.waiting_since: float | None = None  # on the loop's clock
@@ -99,7 +109,9 @@
 
     def bytes_received(self, received: int) -> None:
         """Reserves memory for the next read, if it is not reserved yet."""
+        self.budget.process.take(received - self.received)
         self.received = received
+        self._count_promised()
         if not self.slow or self.dropped or self.waiting:
             return
         missing = self._next_size() - self.reserved
@@ -129,6 +141,7 @@
         self._end_wait()
         self.budget.slow.pop(self, None)
         reserved, self.reserved = self.reserved, 0
+        self._count_promised()
         return reserved
 
     def abandon(self) -> None:
@@ -138,9 +151,16 @@
 
     def _hold(self, size: int) -> None:
         self.reserved += size
+        self._count_promised()
         if not self.slow:
             self.timers.append(self.budget.loop.call_later(PROMPT_SECONDS, self._become_slow))
 
+    def _count_promised(self) -> None:
+        """Tells the process what has still to be filled."""
+        promised = max(0, self.reserved - self.received)
+        self.budget.process.promised += promised - self.promised
+        self.promised = promised
+
     def _next_size(self) -> int:
         """Bytes that the body may have after its next read."""
         return min(self.size, self.received + READ_SIZE)
@@ -150,6 +170,7 @@
         self.budget.slow[self] = None
         unfilled = self.reserved - self._next_size()
         self.reserved -= unfilled
+        self._count_promised()
         self.budget.release(unfilled)
 
     def _wait(self) -> None:
@@ -186,4 +207,5 @@
         self.budget.slow.pop(self, None)
         self.budget.withdraw(self)
         reserved, self.reserved = self.reserved, 0
+        self._count_promised()
         self.budget.release(reserved)
--- a/standflow/net/memory_budget.py
+++ b/standflow/net/memory_budget.py
@@ -10,13 +10,22 @@
 from collections.abc import Callable, Hashable
 
 from standflow.isolation import run_isolated
+from standflow.process_memory import ProcessMemory, Use, unlimited
 
 
 class MemoryBudget:
     """A budget in bytes. A body larger than the whole budget is granted when nothing else is reserved."""
 
-    def __init__(self, budget: int, log: Callable[[str], None] = lambda text: None) -> None:
+    def __init__(
+        self,
+        budget: int,
+        log: Callable[[str], None] = lambda text: None,
+        process: ProcessMemory | None = None,
+        use: Use = Use.LONG,
+    ) -> None:
+        """`process`: the memory of the whole process, which may be short before this budget is used up."""
         self.budget, self.log = budget, log
+        self.process, self.use = process or unlimited(), use
         self.used = 0
         self.waiting: OrderedDict[Hashable, tuple[int, Callable[[], None]]] = OrderedDict()
 
@@ -50,7 +59,12 @@
         self._grant()
 
     def _fits(self, size: int) -> bool:
-        return not self.used or self.used + size <= self.budget
+        within_budget = not self.used or self.used + size <= self.budget
+        return within_budget and self.process.fits(size, self.use)
+
+    def room_found(self) -> None:
+        """The process may have more memory than before: grants what fits."""
+        self._grant()
 
     def _grant(self) -> None:
         """Grants what fits. A fault of a receiver is not one of whoever gives memory back."""
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -134,7 +134,7 @@
         """Sends an attempt to its next hop; see exchange.NextHopSide."""
         message = attempt.transaction.request.message
 
-        def encode() -> tuple[bytes, ...]:
+        def encode() -> tuple[resp.Part, ...]:
             return resp.encode_ask(message, attempt.deadline - self.loop.now())
 
         def ended(result: Result) -> None:
--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 MAX_VALUE = 64 * 1024  # bytes
@@ -47,7 +47,7 @@
     head: bytes
     options_before: bytes
     options_after: bytes
-    body: bytes | None
+    body: Part | None
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,6 +88,7 @@
     report: Mapping[str, float] = field(default_factory=dict)
 
 
+Part = bytes | bytearray  # of a command; a long body is a bytearray, as it is not copied
 Reply = bytes | int | SimpleString | ErrorReply | None | list["Reply"]
 Answer = Value | BusyReply | FailedReply
 
@@ -95,13 +96,16 @@
 class Buffer:
     """Received bytes that are not parsed yet; messages are taken out one at a time."""
 
-    __slots__ = ("awaits_value", "body", "body_start", "data", "dropping", "parts_before_body")
+    __slots__ = (
+        "awaits_value", "body", "body_start", "command_size", "data", "dropping", "parts_before_body",
+    )  # fmt: skip
 
     def __init__(self) -> None:
         self.data = bytearray()
         self.body = 0  # size of an incomplete body, once the command's other parts have arrived
         self.body_start = 0  # its offset
-        self.parts_before_body: list[bytes] = []
+        self.parts_before_body: list[Part] = []
+        self.command_size = 0  # bytes that an incomplete command has at least
         self.awaits_value = False  # the length line of a long value has arrived, and nothing behind it
         self.dropping: int | None = None  # bytes of a dropped body that have not arrived yet
 
@@ -114,7 +118,7 @@
         """Appends received bytes."""
         self.data += data
 
-    def command(self) -> list[bytes] | None:
+    def command(self) -> list[Part] | None:
         """Takes out the next complete command, or returns None; raises FramingError on invalid bytes.
 
         In place of a dropped body there is an empty one.
@@ -122,6 +126,7 @@
         data = self.data
         if self.dropping is not None:
             return self._command_with_dropped_body(self.dropping)
+        self.command_size = len(data) + 1
         if not data:
             return None
         if data[0] != 0x2A:
@@ -131,7 +136,7 @@
             return None
         if not 1 <= count <= MAX_PARTS:
             raise FramingError(f"a command has 1 to {MAX_PARTS} parts")
-        parts: list[bytes] = []
+        parts: list[Part] = []
         self.body = 0
         for index in range(count):
             if at >= len(data):
@@ -146,16 +151,28 @@
                 raise FramingError("a value is too long")
             at = start + size + 2
             if at > len(data):
+                self.command_size = at
                 if index == BODY_INDEX == count - 1:
                     self.body, self.body_start, self.parts_before_body = size, start, parts
                 return None
             if data[at - 2 : at] != b"\r\n":
                 raise FramingError("a value has another length than it says")
+            if long:
+                parts.append(self._take_long_body(start, at))
+                return parts
             parts.append(bytes(memoryview(data)[start : at - 2]))
         del data[:at]
         self.body = 0
         return parts
 
+    def _take_long_body(self, start: int, end: int) -> bytearray:
+        """Takes out a command whose last part is a long body, without a copy of that."""
+        body, self.data = self.data, self.data[end:]
+        del body[end - len(LINE_END) :]
+        del body[:start]
+        self.body = 0
+        return body
+
     def drop_body(self) -> None:
         """Drops the incomplete body: what has arrived of it, and what is still to come."""
         if self.body and self.dropping is None:
@@ -170,13 +187,14 @@
         self.dropping = missing
         return missing
 
-    def _command_with_dropped_body(self, missing: int) -> list[bytes] | None:
+    def _command_with_dropped_body(self, missing: int) -> list[Part] | None:
         if self._drop_received(missing) or len(self.data) < len(LINE_END):
             return None
         if not self.data.startswith(LINE_END):
             raise FramingError("a value has another length than it says")
         del self.data[: len(LINE_END)]
-        parts, self.parts_before_body = [*self.parts_before_body, b""], []
+        parts: list[Part] = [*self.parts_before_body, b""]
+        self.parts_before_body = []
         self.body, self.dropping = 0, None
         return parts
 
@@ -300,16 +318,16 @@
     return b"$%d\r\n" % size
 
 
-def decode_command(parts: list[bytes]) -> Ping | Ask:
+def decode_command(parts: Sequence[Part]) -> Ping | Ask:
     """Converts a command's parts to its typed value."""
-    name = parts[0].upper()
+    name = bytes(parts[0]).upper()
     if name == b"PING" and len(parts) == 1:
         return Ping()
     if name not in (b"Q.ASK", b"Q.DO"):
         raise CommandError("unknown command")
     if not 4 <= len(parts) <= 5:
         raise CommandError("wrong number of arguments")
-    _, tenant, ident, options = parts[:4]
+    tenant, ident, options = (bytes(part) for part in parts[1:4])
     try:
         # int() would also take signs, spaces and underscores
         if len(tenant) != 16 or not tenant.isalnum() or int(tenant, 16) >= MAX_TENANT:
@@ -318,10 +336,10 @@
         raise CommandError("bad customer") from None
     if not ident or len(ident) > 64 or not ident.isalnum():
         raise CommandError("bad request id")
-    return _ask(name, parts, options)
+    return _ask(name, tenant, ident, options, parts)
 
 
-def time_limit(parts: list[bytes]) -> float:
+def time_limit(parts: Sequence[Part]) -> float:
     """Seconds that the client of a command without its body waits; 0 if the command is invalid."""
     try:
         command = decode_command(parts)
@@ -330,7 +348,7 @@
     return command.time_left if isinstance(command, Ask) else 0.0
 
 
-def _ask(name: bytes, parts: list[bytes], options: bytes) -> Ask:
+def _ask(name: bytes, tenant: bytes, ident: bytes, options: bytes, parts: Sequence[Part]) -> Ask:
     named: dict[bytes, bytes] = {}
     pieces = options.split(b",")
     time_index = -1
@@ -354,15 +372,15 @@
     before, after = b",".join(pieces[:time_index]), b",".join(pieces[time_index + 1 :])
     return Ask(
         safe=name == b"Q.ASK",
-        ident=parts[2],
-        tenant=parts[1].decode("ascii").lower(),
+        ident=ident,
+        tenant=tenant.decode("ascii").lower(),
         class_name=class_name,
         plan=plan,
         time_left=time_left / 1000,
         units=units,
         spread=spread,
         first=first,
-        head=b"*%d\r\n" % len(parts) + b"".join(bulk(part) for part in parts[:3]),
+        head=b"*%d\r\n" % len(parts) + bulk(bytes(parts[0])) + bulk(tenant) + bulk(ident),
         options_before=before + b"," if before else b"",
         options_after=b"," + after if after else b"",
         body=parts[4] if len(parts) == 5 else None,
@@ -383,14 +401,14 @@
     return float(text)
 
 
-def encode_ask(ask: Ask, time_left: float) -> tuple[bytes, ...]:
+def encode_ask(ask: Ask, time_left: float) -> tuple[Part, ...]:
     """Encodes the command for a next hop with a new time left. A long body is not copied."""
     options = b"%bd=%d%b" % (ask.options_before, max(1, int(time_left * 1000)), ask.options_after)
     head = ask.head + bulk(options)
     if ask.body is None:
         return (head,)
     if len(ask.body) <= MAX_VALUE:
-        return (head + bulk(ask.body),)
+        return (head + bulk(bytes(ask.body)),)
     return head + b"$%d\r\n" % len(ask.body), ask.body, b"\r\n"
 
 
--- a/standflow/net/stream.py
+++ b/standflow/net/stream.py
@@ -48,7 +48,7 @@
     def open(self) -> Coroutine[str]:
         """Prepares the stream. Returns an empty string or the reason of the failure."""
 
-    def write(self, *parts: bytes) -> None:
+    def write(self, *parts: bytes | bytearray) -> None:
         """Starts sending a message, writing what the socket takes at once; OSError if it is broken."""
 
     def flush(self) -> None:
@@ -86,7 +86,7 @@
         return ""
         yield
 
-    def write(self, *parts: bytes) -> None:
+    def write(self, *parts: bytes | bytearray) -> None:
         """See Stream."""
         self.unsent = sum(map(len, parts))
         try:
--- a/standflow/net/timed_reader.py
+++ b/standflow/net/timed_reader.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 
-from standflow.net.arrival import UnreadBytes, count_unread_bytes
+from standflow.net.arrival import READ_SIZE, UnreadBytes, count_unread_bytes
 from standflow.net.loop import Loop
 
 LOGGED_UNREAD_SECONDS = 0.5  # for which bytes have waited unread
@@ -21,17 +21,17 @@
         self.read_at = loop.now()  # when bytes were last read
         self.received_at = self.read_at  # the earliest time at which these can have arrived
 
-    def read(self) -> bytes:
-        """Reads bytes that arrived at one time; none at the end of the stream.
+    def read(self, limit: int = READ_SIZE) -> bytes:
+        """Reads up to `limit` bytes that arrived at one time; none at the end of the stream.
 
         Raises OSError, also if nothing is unread.
         """
-        size = self.unread.next_read_size
+        size = self.unread.next_read_size(limit)
         data = self.sock.recv(size)
         if not data:
             return data
         self.read_at = self.loop.now()
-        self.received_at = self.unread.bytes_read(len(data), self.loop.earliest_arrival)
+        self.received_at = self.unread.bytes_read(len(data), size, self.loop.earliest_arrival)
         if len(data) == size:
             self._count_unread_bytes()
         waited = self.read_at - self.received_at
--- a/standflow/process_memory.py
+++ b/standflow/process_memory.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-MIN_RESERVE_BYTES = 3 * 512 * 1024
+MIN_RESERVE_BYTES = 2 * 1024 * 1024
 MIN_USABLE_BYTES = 2 * 1024 * 1024  # also where the limit leaves less than that beside the process at rest
 RESERVE_SHARE = 0.05  # of the limit, kept for what nobody announces
 MEASURE_SECONDS = 0.05  # between measurements
@@ -107,8 +107,9 @@
         self.measure()
         if self.free < RECLAIM_BELOW * self.usable:
             self._reclaim()
-        if self.free < 0:
-            self.ran_short(-self.free)
+        wanted = int(Use.NEW.value * self.usable)
+        if self.free < wanted:
+            self.ran_short(wanted - self.free)
         for found in self.room_found:
             found()
 
--- a/standflow/program.py
+++ b/standflow/program.py
@@ -15,7 +15,6 @@
 from standflow.net.loop import Loop
 from standflow.signals import SignalInbox
 
-
 GARBAGE_OBJECTS = 5000  # newly created ones at which young garbage is collected
 
 
--- a/standflow/tls/stream.py
+++ b/standflow/tls/stream.py
@@ -160,7 +160,7 @@
 
     # Bytes.
 
-    def write(self, *parts: bytes) -> None:
+    def write(self, *parts: bytes | bytearray) -> None:
         """See Stream. A long message is encrypted in pieces as the socket takes them: the caller keeps the
         message for a retry, and a second complete copy would double the memory use.
         """
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -791,9 +791,9 @@
         elif step == "count":
             unread.count(kernel.size, clock, reported)
         elif kernel.size:
-            wanted = unread.next_read_size
+            wanted = unread.next_read_size()
             taken, arrived_at = kernel.read(wanted)
-            assert unread.bytes_read(taken, reported) <= arrived_at
+            assert unread.bytes_read(taken, wanted, reported) <= arrived_at
             if taken == wanted:
                 unread.count(kernel.size, clock, reported)
         assert len(unread.spans) <= MAX_SPANS
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -17,7 +17,14 @@
 CONNECTION_METHODS = (
     *("_read", "_process", "_take_commands", "_take_command", "_open_or_answer", "_open", "_admits"),
     *("_new_slot", "_reply", "_fit", "_hold", "_flush", "_write", "_answered", "_may_start", "_cut_off"),
-    *("_value_changed", "_value_late", "_read_long_body", "_end_long_body", "_memory_changed", "_finish"),
+    *(
+        "_value_changed",
+        "_value_late",
+        "_reserve_for_command",
+        "_end_long_body",
+        "_memory_changed",
+        "_finish",
+    ),
     *("_count_received", "_give_up", "mask", "full", "start_drain", "fail_late_values", "drop_long_body"),
     "refuse_partial_command",
 )
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -48,7 +48,7 @@
     data = head + parts[-1] + b"\r\n" + b"*4\r\n" + b"".join(map(resp.bulk, behind))
     end = len(head) + size + 2
     buffer = resp.Buffer()
-    got: list[list[bytes]] = []
+    got: list[list[resp.Part]] = []
     begin = len(head) + dropped_at
     buffer.feed(data[:begin])
     assert buffer.command() is None
@@ -88,7 +88,7 @@
                 if read is resp.Buffer.command:
                     resp.decode_command(list(got))  # type: ignore[arg-type]
                 else:
-                    resp.decode_answer(got[0])
+                    resp.decode_answer(got[0])  # type: ignore[arg-type]
         except (resp.FramingError, resp.CommandError):
             continue
 
