Timers: those of requests that have their answers are dropped

Callers saw memory grow without end beside one client that sent small requests at full speed under ever new names. One cause: clients may set a time of up to 600 s. The module tells which timers it needs no more, the driver cancels them, and the loop drops cancelled ones from its heap as that doubles, so that they cost no more than those that are set. A request that waits for a grant keeps its timer: others wait behind it.

`test_module_timers_send_nothing_for_a_closed_client` took the handles after the client had left, of which none is left now; it takes them before.

--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -52,7 +52,7 @@
             i.RequestArrived: self._request_arrived,
             i.AttemptEnded: self._attempt_ended,
             i.TimerFired: self._timer_fired,
-            i.RequestCancelled: lambda event: self.requests.pop(event.request, None),
+            i.RequestCancelled: lambda event: self.end_request(event.request),
             i.StreamStarted: self._stream_started,
             i.SettingsChanged: self._settings_changed,
             i.PeerMessage: self._peer_message,
@@ -75,7 +75,7 @@
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         """Handles one event and returns the actions to carry out, in order."""
-        self.now, self.actions = now, []
+        self.now, self.actions, self.cancelled_timers = now, [], []
         if type(event) in self.handlers:
             self.handlers[type(event)](event)
         return self.actions
@@ -153,6 +153,8 @@
         if request is not None and request.quota.acquiring is request:
             self._drain(request.quota)
             self.coordination.decide(request)
+            if request.name not in self.requests:
+                self.cancel_timers(request)
         if request is not None and self.now >= request.deadline - 3 * self.settings.tick:
             self._fail(request)
 
@@ -179,7 +181,7 @@
     def _refuse(self, request: Request, retry_after: float, reason: str) -> None:
         delay = min(max(retry_after, 0.0), self.settings.max_retry_after)
         self.actions.append(i.Refuse(request.name, delay if self.settings.retry_after else None, reason))
-        self.requests.pop(request.name, None)
+        self.end_request(request.name)
 
     def _send(self, request: Request, backend: Backend) -> None:
         attempt = Attempt(backend, self.now, request.kind, request.quota)
@@ -198,7 +200,7 @@
         attempt.backend.pending.pop((event.request, event.attempt), None)
         self._record_outcome(attempt.backend, attempt.kind, event)
         if event.finished:
-            self.requests.pop(event.request, None)
+            self.end_request(event.request)
         elif event.request in self.requests:
             self._retry(self.requests[event.request])
         if event.request not in self.requests:
@@ -240,7 +242,7 @@
         return safe or not any(attempt.may_have_run for attempt in request.attempts)
 
     def _fail(self, request: Request) -> None:
-        if self.requests.pop(request.name, None) is not None:
+        if self.end_request(request.name) is not None:
             self.actions.append(i.Fail(request.name))
 
     def _choose(self, request: Request) -> Backend | None:
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -56,6 +56,7 @@
     over_quota: bool = False  # served only from capacity that no request within its quota needs
     ceiling_granted: bool = False  # by a coordinator, for all units of the request
     attempts: list[Attempt] = field(default_factory=list)
+    timers: list[int] = field(default_factory=list)  # handles of those that have not fired
 
 
 @dataclass(slots=True)
@@ -234,6 +235,7 @@
         self.usual_timeouts: dict[str, UsualTimeout] = {}
         self.open_attempts: dict[tuple[str, int], Attempt] = {}
         self.timers: dict[int, Request] = {}
+        self.cancelled_timers: list[int] = []  # by the current event: they need not fire any more
         self.last_timer_handle = 0
         self.quotas: dict[bytes, Quota] = {}
         self.unreported: dict[bytes, Quota] = {}  # quotas with counts to report to peers
@@ -372,8 +374,28 @@
     def set_timer(self, delay: float, request: Request) -> None:
         self.last_timer_handle += 1
         self.timers[self.last_timer_handle] = request
+        request.timers.append(self.last_timer_handle)
         self.actions.append(i.SetTimer(max(0.0, delay), self.last_timer_handle))
 
+    def end_request(self, name: str) -> Request | None:
+        """Forgets a request that has its response; None if it had one before."""
+        request = self.requests.pop(name, None)
+        if request is not None:
+            self.cancel_timers(request)
+        return request
+
+    def cancel_timers(self, request: Request) -> None:
+        """Cancels the timers of a request without need for them, as clients may set their times very late.
+
+        One that waits for a grant keeps them: requests behind it depend on the decision.
+        """
+        if request.quota.acquiring is request:
+            return
+        for handle in request.timers:
+            if self.timers.pop(handle, None) is not None:
+                self.cancelled_timers.append(handle)
+        request.timers = []
+
     def queue_report(self, quota: Quota, index: int, report: int) -> None:
         """Queues the report of a member's count. It is sent twice to tolerate one lost message."""
         if quota.size > 1 and quota.plan.rate and not self.long_ring:
@@ -478,7 +500,7 @@
 
     def _stream_started(self, event: i.StreamStarted) -> None:
         """Ties the attempt to the client; the started response shows that the backend is alive."""
-        self.requests.pop(event.request, None)
+        self.end_request(event.request)
         if attempt := self.open_attempts.get((event.request, event.attempt)):
             attempt.backend.pending.pop((event.request, event.attempt), None)
             attempt.backend.last_answer_at = self.now
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -13,7 +13,7 @@
 from standflow.exchange import AbandonReason, Attempt, Exchange, Transaction
 from standflow.isolation import log_fault
 from standflow.messages import Outcome, Result
-from standflow.net.loop import Loop
+from standflow.net.loop import Loop, Timer
 from standflow.route_set import Phase, Route, RouteSet
 from standflow.start_times import StartTimes
 
@@ -62,6 +62,7 @@
         self.events: deque[tuple[i.Event, Transaction | None]] = deque()
         self.dispatching = False
         self.handled_at = loop.now()  # when the current event was passed to the module, on the loop's clock
+        self.timers: dict[int, Timer] = {}  # the module's, by handle
         self.handlers: dict[type[i.Action], Callable[[Any], object]] = {
             i.Send: lambda action: self.exchange.send(action.request, action.backend, action.timeout),
             i.Cancel: lambda action: self.exchange.cancel(action.request, action.attempt),
@@ -115,6 +116,7 @@
             # decided before the fault is part of the module's state: timers, and attempts of other requests.
             log_fault(self.log, f"of the module on {type(event).__name__}")
             self._carry_out(self.module.actions)
+            self._cancel_timers()
             if transaction is not None:
                 self.exchange.abandon(transaction, AbandonReason.FAULT)
                 # The module drops what it still holds of the request.
@@ -122,6 +124,7 @@
                     self.events.append((i.RequestCancelled(transaction.name), None))
             return
         self._carry_out(actions)
+        self._cancel_timers()
 
     def _carry_out(self, actions: list[i.Action]) -> None:
         """Carries out actions in order; a fault in one of them is logged."""
@@ -281,6 +284,7 @@
         self.dispatch(i.PeerMessage(sender, content))
 
     def _timer_fired(self, handle: int) -> None:
+        self.timers.pop(handle, None)
         self.dispatch(i.TimerFired(handle))
 
     def _report(self, result: Result) -> tuple[float, ...]:
@@ -291,7 +295,15 @@
 
     def _set_timer(self, action: i.SetTimer) -> None:
         """The delay counts from the module's decision, not from when the action is carried out."""
-        self.loop.call_at(self.handled_at + max(0.0, action.delay), self._timer_fired, action.handle)
+        due = self.handled_at + max(0.0, action.delay)
+        self.timers[action.handle] = self.loop.call_at(due, self._timer_fired, action.handle)
+
+    def _cancel_timers(self) -> None:
+        """Cancels timers that the module needs no more."""
+        for handle in self.module.cancelled_timers:
+            if (timer := self.timers.pop(handle, None)) is not None:
+                timer.cancel()
+        self.module.cancelled_timers = []
 
     def _refuse(self, action: i.Refuse) -> None:
         self.exchange.tally(f"refused.{action.reason or 'other'}")
--- a/standflow/net/loop.py
+++ b/standflow/net/loop.py
@@ -35,6 +35,7 @@
 LONG_ITERATION = 0.1  # seconds without a poll after which an iteration is logged
 LATE_RETURN = 0.005  # seconds after its time limit at which a poll must have been interrupted
 NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE))
+MIN_PURGED_TIMERS = 1000  # heap entries below which cancelled ones are left in it
 RESTART_PAUSE = 0.05  # seconds before a supervised coroutine is restarted after a fault
 
 ReturnT = TypeVar("ReturnT")
@@ -56,7 +57,7 @@
         self.call: Callable[..., object] | None = call
 
     def cancel(self) -> None:
-        """Cancels the call. The heap entry is dropped when it reaches the top."""
+        """Cancels the call. The heap entry is dropped at the top of the heap, or as that grows."""
         self.call, self.args = None, ()
 
 
@@ -79,6 +80,7 @@
         self.tasks: dict[int, Task] = {}
         self.current: Task | None = None
         self.timers: list[tuple[float, int, Timer]] = []
+        self.purge_timers_at = MIN_PURGED_TIMERS  # entries of the heap
         self.serial = 0
         self.iteration = 0
         self.stopped = False
@@ -97,10 +99,18 @@
     def call_at(self, when: float, call: Callable[..., object], *args: Any) -> Timer:
         """Schedules a call at the given monotonic time."""
         timer = Timer(when, call, args)
+        if len(self.timers) >= self.purge_timers_at:
+            self._purge_timers()
         self.serial += 1
         heapq.heappush(self.timers, (when, self.serial, timer))
         return timer
 
+    def _purge_timers(self) -> None:
+        """Drops cancelled timers, in place: those of answered requests may be due in minutes."""
+        self.timers[:] = [entry for entry in self.timers if entry[2].call is not None]
+        heapq.heapify(self.timers)
+        self.purge_timers_at = max(MIN_PURGED_TIMERS, 2 * len(self.timers))
+
     def call_later(self, delay: float, call: Callable[..., object], *args: Any) -> Timer:
         """Schedules a call after `delay` seconds."""
         return self.call_at(time.monotonic() + max(0.0, delay), call, *args)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -95,10 +95,11 @@
         client.sendall(command("aa01", d=3000))
         run_until(loop, lambda: ingress.next_hops.forwards == 1)
         module = ingress.driver.module
-        assert module.timers
+        handles = list(module.timers)
+        assert handles
         client.close()
         run_until(loop, lambda: not module.requests)
-        for handle in list(module.timers):
+        for handle in handles:
             ingress.driver._timer_fired(handle)
         run_until(loop, lambda: not ingress.exchange.open_count)
         assert ingress.next_hops.forwards == 1
