Quotas: the table of tenants is bounded by the memory

Callers saw memory grow beside one client with ever new tenants: each keeps some 2 KB for 30 s after its last mention, 12,805 after 3.5 s of one connection, 20,308 of eight; at 32 MB the process was killed. The module keeps as many tenants as a quarter of the usable memory holds. When the table is full, quotas are dropped of which a new one would hold the same (the window has drained, nothing is under way), those of a single request first; where there is none, requests of unknown tenants are refused (`refused.tenants`), as their use could not be counted, and reports on them are left out.

--- a/hoistfold/gateway.py
+++ b/hoistfold/gateway.py
@@ -17,6 +17,7 @@
 from hoistfold.ring_reports import RingReports
 from hoistfold.state import (
     COUNTS_PER_UNIT,
+    PURGE_SECONDS,
     Attempt,
     Backend,
     Entry,
@@ -91,10 +92,16 @@
     def _request_arrived(self, event: i.RequestArrived) -> None:
         kind, plan = self.classes[event.class_name], self.plans[event.plan]
         key = hashlib.blake2b(f"{plan.name} {event.tenant}".encode(), digest_size=5).digest()
+        if not self.has_room_for(key):  # its use could not be counted
+            delay = min(PURGE_SECONDS, self.settings.max_retry_after)
+            self.actions.append(
+                i.Refuse(event.request, delay if self.settings.retry_after else None, "tenants")
+            )
+            return
         quota = self.quota_of(key, plan, event.ring_first, event.ring_size)
         self._drain(quota)
         self._update_quota_share(quota, event.units)
-        quota.used_at = self.now
+        quota.used_at, quota.requests = self.now, quota.requests + 1
         late = self._is_late(kind, event.time_left)
         request = Request(event.request, kind, quota, self.now + event.time_left, late, event.units)
         self.requests[event.request] = request
@@ -499,7 +506,7 @@
 
     def _entry_received(self, sender: int, entry: Entry) -> None:
         """Handles an entry; those that fit no ring of both gateways are ignored."""
-        if self._is_valid_entry(sender, entry):
+        if self._is_valid_entry(sender, entry) and self.has_room_for(entry.key):
             quota = self.quota_of(entry.key, self.settings.plans[entry.plan], entry.first, entry.size)
             self._drain(quota)
             quota.used_at = self.now
--- a/hoistfold/state.py
+++ b/hoistfold/state.py
@@ -14,7 +14,11 @@
 
 COUNTS_PER_UNIT = 4  # resolution of running use counts
 REPORT_ONCE, REPORT_TWICE, REPORT_TO_OWNER = range(1, 4)  # pending reports of a ring member's count
+MIN_USED_UNITS = 1e-6  # of a window, below which it counts as drained
 MIN_TIMEOUT_LATENCIES = 2.0  # clients with a shorter timeout rarely receive their response in time
+MAX_QUOTAS = 1_000_000  # tenants whose state is kept, where the process sets no smaller number
+PURGE_SECONDS = 0.1  # between two searches for quotas that can be dropped from a full table
+PURGED_SHARE = 0.5  # of a full table, that is dropped at once if possible
 LATENCY_DECAY_SECONDS = 5.0  # time constant with which an observed latency ratio returns to 1
 
 
@@ -110,6 +114,7 @@
     counts: dict[int, int] = field(default_factory=dict)
     # of the counts, how much may still be in the window, for members that reported it
     window_counts: dict[int, int] = field(default_factory=dict)
+    requests: int = 0  # seen by this gateway
     level_restored: bool = False  # by a member that knew this gateway's use from before a restart
     # Units of the window, used by this gateway and by the other members.
     own: float = 0.0
@@ -161,6 +166,17 @@
         """Used fraction of the burst."""
         return (self.own + self.others) / self.plan.burst
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether the window has drained and nothing is under way: a new quota would be the same."""
+        waiting = self.acquiring is not None or self.queued or self.awaiting_reply
+        used = self.own + self.others + self.member_use + self.uncounted_units
+        ceiling_used = self.plan.ceiling_rate and self.ceiling_tokens < (
+            self.member_ceiling_share * self.plan.ceiling_burst
+        )
+        limits_open = not self.plan.rate and not self.plan.ceiling_rate
+        return not (waiting or self.in_flight or ceiling_used) and (limits_open or used < MIN_USED_UNITS)
+
     def fits_one_per_member(self, units: float) -> bool:
         """Whether one such request per member still fits; an unused window always fits one."""
         used = self.own + self.others
@@ -240,7 +256,9 @@
         self.quotas: dict[bytes, Quota] = {}
         self.unreported: dict[bytes, Quota] = {}  # quotas with counts to report to peers
         self.unreconciled: dict[bytes, Quota] = {}  # quotas to report to the counter service
+        self.max_quotas = MAX_QUOTAS
         self.next_sweep_at = 0.0
+        self.next_purge_at = 0.0
         self.peers = {n: Peer() for n in range(settings.gateways) if n != settings.number}
         self.epoch = 0.1  # seconds between reports to peers
         self.long_ring = False  # coordinators hold the totals, as a round of the ring outlasts a window
@@ -285,6 +303,28 @@
             self.quotas[key] = quota
         return self.quotas[key]
 
+    def has_room_for(self, key: bytes) -> bool:
+        """Whether a tenant's quota is kept or may be: clients can make up tenants at any rate."""
+        if key in self.quotas or len(self.quotas) < self.max_quotas:
+            return True
+        if self.now >= self.next_purge_at:
+            self.next_purge_at = self.now + PURGE_SECONDS
+            self._drop_drained_quotas()
+        return len(self.quotas) < self.max_quotas
+
+    def _drop_drained_quotas(self) -> None:
+        """Drops quotas of which a new one would hold the same: those of a single request, then the oldest."""
+        candidates = sorted(self.quotas.values(), key=lambda quota: (quota.requests > 1, quota.used_at))
+        wanted = max(1, int(PURGED_SHARE * self.max_quotas))
+        for quota in candidates:
+            if not wanted:
+                return
+            self._drain(quota)
+            if quota.is_unused:
+                wanted -= 1
+                for table in (self.quotas, self.unreported, self.unreconciled):
+                    table.pop(quota.key, None)
+
     def members(self, quota: Quota, start: int) -> list[int]:
         """Members of a tenant's ring in ring order, from a ring index on."""
         indices = ((start + step) % quota.size for step in range(quota.size))
--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -44,6 +44,8 @@
 
 # How long a restarted ingress waits for discovery, as its saved list may be stale.
 READY_TIMEOUT_SECONDS = 0.25
+TENANTS_SHARE = 0.25  # of the usable memory, for the use of tenants
+TENANT_BYTES = 2048  # of one tenant's state, about
 DEFAULT_RETRY_AFTER_SECONDS = 0.1  # advised to clients that are refused without a decision of the module
 
 
@@ -443,6 +445,7 @@
             if self.config.passed_fd is not None:
                 run_isolated(self.log, self._listen_to_peers)  # the ring works without this ingress
             self.memory.serving_begins()
+            self.driver.limit_tenants(int(TENANTS_SHARE * self.memory.usable / TENANT_BYTES))
             self.loop.every(MEASURE_SECONDS, self.memory.tick)
             self.loop.every(REPORT_SECONDS, self.memory.report)
             self.clients.start_serving()
--- a/standflow/driver.py
+++ b/standflow/driver.py
@@ -191,6 +191,10 @@
         phase = PHASES[route.phase]
         return i.BackendEntry(route.hop, route.zone, route.kind, route.cell, phase, route.size, started)
 
+    def limit_tenants(self, number: int) -> None:
+        """Sets how many tenants the module keeps the use of."""
+        self.module.max_quotas = number
+
     def reconfigure(self, settings: i.Settings) -> None:
         """Passes SettingsChanged."""
         self.settings = settings
