Client connection: commands that waited are opened after a look whether their client left

While 64 commands are open the rest stays unread; when that is more than the kernel takes, the close of the client stays behind it on the client's machine and no poll tells of it. The first answer, written 0.5 s after the close, is met with a reset, but the connection took its next commands in the same call.

Commands that have waited for over 0.05 s, unread or read, wait 5 ms more and for a poll: reading them makes room for the close, and answers to a client that has left come back as a reset. At the exit, where they are refused, they don't wait.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -42,6 +42,8 @@
 USUAL_OPTIONS_BYTES = 256
 HEAD_TIME_SECONDS = 1.0  # in place of a time limit for a command whose options have not come
 TURN_COMMANDS = 4  # commands that a connection may have taken before all others had their turn
+UNCHECKED_SECONDS = 0.05  # for which a command may have waited without a look whether its client has left
+CHECK_SECONDS = 0.005  # for which such a look lasts: answers to a client that has left come back as a reset
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
 # Bytes of a long value in a connection's send buffer, at most.
@@ -95,8 +97,10 @@
         self.answered = 0
         self.taken = 0  # commands in this turn
         self.turn_limit = TURN_COMMANDS
+        self.checking = False  # commands wait until it is known that their client has not left
         self.stalls = 0
         self.created_at = host.loop.now()
+        self.checked_at = self.created_at
         self.reader = TimedReader(host.loop, host.log, sock)
         self.progress_at = self.created_at  # when bytes were last read, or a body was granted memory
         # The memory of the long body, or of the command of more than a few KiB, that is being read.
@@ -298,7 +302,7 @@
         """
         if self.slots and self.slots[0].streaming:
             return True
-        if self.taken >= self.turn_limit:
+        if self.taken >= self.turn_limit or (self.checking and not self.host.refuse_unopened):
             return True
         return len(self.slots) >= MAX_PIPELINED or len(self.unsent) > PAUSE_UNSENT
 
@@ -318,6 +322,10 @@
         This includes commands read before the connection began to drain, as each needs an answer.
         """
         while not self.full() and not self.framing_lost:
+            if self._must_check_client():
+                self.checking = True
+                self.host.loop.call_later(CHECK_SECONDS, self._isolate, self._client_checked)
+                return
             try:
                 parts = self.buffer.command()
             except resp.FramingError as error:
@@ -343,9 +351,25 @@
             if memory is not None and not (body and opened):  # the exchange releases it otherwise
                 memory.release()
 
+    def _must_check_client(self) -> bool:
+        """True if the client may have left since it sent what was read.
+
+        Its close can't be seen while it is behind more than the kernel takes. What is read makes room there,
+        and an answer is met with a reset: the next poll tells of either.
+        """
+        if not self.buffer.data or self.buffer.body_missing or self.host.refuse_unopened:
+            return False
+        since = max(self.reader.received_at, self.checked_at)
+        return self.host.loop.now() - since > UNCHECKED_SECONDS
+
+    def _client_checked(self) -> None:
+        """The client has not left, or the connection would have ended."""
+        self.checking = False
+        self._next_turn()
+
     def _next_turn(self) -> None:
         """Goes on with commands that were read, after the events of other connections."""
-        self.taken = 0
+        self.taken, self.checked_at = 0, self.host.loop.now()
         if self.task is not None and not self.task.running:
             self.host.loop.resume(self.task, NO_EVENT)
 
--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -114,6 +114,11 @@
         """True if a part of a message has arrived."""
         return bool(self.data) or self.dropping is not None
 
+    @property
+    def body_missing(self) -> bool:
+        """True if a body is known not to have arrived whole."""
+        return bool(self.body) and len(self.data) < self.body_start + self.body + len(LINE_END)
+
     def feed(self, data: bytes) -> None:
         """Appends received bytes."""
         self.data += data
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -5,10 +5,13 @@
 import select
 import socket
 import struct
+import time
 from collections.abc import Callable
+from pathlib import Path
 
 import pytest
 
+from lab.box import Box
 from standflow.assembly import Ingress
 from standflow.config import read
 from standflow.messages import Outcome, Served
@@ -18,10 +21,12 @@
 from standflow.net.loop import Loop
 from tests.test_connections import Recorder
 from tests.test_endings import Wired, known
-from tests.wire import command, config, listener, run_until
+from tests.wire import command, config, listener, member, program, run_until
 
 FEW_ITERATIONS = 5  # of the loop, within which a close is noticed: by events, not by a timer
 HOUR = 3600_000
+HUNG_TENANT = 0xBAD
+MAX_LATE_ATTEMPT_SECONDS = 0.1  # behind a close: STANDING.md
 
 
 def reset(client: socket.socket) -> None:
@@ -246,3 +251,25 @@
         assert wired.hops.forwards == 0
         assert hop.accept()[0].recv(100) == b""
         wired.recorder.close()
+
+
+def test_requests_behind_a_close_that_could_not_be_seen_are_not_sent_on(tmp_path: Path) -> None:
+    """The close is behind more commands than the kernel takes, while the first one's answer is lost."""
+    with Box(delay=0.005) as box:
+        box.hung_tenants = frozenset([HUNG_TENANT])
+        raw = config(known={"revision": 1, "complete": True, "members": [member(box.address)]})
+        raw["settings"]["Caps"]["MaxOpen"] = 10_000
+        with program(tmp_path, raw) as running:
+            client = running.call()
+            tenant = b"%016x" % HUNG_TENANT
+            first = command("first", "Q.DO", "change", b"x", d=700).replace(b"00000000b4d65521", tenant)
+            others = (command(f"a{number}", "Q.DO", "change", b"x" * 600) for number in range(600))
+            client.sendall(first + b"".join(others))
+            time.sleep(0.2)
+            client.close()
+            closed_at = time.monotonic()
+            running.logged("end caller peer_closed")
+            time.sleep(0.3)
+        arrivals = [arrival.at - closed_at for arrival in box.counts.arrivals]
+        assert min(arrivals) < 0
+        assert max(arrivals) <= MAX_LATE_ATTEMPT_SECONDS
