Client side: replacing an idle client reads from no new one, and a fault of one ends no other

Those that can be replaced without a read come first now, then all as before. Resident memory is read through a descriptor that stays open, as there may be none later; and tests that assemble an ingress in their own process take its memory for that of an ingress at rest.

--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -7,6 +7,7 @@
 import socket
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import chain
 
 from standflow.exchange import Exchange
 from standflow.isolation import check_isolated, run_for_each, run_isolated
@@ -193,7 +194,13 @@
             return False
         self.evicting = True
         try:
-            candidates = sorted(self.idle, key=lambda connection: bool(connection.answered))
+            idle = list(self.idle)
+            unanswered = (
+                one
+                for one in idle
+                if not one.answered and check_isolated(self.log, self._may_be_replaced, one)
+            )
+            candidates = chain(unanswered, idle)
             return any(check_isolated(self.log, self._evict, connection) for connection in candidates)
         finally:
             self.evicting = False
@@ -223,6 +230,7 @@
         self.loop.resume(task, READABLE | self.loop.ready(connection.sock.fileno(), IN))
 
     def _may_be_replaced(self, connection: ClientConnection) -> bool:
+        """True if an eviction may end a connection without reading from it before."""
         return self._waits_for_memory(connection) or self._evictable(connection)
 
     def _evictable(self, connection: ClientConnection) -> bool:
--- a/standflow/process_memory.py
+++ b/standflow/process_memory.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import os
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 RECLAIM_SECONDS = 0.25  # between two times of that
 COLLECT_SECONDS = 1.0  # between two collections of garbage
 REPORT_SECONDS = 5.0
+STATM_BYTES = 128  # more than /proc/self/statm holds
 REPORTED_SHARE = 0.6  # of the limit; a lower peak is not worth a log line
 
 
@@ -33,13 +35,22 @@
     NEW = 0.05  # connections, and the first request of each
 
 
-def resident_bytes() -> int:
-    """Resident memory of this process; 0 if the kernel does not tell."""
-    try:
-        with open("/proc/self/statm", "rb", buffering=0) as file:
-            return int(file.read(64).split()[1]) * os.sysconf("SC_PAGE_SIZE")
-    except (OSError, IndexError, ValueError):
-        return 0
+class ResidentMemory:
+    """Reads the resident memory of this process; its descriptor stays open, as there may be none later."""
+
+    def __init__(self) -> None:
+        self.page_bytes = os.sysconf("SC_PAGE_SIZE")
+        self.last = 0
+        try:
+            self.fd = os.open("/proc/self/statm", os.O_RDONLY | os.O_CLOEXEC)
+        except OSError:
+            self.fd = -1
+
+    def __call__(self) -> int:
+        """Bytes; the last figure if the kernel does not tell, 0 if it never did."""
+        with contextlib.suppress(OSError, IndexError, ValueError):
+            self.last = int(os.pread(self.fd, STATM_BYTES, 0).split()[1]) * self.page_bytes
+        return self.last
 
 
 class ProcessMemory:
@@ -50,16 +61,17 @@
         limit: int,
         now: Callable[[], float],
         log: Callable[[str], None] = lambda text: None,
-        resident: Callable[[], int] = resident_bytes,
+        resident: Callable[[], int] | None = None,
         trim: Callable[[], None] = lambda: None,
     ) -> None:
-        self.now, self.log, self.resident, self.trim = now, log, resident, trim
+        self.now, self.log, self.trim = now, log, trim
+        self.resident = ResidentMemory() if resident is None else resident
         self.peak = 0  # bytes, since the last report
         self.promised = 0  # bytes that were reserved and are not filled yet
         self.taken = 0  # bytes since the last measurement
         self.measured_at = self.reclaimed_at = self.collected_at = now()
         self.reclaimed = 0  # times since the last report
-        self.at_rest = resident()
+        self.at_rest = self.resident()
         self.room_found: list[Callable[[], None]] = []  # called after each regular measurement
         self.ran_short: Callable[[int], None] = lambda missing: None  # called with the missing bytes
         self.resize(limit)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,14 @@
 """Settings for all tests, and the seed of randomized ones."""
 
+from functools import partial
+
 import pytest
 from hypothesis import settings
 
+from standflow.process_memory import ProcessMemory
+
+AT_REST_BYTES = 22 * 1024 * 1024
+
 # The same examples in each run: a failure that occurs once in some hundred runs says nothing about a change.
 # As later runs try no others, there are three times as many as by default.
 settings.register_profile("same", derandomize=True, max_examples=300, deadline=None)
@@ -27,6 +33,14 @@
     return value
 
 
+@pytest.fixture(autouse=True)
+def _memory_of_an_ingress(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An ingress inside the tests' process has the memory of one at rest, not that of the tests."""
+    monkeypatch.setattr(
+        "standflow.assembly.ProcessMemory", partial(ProcessMemory, resident=lambda: AT_REST_BYTES)
+    )
+
+
 def _start_rank(item: pytest.Item) -> int:
     file_name = item.nodeid.partition("::")[0]
     return LONGEST_FIRST.index(file_name) if file_name in LONGEST_FIRST else len(LONGEST_FIRST)
