Exchange: the id of an unsafe request that may have run does not run again

The ids of open requests were forgotten as soon as their client left, while the attempt still ran; and no process knew those of the other.

An id stays in use until nothing of its request is out. The ids of unsafe requests of which an attempt was sent are kept for 30 s, as many as a twentieth of the usable memory holds, and are answered with -ERR; those that never ran are forgotten at once. While two processes of an ingress are alive, each appends the ids to a file (16 bytes each) before the command is sent, and reads what the other has appended before it opens an unsafe request: a client that has left the one may come to the other at once, so that the state file, written every 30 ms, would be too late. The files are removed 30 s after the other process has ended. Cost outside of upgrades: one entry of a table for an unsafe request.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -46,6 +46,8 @@
 READY_TIMEOUT_SECONDS = 0.25
 TENANTS_SHARE = 0.25  # of the usable memory, for the use of tenants
 TENANT_BYTES = 2048  # of one tenant's state, about
+IDS_SHARE = 0.05  # of the usable memory, for ids of requests that may have run
+ID_BYTES = 256  # of one id with its entry, about
 DEFAULT_RETRY_AFTER_SECONDS = 0.1  # advised to clients that are refused without a decision of the module
 
 
@@ -226,6 +228,7 @@
             override_changed=lambda hop: None if ops is None else ops.override_changed(hop),
             evacuated=lambda: (clients.evacuated, clients.evacuated_at),
             evacuate=clients.evacuate,
+            executed_ids=self.exchange.executed_ids,
         )
         return Handover(self.loop, self.log, self.config.handover_folder, self.config.name, callbacks)
 
@@ -445,6 +448,7 @@
             if self.config.passed_fd is not None:
                 run_isolated(self.log, self._listen_to_peers)  # the ring works without this ingress
             self.memory.serving_begins()
+            self.exchange.executed_ids.limit = int(IDS_SHARE * self.memory.usable / ID_BYTES)
             self.driver.limit_tenants(int(TENANTS_SHARE * self.memory.usable / TENANT_BYTES))
             self.loop.every(MEASURE_SECONDS, self.memory.tick)
             self.loop.every(REPORT_SECONDS, self.memory.report)
--- a/standflow/exchange.py
+++ b/standflow/exchange.py
@@ -14,6 +14,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
+from standflow.executed_ids import ExecutedIds
 from standflow.isolation import log_fault, run_for_each
 from standflow.messages import (
     NEVER_RAN,
@@ -195,7 +196,8 @@
         self.ingresses, self.number, self.max_units = ingresses, number, max_units
         # The module decides two ticks before the deadline: with a short tick a fixed margin would come first.
         self.deadline_margin = min(self.DEADLINE_MARGIN, tick)
-        self.open_idents: set[object] = set()
+        self.open_idents: set[object] = set()  # of requests without an answer, or with a running attempt
+        self.executed_ids = ExecutedIds(loop.now)
         self.default_retry_after = default_retry_after  # for refusals without a decision of the module
         self.decisions: Decisions
         self.next_hops: NextHopSide
@@ -226,6 +228,8 @@
             raise InvalidRequestError("units are out of range")
         if request.ident is not None and request.ident in self.open_idents:
             raise InvalidRequestError("the id is another open request's")
+        if not all(flags) and request.ident is not None and request.ident in self.executed_ids:
+            raise InvalidRequestError("the id is that of a request that may have run")
         self.tally("taken")
         self.counts[request.class_name].taken += 1
         self.serial += 1
@@ -345,6 +349,8 @@
             attempt.outcome = Outcome.MOOT
             self.decisions.attempt_ended(attempt, Result(Outcome.MOOT), 0.0, not transaction.open)
             return attempt
+        if not transaction.safe and transaction.request.ident is not None:
+            self.executed_ids.add(transaction.request.ident)
         transaction.running += 1
         attempt.timer = self.loop.call_at(limit, self._end_unanswered, attempt)
         try:
@@ -502,14 +508,23 @@
             transaction.deadline_timer.cancel()
 
     def _release(self, transaction: Transaction) -> None:
-        """The transaction no longer counts as open, and its id may be used again."""
+        """The transaction no longer counts as open; its id is still used by attempts that are out."""
         transaction.streaming = None
         self.open_count -= 1
-        self.open_idents.discard(transaction.request.ident)
 
     def _drop_if_done(self, transaction: Transaction) -> None:
         """Keeps a transaction until it is answered and its last attempt has ended."""
         if not transaction.open and not transaction.running:
+            self._free_ident(transaction)
             if self.transactions.pop(transaction.name, None) and transaction.request.release is not None:
                 transaction.request.release()
             transaction.attempts = []  # breaks the reference cycle: garbage collection is rare here
+
+    def _free_ident(self, transaction: Transaction) -> None:
+        """The id of a request may be used again once nothing of it is out, if it is safe or never ran."""
+        ident = transaction.request.ident
+        if transaction.name not in self.transactions or ident is None:
+            return
+        self.open_idents.discard(ident)
+        if not transaction.safe and transaction.may_refuse:
+            self.executed_ids.discard(ident)
--- a/standflow/upgrade/handover.py
+++ b/standflow/upgrade/handover.py
@@ -8,11 +8,13 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from standflow.executed_ids import ExecutedIds
 from standflow.isolation import run_isolated
 from standflow.net.loop import Loop
 from standflow.ops.overlay import Overlay, Override
 from standflow.upgrade import roles
 from standflow.upgrade.files import StateFiles, next_generation
+from standflow.upgrade.id_journal import IdJournal
 from standflow.upgrade.roles import ProcessStatus, Role, Stage
 
 FAST_POLL_SECONDS, SLOW_POLL_SECONDS = 0.03, 0.1  # during a handover, and otherwise
@@ -41,6 +43,7 @@
     override_changed: Callable[[str], None]  # a next hop's override was received from another process
     evacuated: Callable[[], tuple[bool, float]]
     evacuate: Callable[[bool, float], None]
+    executed_ids: ExecutedIds
 
 
 class Handover:
@@ -52,6 +55,10 @@
         self.loop, self.log, self.callbacks = loop, log, callbacks
         generation = next_generation(folder, name, time.time_ns())
         self.files = StateFiles(folder, name, generation, log)
+        known = callbacks.executed_ids.added_at.keys
+        self.id_journal = IdJournal(folder, self.files.prefix, generation, known, loop.now, log)
+        callbacks.executed_ids.changed = self.id_journal.record
+        callbacks.executed_ids.known_elsewhere = self.id_journal.known_elsewhere
         self.role = Role(generation)
         self.begin: Callable[[], None] = lambda: None
         self.exported: dict[str, Any] | None = None  # state for the newer process
@@ -127,6 +134,7 @@
         if bool(alive) != self.another_alive:
             self.another_alive = bool(alive)
             run_isolated(self.log, self.callbacks.share_limits, self.another_alive)
+        run_isolated(self.log, self.id_journal.update, self.another_alive)
         run_isolated(self.log, self._perform, self.role.step(others, now), raw)
         shares_use = self.role.stage is Stage.HANDED or (self.took_from and self.another_alive)
         due = FAST_POLL_SECONDS if shares_use else HEARTBEAT_SECONDS
--- a/standflow/upgrade/id_journal.py
+++ b/standflow/upgrade/id_journal.py
@@ -1,8 +1,8 @@
 """Ids of unsafe requests that may have run, told to the other processes of an ingress as they are sent.
 
 Each process appends fixed records to a file of its own, before a command is sent, and reads what the others
-have appended before it opens a request. Both processes of an upgrade accept clients, and one that has left the
-one may come to the other at once: a state file that is written now and then would be too late.
+have appended before it opens a request. Both processes of an upgrade accept clients, and one that has left
+one of them may come to the other at once: a state file that is written now and then would be too late.
 
 The first record numbers the file's contents: a file that has grown too long is begun anew.
 """
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -30,6 +30,7 @@
 from standflow.assembly import Ingress
 from standflow.config import load as load_config
 from standflow.driver import Driver
+from standflow.executed_ids import ExecutedIds
 from standflow.net.loop import Loop
 from standflow.net.peers import Peers
 from standflow.upgrade import files as upgrade_files
@@ -356,6 +357,7 @@
         override_changed=note,
         evacuated=lambda: (False, 0.0),
         evacuate=note,
+        executed_ids=ExecutedIds(loop.now),
     )
     handover = Handover(loop, events.append, f"{folder}", "n0", callbacks)
     handover.ask(lambda: note("begins"))
