Backends: a process that took an address is not taken for the one before

Shown in three forms: a connection that was busy as its backend was listed at another address went back to the pool, and later commands went to whatever had the old address; a command that waited for a connection to the old address was written there; and where discovery names a newer backend at the address of one that is still listed, requests for the old one reached the new, cold process as well.

A connection remembers the backend's entry (address and start) with which it was begun. After the answer under way it ends as soon as the entry is another one; while it is being opened to another address, its command is given back as not run, with an outcome that says nothing about the backend. The first of two backends at one address counts as gone where the start of the other is later; with no start, or the same one, both stay.

--- a/standflow/assembly.py
+++ b/standflow/assembly.py
@@ -11,6 +11,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
+from standflow.address_reuse import AddressOwners
 from standflow.allocator import Allocator
 from standflow.config import Config, ConfigError
 from standflow.driver import Driver
@@ -153,6 +154,7 @@
             )
         self.shutdown = Shutdown(loop, log, self.clients, self.exchange, self._save)
         self.reloading = self._make_reloading()
+        self.address_owners = AddressOwners()
         self.routes_received = False  # from discovery, since the start
         self.ops = self._make_ops()
         self.handover = self._make_handover()
@@ -457,6 +459,7 @@
 
     def _routes_updated(self, routes: RouteSet) -> None:
         self.routes_received = True
+        routes = self.address_owners.apply(routes)
         self._apply_routes(routes if self.ops is None else self.ops.overlay.apply(routes))
 
     def _apply_routes(self, routes: RouteSet) -> None:
--- a/standflow/net/backend_connection.py
+++ b/standflow/net/backend_connection.py
@@ -34,6 +34,9 @@
 )
 
 
+RESTARTED = "restarted"  # reason of the end of a connection to an earlier process of a next hop
+
+
 class ReplyPart(Enum):
     """What a connection waits for, as the log names it."""
 
@@ -141,11 +144,12 @@
 
     __slots__ = (
         "buffer", "created_at", "established", "flow", "hop", "idle_since", "mask", "owner", "pending",
-        "reason", "reply_parts", "served", "sock", "stream", "task",
+        "reason", "reply_parts", "route", "served", "sock", "stream", "task",
     )  # fmt: skip
 
     def __init__(self, owner: ConnectionOwner, hop: Hop, pending: PendingCommand | None) -> None:
         self.owner, self.hop = owner, hop
+        self.route = hop.route  # as it was when the connection was begun
         self.pending: PendingCommand | None = pending
         self.buffer = resp.Buffer()
         self.flow: Flow | None = None  # the long value that is being forwarded
@@ -160,11 +164,17 @@
         self.stream: Stream
         self.task: Task | None = None
 
+    @property
+    def is_current(self) -> bool:
+        """False if the next hop is another process by now, at this or at another address."""
+        now = self.hop.route
+        return (self.route.address, self.route.up_since) == (now.address, now.up_since)
+
     def run(self) -> Coroutine[None]:
         """Dials, serves commands and cleans up."""
         outcome, opening = Outcome.CONNECT_FAILED, True  # the outcome until a command is fully written
         try:
-            loop, address = self.owner.loop, self.hop.route.address
+            loop, address = self.owner.loop, self.route.address
             failed = yield from loop.connect(self.sock, address, self.owner.dial_timeout)
             failed = failed or (yield from self.stream.open())
             self.reason, opening = failed, False
@@ -187,6 +197,8 @@
         if opening:
             run_isolated(log, self._report_opened, None)
         pending, self.pending = self.pending, None
+        if self.reason == RESTARTED:  # it says nothing about the next hop as it is now
+            outcome = Outcome.MOOT
         if pending is not None and pending.fully_written:
             outcome = Outcome.ERROR if self.reason in UNREADABLE_REPLY else Outcome.RESET
         flow, self.flow = self.flow, None
--- a/standflow/net/nexthop.py
+++ b/standflow/net/nexthop.py
@@ -14,6 +14,7 @@
 from standflow.net import resp
 from standflow.net.backend_connection import (
     PAUSE_STALL_TIMEOUT,
+    RESTARTED,
     Admission,
     Connection,
     Hop,
@@ -97,8 +98,9 @@
             hop = self.hops[route.hop] = Hop(route)
         before, hop.route = hop.route, route
         if (before.address, before.up_since) != (route.address, route.up_since):
-            # The next hop was restarted: idle connections to the old process would end as resets.
-            self._close_idle(hop, "restarted")
+            # Another process: connections to the old one carry nothing new, wherever they lead by now.
+            self._close_idle(hop, RESTARTED)
+            run_for_each(self.log, hop.connections, self._end_if_stale)
         if route.phase is Phase.SERVING:
             hop.writes_end_at = None
         else:
@@ -119,6 +121,12 @@
         run_for_each(self.log, hop.connections, self._end_unwritten)
         self._remove_closed(hop)
 
+    def _end_if_stale(self, connection: Connection) -> None:
+        """Ends a connection to an address that is another's by now, unless a command is being written."""
+        moved = connection.route.address != connection.hop.route.address
+        if moved and connection.pending is not None and not connection.pending.write_started:
+            self._end(connection, RESTARTED)
+
     def _end_unwritten(self, connection: Connection) -> None:
         """Ends a connection to what drains, unless a command is being written: its first byte was in time."""
         if connection.pending is not None and not connection.pending.write_started:
@@ -272,7 +280,9 @@
     def release(self, connection: Connection) -> None:
         """Returns a connection to the pool."""
         connection.idle_since = self.loop.now()
-        if connection.hop.writes_end_at is None:
+        if not connection.is_current:
+            self._end(connection, RESTARTED)
+        elif connection.hop.writes_end_at is None:
             connection.hop.idle.append(connection)
         else:
             self._end(connection, "drained")
