--- a/standflow/process_memory.py
+++ b/standflow/process_memory.py
@@ -21,6 +21,8 @@
 RECLAIM_BELOW = 0.4  # of the usable memory; with less free, what was freed is given back to the system
 RECLAIM_SECONDS = 0.25  # between two times of that
 COLLECT_SECONDS = 1.0  # between two collections of garbage
+# The same without shortage, while more than a share of the usable memory is resident.
+CALM_RECLAIM_SECONDS, CALM_COLLECT_SECONDS, CALM_SHARE = 2.0, 10.0, 0.1
 REPORT_SECONDS = 5.0
 STATM_BYTES = 128  # more than /proc/self/statm holds
 REPORTED_SHARE = 0.6  # of the limit; a lower peak is not worth a log line
@@ -118,21 +120,23 @@
         """To be called every MEASURE_SECONDS: measures, gives back what is free, and wakes who waits."""
         self.measure()
         if self.free < RECLAIM_BELOW * self.usable:
-            self._reclaim()
+            self._reclaim(RECLAIM_SECONDS, COLLECT_SECONDS)
+        elif self.free < (1 - CALM_SHARE) * self.usable:
+            self._reclaim(CALM_RECLAIM_SECONDS, CALM_COLLECT_SECONDS)
         wanted = int(Use.NEW.value * self.usable)
         if self.free < wanted:
             self.ran_short(wanted - self.free)
         for found in self.room_found:
             found()
 
-    def _reclaim(self) -> None:
-        """Collects garbage and gives free pages back to the system."""
+    def _reclaim(self, reclaim_seconds: float, collect_seconds: float) -> None:
+        """Collects garbage and gives free pages back to the system, each at most once in some time."""
         now = self.now()
-        if now - self.reclaimed_at < RECLAIM_SECONDS:
+        if now - self.reclaimed_at < reclaim_seconds:
             return
         self.reclaimed_at = now
         self.reclaimed += 1
-        if now - self.collected_at >= COLLECT_SECONDS:
+        if now - self.collected_at >= collect_seconds:
             self.collected_at = now
             gc.collect()
         self.trim()
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -76,6 +76,17 @@
     assert measured.trims == 1
 
 
+def test_memory_is_given_back_after_a_load_also_where_much_is_free() -> None:
+    measured = Measured()
+    for _ in range(int(5.0 / MEASURE_SECONDS)):
+        measured.tick()
+    assert measured.trims == 0
+    measured.resident = 30 * MB
+    for _ in range(int(5.0 / MEASURE_SECONDS)):
+        measured.tick()
+    assert 2 <= measured.trims <= 3
+
+
 def test_limit_below_the_memory_at_rest_leaves_the_least_that_serving_needs() -> None:
     memory = Measured(limit=16 * MB).memory
     assert memory.usable == MIN_USABLE_BYTES
