--- a/Makefile
+++ b/Makefile
@@ -10,11 +10,14 @@
 test:
 	$(PYTHON) -m lab.run_tests -n 6
 
-# Restarts in series while everything around them fails, by seed; those of KNOWN-RED.txt are left out. The long run:
-#   make soak SOAK='--first-seed 1001 --seeds 50 --at-once 4'
+# Restarts in series while everything around them fails, by seed; those of KNOWN-RED.txt are left out. Then the memory
+# of one ingress beside clients that take as much of it as they can, by seed. The long run:
+#   make soak SOAK='--first-seed 1001 --seeds 50 --at-once 4' MEMORY_SOAK='--first-seed 1001 --seeds 50 --at-once 4'
 SOAK ?= --first-seed 1 --seeds 12 --at-once 3
+MEMORY_SOAK ?= --first-seed 1 --seeds 12 --at-once 3
 soak:
 	$(PYTHON) -m lab.soak $(SOAK) --without-known
+	$(PYTHON) -m lab.memory $(MEMORY_SOAK)
 
 lint:
 	$(PYTHON) -m ruff check hoistfold standflow lab tests
