--- a/standflow/net/resp.py
+++ b/standflow/net/resp.py
@@ -332,7 +332,7 @@
         raise CommandError("unknown command")
     if not 4 <= len(parts) <= 5:
         raise CommandError("wrong number of arguments")
-    tenant, ident, options = (bytes(part) for part in parts[1:4])
+    tenant, ident, options = bytes(parts[1]), bytes(parts[2]), bytes(parts[3])
     try:
         # int() would also take signs, spaces and underscores
         if len(tenant) != 16 or not tenant.isalnum() or int(tenant, 16) >= MAX_TENANT:
--- a/standflow/process_memory.py
+++ b/standflow/process_memory.py
@@ -28,7 +28,7 @@
 REPORTED_SHARE = 0.6  # of the limit; a lower peak is not worth a log line
 
 
-class Use(Enum):
+class Use(float, Enum):
     """What memory is taken for; the value: the share of the usable memory that must stay free for others."""
 
     LONG = 0.35  # long bodies, and long values that are gathered
@@ -97,8 +97,8 @@
 
     def fits(self, size: int, use: Use) -> bool:
         """True if `size` more bytes may be taken."""
-        kept = use.value * self.usable
-        if self.free - size >= kept:
+        kept = use * self.usable
+        if self.headroom - self.taken - self.promised - size >= kept:
             return True
         if self.now() - self.measured_at < MIN_MEASURE_SECONDS:
             return False
@@ -123,7 +123,7 @@
             self._reclaim(RECLAIM_SECONDS, COLLECT_SECONDS)
         elif self.free < (1 - CALM_SHARE) * self.usable:
             self._reclaim(CALM_RECLAIM_SECONDS, CALM_COLLECT_SECONDS)
-        wanted = int(Use.NEW.value * self.usable)
+        wanted = int(Use.NEW * self.usable)
         if self.free < wanted:
             self.ran_short(wanted - self.free)
         for found in self.room_found:
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -72,7 +72,7 @@
     measured.time += 1.0
     measured.resident = 64 * MB
     measured.tick()
-    assert missing == [measured.memory.reserve + int(Use.NEW.value * measured.memory.usable)]
+    assert missing == [measured.memory.reserve + int(Use.NEW * measured.memory.usable)]
     assert measured.trims == 1
 
 
