Client connection: when it may have its next command is a module of its own

The turns and the look whether a client has left move to net/command_turn.py, without I/O; behaviour unchanged.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import socket
-import sys
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from functools import partial
@@ -18,6 +17,7 @@
 from standflow.net.arrival import READ_SIZE
 from standflow.net.client_memory import ClientMemory, HeldBytes
 from standflow.net.closing import shut_down_unless_unread
+from standflow.net.command_turn import CommandTurn
 from standflow.net.flow import Flow
 from standflow.net.long_body import BodyBudget, LongBody
 from standflow.net.loop import (
@@ -41,9 +41,6 @@
 MEDIUM_READ_BYTES, SHORT_READ_BYTES = 16 * 1024, 4 * 1024
 USUAL_OPTIONS_BYTES = 256
 HEAD_TIME_SECONDS = 1.0  # in place of a time limit for a command whose options have not come
-TURN_COMMANDS = 4  # commands that a connection may have taken before all others had their turn
-UNCHECKED_SECONDS = 0.05  # for which a command may have waited without a look whether its client has left
-CHECK_SECONDS = 0.005  # for which such a look lasts: answers to a client that has left come back as a reset
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
 PAUSE_UNSENT = 256 * 1024  # unsent bytes at which no more commands are read from a connection
 # Bytes of a long value in a connection's send buffer, at most.
@@ -95,12 +92,9 @@
         self.framing_lost = False  # bytes behind a framing error can't be parsed
         self.write_shut = False  # sending is shut down; bytes that still arrive are dropped
         self.answered = 0
-        self.taken = 0  # commands in this turn
-        self.turn_limit = TURN_COMMANDS
-        self.checking = False  # commands wait until it is known that their client has not left
         self.stalls = 0
         self.created_at = host.loop.now()
-        self.checked_at = self.created_at
+        self.turn = CommandTurn(host.loop, partial(self._isolate, self._go_on))
         self.reader = TimedReader(host.loop, host.log, sock)
         self.progress_at = self.created_at  # when bytes were last read, or a body was granted memory
         # The memory of the long body, or of the command of more than a few KiB, that is being read.
@@ -135,15 +129,11 @@
 
     def start_drain(self) -> None:
         """Ends the connection once all commands are answered. Commands that arrive later are refused."""
-        self.lift_turn_limit()
+        self.turn.lift_limit()
         if not self.draining:
             self.draining, self.draining_since, self.reason = True, self.host.loop.now(), "drained"
             self.drop_long_body()
 
-    def lift_turn_limit(self) -> None:
-        """All commands that were read may be taken at once, as the connection is about to end."""
-        self.turn_limit = sys.maxsize
-
     def run(self) -> Coroutine[None]:
         """Serves commands until the connection ends, and cleans up."""
         try:
@@ -171,6 +161,7 @@
     def _drop_buffers(self) -> None:
         """Frees what was received and not sent, and breaks reference cycles: garbage collection is rare."""
         self.buffer, self.unsent, self.long_body = resp.Buffer(), bytearray(), None
+        self.turn.end()
         for slot in self.slots:
             slot.discard()
 
@@ -223,7 +214,8 @@
         if not data:
             return False
         self.buffer.feed(data)
-        self.stalls = self.taken = 0
+        self.stalls = 0
+        self.turn.bytes_read()
         self.refusing = self.draining
         self.progress_at = self.reader.read_at
         return True
@@ -302,7 +294,7 @@
         """
         if self.slots and self.slots[0].streaming:
             return True
-        if self.taken >= self.turn_limit or (self.checking and not self.host.refuse_unopened):
+        if self.turn.used_up or (self.turn.checking and not self.host.refuse_unopened):
             return True
         return len(self.slots) >= MAX_PIPELINED or len(self.unsent) > PAUSE_UNSENT
 
@@ -322,9 +314,7 @@
         This includes commands read before the connection began to drain, as each needs an answer.
         """
         while not self.full() and not self.framing_lost:
-            if self._must_check_client():
-                self.checking = True
-                self.host.loop.call_later(CHECK_SECONDS, self._isolate, self._client_checked)
+            if self._client_is_checked():
                 return
             try:
                 parts = self.buffer.command()
@@ -339,9 +329,7 @@
 
     def _take_command(self, parts: list[resp.Part]) -> None:
         """Answers a complete command at once, or opens a request for it."""
-        self.taken += 1
-        if self.taken == self.turn_limit:
-            self.host.loop.call_soon(self._isolate, self._next_turn)
+        self.turn.command_taken()
         memory, dropped = self._end_long_body()
         body = memory if len(parts[-1]) > resp.MAX_VALUE else None
         opened = False
@@ -351,25 +339,14 @@
             if memory is not None and not (body and opened):  # the exchange releases it otherwise
                 memory.release()
 
-    def _must_check_client(self) -> bool:
-        """True if the client may have left since it sent what was read.
-
-        Its close can't be seen while it is behind more than the kernel takes. What is read makes room there,
-        and an answer is met with a reset: the next poll tells of either.
-        """
+    def _client_is_checked(self) -> bool:
+        """True while the next command, if it has come whole, waits for a look whether its client has left."""
         if not self.buffer.data or self.buffer.body_missing or self.host.refuse_unopened:
             return False
-        since = max(self.reader.received_at, self.checked_at)
-        return self.host.loop.now() - since > UNCHECKED_SECONDS
-
-    def _client_checked(self) -> None:
-        """The client has not left, or the connection would have ended."""
-        self.checking = False
-        self._next_turn()
+        return self.turn.check_client(self.reader.received_at)
 
-    def _next_turn(self) -> None:
-        """Goes on with commands that were read, after the events of other connections."""
-        self.taken, self.checked_at = 0, self.host.loop.now()
+    def _go_on(self) -> None:
+        """Takes further commands that were read."""
         if self.task is not None and not self.task.running:
             self.host.loop.resume(self.task, NO_EVENT)
 
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -409,7 +409,7 @@
 
     def _serve_last_command(self, connection: ClientConnection) -> None:
         """Drains a connection; commands that have arrived are read first, and one more of them is served."""
-        connection.lift_turn_limit()
+        connection.turn.lift_limit()
         for _ in range(MAX_READS):
             if connection.task is None or not connection.accepts_commands or not self._has_unread(connection):
                 break
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,8 +8,9 @@
 import pytest
 
 from lab.callers import command as encode
-from standflow.net.client_connection import MAX_PIPELINED, TURN_COMMANDS
+from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.client_side import ClientSide
+from standflow.net.command_turn import TURN_COMMANDS
 from tests.test_connections import Recorder
 from tests.wire import command, run_until
 
