Shutdown: clients at full speed keep the process from its end no longer

As it answers all, up to 16 reads of 64 KiB of each connection were taken, some 9,500 small commands, twice: an iteration of 2.2 to 3.8 s. Now connections with the least unread come first, and beyond one read of each, all together have 256 KiB and 0.1 s, once for the two passes of the end; connections that end and hold more than 32 KiB unread outside of a long command are read 16 KiB at a time. A first form with 20 ms and reads of 4 KiB left commands unanswered that had arrived (test_commands_received_before_the_process_exits..., 1,776 of them).

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -14,7 +14,7 @@
 from standflow.messages import FinalAnswer, InvalidRequestError, Refused, Request, Served
 from standflow.net import resp
 from standflow.net.answer_slot import AnswerSlot, encode_final
-from standflow.net.arrival import READ_SIZE
+from standflow.net.arrival import READ_SIZE, count_unread_bytes
 from standflow.net.client_memory import ClientMemory, HeldBytes
 from standflow.net.closing import shut_down_unless_unread
 from standflow.net.command_turn import CommandTurn
@@ -39,6 +39,7 @@
 # Bytes of one read while no long command is being read and the process is short of memory: less so, and more.
 # What a connection holds of a command beyond the shortest read is reserved.
 MEDIUM_READ_BYTES, SHORT_READ_BYTES = 16 * 1024, 4 * 1024
+MAX_LAST_BYTES = 32 * 1024  # unread bytes of a connection that ends, above which its client is flooding
 USUAL_OPTIONS_BYTES = 256
 HEAD_TIME_SECONDS = 1.0  # in place of a time limit for a command whose options have not come
 MAX_PIPELINED = 64  # commands of one connection that wait for answers; further ones stay in the kernel
@@ -210,7 +211,7 @@
 
     def _read(self) -> bool:
         """Reads what has arrived; returns false at the end of the stream."""
-        data = self.reader.read(self._read_size())
+        data = self.reader.read(self.read_size())
         if not data:
             return False
         self.buffer.feed(data)
@@ -220,11 +221,11 @@
         self.progress_at = self.reader.read_at
         return True
 
-    def _read_size(self) -> int:
+    def read_size(self) -> int:
         """Bytes that may be read now. Beyond a few KiB a command is read only into memory reserved for it."""
         body = self.long_body
         if self.draining or self.host.refuse_unopened:  # what is refused needs no memory, and time is short
-            return READ_SIZE
+            return self._last_read_size()
         if body is None:
             return self._unreserved_read_size()
         if body.dropped:
@@ -232,6 +233,13 @@
         reserved = body.reserved - len(self.buffer.data)
         return min(READ_SIZE, max(0, reserved) + SHORT_READ_BYTES)
 
+    def _last_read_size(self) -> int:
+        """The same for a connection that ends: small commands at full speed would take too long to refuse."""
+        in_long_command = self.long_body is not None or self.buffer.dropping is not None
+        if in_long_command or count_unread_bytes(self.sock) <= MAX_LAST_BYTES:
+            return READ_SIZE
+        return MEDIUM_READ_BYTES
+
     def _unreserved_read_size(self) -> int:
         memory = self.host.memory
         if memory.fits(READ_SIZE, Use.LONG):
--- a/standflow/net/client_side.py
+++ b/standflow/net/client_side.py
@@ -6,14 +6,14 @@
 import math
 import socket
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import chain
 
 from standflow.exchange import Exchange
 from standflow.isolation import check_isolated, run_for_each, run_isolated
 from standflow.net import resp
 from standflow.net.acceptor import Acceptor
-from standflow.net.arrival import seconds_since_received
+from standflow.net.arrival import count_unread_bytes, seconds_since_received
 from standflow.net.client_connection import ClientConnection
 from standflow.net.client_memory import ClientMemory
 from standflow.net.closing import MAX_READS, close_gracefully, shut_down_unless_unread
@@ -40,6 +40,8 @@
 PARTIAL_COMMAND_GRACE = 0.25  # the same for a new connection with a partial command
 FIRST_COMMAND_GRACE = 1.0  # seconds for which an expired drain spares a connection without a command
 PARTIAL_COMMAND_DRAIN = 1.5  # seconds for which a draining connection waits for the rest of a command
+# Beyond one read of each connection, the last commands of all are read up to these bytes, and for this time.
+LAST_READS_BYTES, LAST_READS_SECONDS = 256 * 1024, 0.1
 DRAIN_PERIOD = 1.5  # seconds of an evacuation after which each connection gets at most one more command
 
 
@@ -87,6 +89,9 @@
         self.acceptor = Acceptor(loop, log, self, address, inherited_fd)
         self.address = self.acceptor.address
         self.evicting = False
+        self.last_reads_until = 0.0  # on the loop's clock
+        self.last_reads_bytes = 0  # that may still be read
+        self.last_reads_begun = False
         loop.free_descriptor = self.evict_idle
         loop.every(SWEEP_INTERVAL, self._sweep)
         loop.every(REPORT_INTERVAL, self.client_memory.report)
@@ -264,7 +269,7 @@
         now = self.loop.now()
         if self.drain_expired:
             old = [one for one in self.idle if now - one.created_at > SWEEP_INTERVAL]
-            run_for_each(self.log, old, self._serve_last_command)
+            self._serve_last_commands(old, self._serve_last_command)
         run_for_each(self.log, self.connections, self._end_overdue_drain)
         run_for_each(self.log, self.connections, lambda connection: connection.reader.note_arrivals())
         run_for_each(self.log, self.connections, self._end_if_stuck)
@@ -399,7 +404,7 @@
             f"drain: no more is served, connections={len(self.connections)} open={self.exchange.open_count}"
         )
         self.drain_expired = True
-        run_for_each(self.log, self.connections, self._expire_drain_of)
+        self._serve_last_commands(self.connections, self._expire_drain_of)
 
     def _expire_drain_of(self, connection: ClientConnection) -> None:
         """Serves the last command of a connection, unless its first one may still be under way."""
@@ -407,10 +412,28 @@
         if connection.answered or connection.slots or age > FIRST_COMMAND_GRACE:
             self._serve_last_command(connection)
 
+    def _serve_last_commands(
+        self, connections: Iterable[ClientConnection], step: Callable[[ClientConnection], object]
+    ) -> None:
+        """Serves the last command of each connection: those with the least unread first.
+
+        A client that sends at full speed must keep neither the others from their answers nor the process from
+        its end.
+        """
+        if not self.last_reads_begun:
+            self.last_reads_begun = self.refuse_unopened  # the last ones of all share one time
+            self.last_reads_until = self.loop.now() + LAST_READS_SECONDS
+            self.last_reads_bytes = LAST_READS_BYTES
+        by_unread = sorted(connections, key=lambda connection: count_unread_bytes(connection.sock))
+        run_for_each(self.log, by_unread, step)
+
     def _serve_last_command(self, connection: ClientConnection) -> None:
         """Drains a connection; commands that have arrived are read first, and one more of them is served."""
         connection.turn.lift_limit()
-        for _ in range(MAX_READS):
+        for number in range(MAX_READS):
+            if number and (self.last_reads_bytes <= 0 or self.loop.now() > self.last_reads_until):
+                break
+            self.last_reads_bytes -= connection.read_size()
             if connection.task is None or not connection.accepts_commands or not self._has_unread(connection):
                 break
             self._read_now(connection, connection.task)
@@ -422,7 +445,7 @@
         """Opens no further requests, as the process is about to end."""
         self.draining = self.drain_expired = self.refuse_unopened = True
         run_isolated(self.log, self.acceptor.end)
-        run_for_each(self.log, self.connections, self._refuse_new_on)
+        self._serve_last_commands(self.connections, self._refuse_new_on)
 
     def _refuse_new_on(self, connection: ClientConnection) -> None:
         run_isolated(self.log, connection.fail_late_values)
