Client connection: what waits for memory does not fill the account of requests

The first 64 KiB of each waiting body count in the account of what is held for clients, and 450 of them fill its 20 MB, so that every request was refused for memory. From half of that account on a connection reads 4 KiB before its command is known to fit. Test: failed before.

--- a/standflow/net/client_connection.py
+++ b/standflow/net/client_connection.py
@@ -242,6 +242,8 @@
 
     def _unreserved_read_size(self) -> int:
         memory = self.host.memory
+        if self.host.client_memory.strained:  # what is read might have to wait, and others be refused for it
+            return SHORT_READ_BYTES
         if memory.fits(READ_SIZE, Use.LONG):
             return READ_SIZE
         return MEDIUM_READ_BYTES if memory.fits(MEDIUM_READ_BYTES, Use.REQUEST) else SHORT_READ_BYTES
--- a/tests/test_memory_of_connections.py
+++ b/tests/test_memory_of_connections.py
@@ -183,3 +183,18 @@
     assert parts[-1] == body
     assert buffer.data == behind
     assert buffer.command() is not None
+
+
+def test_bodies_that_wait_for_memory_do_not_fill_the_account_of_requests(writers: Writers) -> None:
+    writers.side.client_memory.resize(8 * READ_SIZE)
+    writers.begin("aa00", 900_000, 0.1)
+    for number in range(16):
+        writers.begin(f"ab{number:02}", 300_000, 0.5)
+    waiting = [one for one in writers.side.connections if one.awaiting_memory]
+    assert len(waiting) > 8  # more than the account holds of whole reads
+    assert min(len(one.buffer.data) for one in waiting) <= SHORT_READ_BYTES
+    sound = writers.begin("aa99", 100)
+    opened = writers.opened("aa99")
+    assert opened is not None
+    writers.recorder.exchange._answer(opened, Served(b"value"))
+    assert writers.answer(sound) == b"$5\r\nvalue\r\n"
