Known failures: the memory limit at 32 MB in a long mix of all kinds of clients

The test of turns in order could not fail: it looked at no answer. An unused field of the load goes.

--- a/lab/memory/load.py
+++ b/lab/memory/load.py
@@ -15,7 +15,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lab.callers import command
 
@@ -42,7 +42,6 @@
     receive_buffer: int | None = None
     read_seconds: float = 0.0  # between two reads
     close_at_end: bool = False  # closes when its behaviour has ended, with whatever is still unread
-    sends: list[str] = field(default_factory=list)
 
 
 def ask(
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -58,3 +58,20 @@
     played = play(Mix(64, {"unsound_flood": 1}))
     assert_served(played)
     assert played.slowest_seconds < 0.1, played.describe()
+
+
+def test_clients_of_all_kinds_for_long_keep_the_memory_within_its_limit() -> None:
+    clients = {
+        "half_bodies": 220,
+        "slow_writers": 120,
+        "half_fields": 80,
+        "whole_bodies": 60,
+        "open_fields": 60,
+        "open_small": 60,
+        "slow_long_readers": 80,
+        "slow_readers": 80,
+        "leavers": 40,
+        "flood": 2,
+        "unsound_flood": 2,
+    }
+    assert_within_limit(play(Mix(LEAST_MB, clients, seconds=75.0, seed=32)))
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Iterator
 
 import pytest
 
 from lab.callers import command as encode
-from standflow.net.client_connection import MAX_PIPELINED
 from standflow.net.client_side import ClientSide
 from standflow.net.command_turn import TURN_COMMANDS
 from tests.test_connections import Recorder
@@ -58,15 +58,25 @@
     assert side.answered() - before <= 3 * TURN_COMMANDS + 1
 
 
-def test_commands_of_one_turn_are_all_answered_in_the_end_and_in_order(side: Side) -> None:
-    flooding, loop = side.clients[0], side.recorder.loop
-    texts = [PING, command("aa01"), UNSOUND] * 100
+def test_commands_of_several_turns_are_all_answered_and_in_order(side: Side) -> None:
+    flooding, loop, got = side.clients[0], side.recorder.loop, bytearray()
+    texts = [text for number in range(60) for text in (PING, command(f"aa{number:02}"), UNSOUND)]
     flooding.sendall(b"".join(texts))
-    run_until(loop, lambda: side.answered() == 1 and len(side.recorder.opened) == 1)
-    assert len(next(one for one in side.side.connections if one.slots).slots) <= MAX_PIPELINED
-    for transaction in side.recorder.opened:
-        side.recorder.exchange.fail(transaction.name)
-    run_until(loop, lambda: side.answered() >= len(texts) - 1 or side.recorder.opened[-1].open)
+    flooding.setblocking(False)
+
+    def all_answered() -> bool:
+        for transaction in reversed(side.recorder.opened):
+            side.recorder.exchange.fail(transaction.name)
+        with contextlib.suppress(BlockingIOError):
+            got.extend(flooding.recv(65536))
+        return got.count(b"\r\n") >= len(texts)
+
+    run_until(loop, all_answered)
+    lines = bytes(got).splitlines()
+    assert len(lines) == len(texts)
+    assert set(lines[0::3]) == {b"+PONG"}
+    assert set(lines[1::3]) == {b"-ERR failed"}
+    assert set(lines[2::3]) == {b"-ERR bad customer"}
 
 
 @pytest.mark.parametrize("end", ["drain", "refuse"])
